--- /dev/null
+++ b/Makefile
@@ -0,0 +1,74 @@
+# Builds, tests and demonstrates mangohead. See README.md.
+
+BUILD ?= build
+CC ?= gcc
+CXX ?= g++
+SAN ?=
+
+CPPFLAGS += -I. -D_GNU_SOURCE -MMD -MP
+CFLAGS += -std=gnu11 -O2 -g -Wall -Wextra -Werror $(SAN)
+CXXFLAGS += -std=c++17 -O2 -g -Wall -Wextra -Werror $(SAN)
+LDFLAGS += $(SAN)
+LIBS = -lmicrohttpd -lneon-gnutls -lprotobuf-c -ljansson -lsodium -lxxhash \
+       -llog4c -lurcu-bp -lurcu-common -lpthread -lstdc++
+
+PACKAGES = gcc g++ make libmicrohttpd-dev libneon27-gnutls-dev \
+	   libprotobuf-c-dev protobuf-c-compiler liburcu-dev liblog4c-dev \
+	   libcmocka-dev libtoml11-dev librapidcheck-dev libjansson-dev \
+	   libxxhash-dev libsodium-dev uthash-dev scdoc curl \
+	   clang-format cppcheck gnuplot-nox
+
+CORE = $(wildcard core/*.c) config/reader.c proto/mangohead.pb-c.c
+SHELL_PARTS = $(wildcard net/*.c platform/*.c) config/settings.c \
+	      config/logging.c config/cmdline.c config/toml.cc
+COMMON = $(CORE) $(SHELL_PARTS)
+
+objs = $(patsubst %,$(BUILD)/%.o,$(basename $(1)))
+
+PROGRAMS = mangohead-entry mangohead-side mangoctl
+STANDINS = standin-engine standin-service standin-log standin-hosts \
+	   standin-weights loadgen
+BINARIES = $(addprefix $(BUILD)/bin/,$(PROGRAMS) $(STANDINS))
+
+all: $(BINARIES)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -c -o $@ $<
+
+$(BUILD)/%.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -c -o $@ $<
+
+$(BUILD)/libmangohead.a: $(call objs,$(COMMON))
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+LINK = @mkdir -p $(@D) && $(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) \
+       $(filter %.a,$^) $(LIBS)
+
+$(BUILD)/bin/mangohead-entry: $(call objs,$(wildcard entry/*.c)) \
+			      $(BUILD)/libmangohead.a
+	$(LINK)
+$(BUILD)/bin/mangohead-side: $(call objs,$(wildcard side/*.c)) \
+			     $(BUILD)/libmangohead.a
+	$(LINK)
+$(BUILD)/bin/mangoctl: $(call objs,$(wildcard ctl/*.c)) \
+		       $(BUILD)/libmangohead.a
+	$(LINK)
+$(BUILD)/bin/standin-%: $(BUILD)/tests/standins/standin-%.o \
+			$(BUILD)/tests/standins/standin.o \
+			$(BUILD)/libmangohead.a
+	$(LINK)
+$(BUILD)/bin/loadgen: $(BUILD)/tests/standins/loadgen.o \
+		      $(BUILD)/libmangohead.a
+	$(LINK)
+
+.SECONDARY:
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+clean:
+	rm -rf $(BUILD)
+
+.PHONY: all clean
--- /dev/null
+++ b/config/settings.c
@@ -0,0 +1,343 @@
+#include "config/settings.h"
+
+#include <errno.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/toml.h"
+#include "net/link.h"
+
+#define LEN(a) (sizeof(a) / sizeof((a)[0]))
+#define MIB (1u << 20)
+#define READ_BYTES 65536
+
+#define FIELD(st, m, name, ty, ...)                                            \
+	{                                                                      \
+		.key = (name), .type = (ty), .offset = offsetof(struct st, m), \
+		__VA_ARGS__                                                    \
+	}
+
+/* A named section of a settings file and its keys. */
+struct section {
+	const char *name;
+	const struct mh_field *fields;
+	size_t n_fields;
+	size_t offset;
+};
+
+static const struct mh_field link_fields[] = {
+	FIELD(mh_link_settings, key_hex, "key", MH_FIELD_STRING,
+	      .required = true),
+	FIELD(mh_link_settings, max_frame_bytes, "max_frame_bytes",
+	      MH_FIELD_U32, .min = 65536, .max = 256 * MIB,
+	      .def_u32 = 16 * MIB),
+	FIELD(mh_link_settings, max_queue_bytes, "max_queue_bytes",
+	      MH_FIELD_U32, .min = 65536, .max = 1024 * MIB,
+	      .def_u32 = 64 * MIB),
+};
+
+#define E(m, name, ty, ...) FIELD(mh_entry_settings, m, name, ty, __VA_ARGS__)
+
+static const struct mh_field entry_root[] = {
+	E(host, "host", MH_FIELD_STRING, .required = true),
+	E(zone, "zone", MH_FIELD_STRING, .required = true),
+	E(log_level, "log_level", MH_FIELD_STRING, .def_string = "info"),
+};
+
+static const struct mh_field entry_listen[] = {
+	E(callers, "callers", MH_FIELD_STRING, .required = true),
+	E(admin, "admin", MH_FIELD_STRING, .required = true),
+	E(links, "links", MH_FIELD_STRING, .required = true),
+};
+
+static const struct mh_field entry_platform[] = {
+	E(log_url, "log_url", MH_FIELD_STRING, .required = true),
+	E(hosts_url, "hosts_url", MH_FIELD_STRING, .required = true),
+	E(hosts_poll_ms, "hosts_poll_ms", MH_FIELD_U32, .min = 50,
+	  .max = 60000, .def_u32 = 1000),
+};
+
+static const struct mh_field entry_http[] = {
+	E(http_threads, "threads", MH_FIELD_U32, .min = 1, .max = 64,
+	  .def_u32 = 2),
+	E(max_body_bytes, "max_body_bytes", MH_FIELD_U32, .min = 1024,
+	  .max = 256 * MIB, .def_u32 = 4 * MIB),
+	E(max_connections, "max_connections", MH_FIELD_U32, .min = 8,
+	  .max = 1000000, .def_u32 = 20000),
+};
+
+static const struct mh_field entry_admin[] = {
+	E(bootstrap_token_sha256, "bootstrap_token_sha256", MH_FIELD_STRING),
+};
+
+static const struct section entry_sections[] = {
+	{ "listen", entry_listen, LEN(entry_listen), 0 },
+	{ "platform", entry_platform, LEN(entry_platform), 0 },
+	{ "http", entry_http, LEN(entry_http), 0 },
+	{ "admin", entry_admin, LEN(entry_admin), 0 },
+	{ "link", link_fields, LEN(link_fields),
+	  offsetof(struct mh_entry_settings, link) },
+};
+
+#define S(m, name, ty, ...) FIELD(mh_side_settings, m, name, ty, __VA_ARGS__)
+
+static const struct mh_field side_root[] = {
+	S(host, "host", MH_FIELD_STRING, .required = true),
+	S(zone, "zone", MH_FIELD_STRING, .required = true),
+	S(pool, "pool", MH_FIELD_STRING, .required = true),
+	S(models, "models", MH_FIELD_STRINGS),
+	S(log_level, "log_level", MH_FIELD_STRING, .def_string = "info"),
+};
+
+static const struct mh_field side_listen[] = {
+	S(links, "links", MH_FIELD_STRING, .required = true),
+	S(metrics, "metrics", MH_FIELD_STRING),
+};
+
+static const struct mh_field side_platform[] = {
+	S(hosts_url, "hosts_url", MH_FIELD_STRING),
+	S(hosts_poll_ms, "hosts_poll_ms", MH_FIELD_U32, .min = 50,
+	  .max = 60000, .def_u32 = 1000),
+};
+
+static const struct mh_field side_backend[] = {
+	S(backend_kind, "kind", MH_FIELD_STRING, .required = true),
+	S(backend_url, "url", MH_FIELD_STRING, .required = true),
+	S(max_running, "max_running", MH_FIELD_U32, .min = 1, .max = 1024,
+	  .def_u32 = 16),
+	S(timeout_s, "timeout_s", MH_FIELD_U32, .min = 1, .max = 3600,
+	  .def_u32 = 60),
+};
+
+static const struct section side_sections[] = {
+	{ "listen", side_listen, LEN(side_listen), 0 },
+	{ "platform", side_platform, LEN(side_platform), 0 },
+	{ "backend", side_backend, LEN(side_backend), 0 },
+	{ "link", link_fields, LEN(link_fields),
+	  offsetof(struct mh_side_settings, link) },
+};
+
+char *mh_file_read(const char *path, size_t *len)
+{
+	FILE *f = strcmp(path, "-") ? fopen(path, "rb") : stdin;
+	char *text = NULL, *bigger;
+	size_t cap = 0, n;
+
+	*len = 0;
+	if (!f)
+		return NULL;
+	do {
+		if (cap - *len < READ_BYTES + 1) {
+			cap = cap * 2 + READ_BYTES + 1;
+			bigger = realloc(text, cap);
+			if (!bigger)
+				goto err;
+			text = bigger;
+		}
+		n = fread(text + *len, 1, READ_BYTES, f);
+		*len += n;
+	} while (n);
+	if (ferror(f))
+		goto err;
+	text[*len] = '\0';
+	if (f != stdin)
+		fclose(f);
+	return text;
+err:
+	free(text);
+	if (f != stdin)
+		fclose(f);
+	return NULL;
+}
+
+void mh_toml_strip_lines(json_t *doc)
+{
+	const char *key;
+	json_t *child;
+	size_t i;
+
+	if (json_is_object(doc)) {
+		json_object_del(doc, "@lines");
+		json_object_foreach(doc, key, child)
+			mh_toml_strip_lines(child);
+	}
+	json_array_foreach(doc, i, child)
+		mh_toml_strip_lines(child);
+}
+
+static json_t *load(const char *path, struct mh_report *rep)
+{
+	char err[512];
+	size_t len;
+	char *text = mh_file_read(path, &len);
+	json_t *doc;
+
+	rep->file = path;
+	if (!text) {
+		mh_report_add(rep, 0, "file", NULL, strerror(errno));
+		return NULL;
+	}
+	doc = mh_toml_parse(text, len, path, err, sizeof(err));
+	if (!doc)
+		mh_report_add(rep, 0, "syntax", NULL, err);
+	free(text);
+	return doc;
+}
+
+static void read_sections(const json_t *doc, const struct mh_field *root,
+			  size_t n_root, const struct section *sections,
+			  size_t n_sections, void *dst, struct mh_report *rep)
+{
+	const char *names[8] = { 0 };
+	size_t i;
+
+	for (i = 0; i < n_sections; i++)
+		names[i] = sections[i].name;
+	mh_reader_table(doc, "", root, n_root, names, dst, rep);
+	for (i = 0; i < n_sections; i++)
+		mh_reader_table(json_object_get(doc, names[i]), names[i],
+				sections[i].fields, sections[i].n_fields, NULL,
+				(char *)dst + sections[i].offset, rep);
+}
+
+static void release_sections(const struct mh_field *root, size_t n_root,
+			     const struct section *sections, size_t n_sections,
+			     void *dst)
+{
+	size_t i;
+
+	mh_reader_free(root, n_root, dst);
+	for (i = 0; i < n_sections; i++)
+		mh_reader_free(sections[i].fields, sections[i].n_fields,
+			       (char *)dst + sections[i].offset);
+}
+
+static void check_address(const json_t *doc, const char *section,
+			  const char *key, const char *value,
+			  struct mh_report *rep)
+{
+	const json_t *table = json_object_get(doc, section);
+	char ip[64], path[64];
+	uint16_t port;
+
+	if (!value || mh_address_parse(value, ip, &port))
+		return;
+	snprintf(path, sizeof(path), "%s.%s", section, key);
+	mh_report_add(rep, mh_toml_line(table, key), path,
+		      json_object_get(table, key),
+		      "must be an IP number and a port, like 127.0.0.1:8080");
+}
+
+static void check_url(const json_t *doc, const char *section, const char *key,
+		      const char *value, struct mh_report *rep)
+{
+	const json_t *table = json_object_get(doc, section);
+	char path[64];
+
+	if (!value || !strncmp(value, "http://", 7))
+		return;
+	snprintf(path, sizeof(path), "%s.%s", section, key);
+	mh_report_add(rep, mh_toml_line(table, key), path,
+		      json_object_get(table, key), "must begin with http://");
+}
+
+static void check_log_level(const json_t *doc, const char *level,
+			    struct mh_report *rep)
+{
+	static const char *const levels[] = { "error", "warn", "info",
+					      "debug" };
+	size_t i;
+
+	for (i = 0; level && i < LEN(levels); i++) {
+		if (!strcmp(levels[i], level))
+			return;
+	}
+	mh_report_add(rep, mh_toml_line(doc, "log_level"), "log_level",
+		      json_object_get(doc, "log_level"),
+		      "must be error, warn, info or debug");
+}
+
+static void read_key(const json_t *doc, struct mh_link_settings *link,
+		     struct mh_report *rep)
+{
+	size_t n = 0;
+
+	if (!link->key_hex)
+		return;
+	if (!sodium_hex2bin(link->key, sizeof(link->key), link->key_hex,
+			    strlen(link->key_hex), NULL, &n, NULL) &&
+	    n == sizeof(link->key) &&
+	    strlen(link->key_hex) == 2 * sizeof(link->key))
+		return;
+	/* The value stays out of the message: it is a secret. */
+	mh_report_add(rep, mh_toml_line(json_object_get(doc, "link"), "key"),
+		      "link.key", NULL, "must be 64 hex digits");
+}
+
+bool mh_entry_settings_read(const char *path, struct mh_entry_settings *s,
+			    struct mh_report *rep)
+{
+	json_t *doc;
+
+	memset(s, 0, sizeof(*s));
+	doc = load(path, rep);
+	if (!doc)
+		return false;
+	read_sections(doc, entry_root, LEN(entry_root), entry_sections,
+		      LEN(entry_sections), s, rep);
+	check_address(doc, "listen", "callers", s->callers, rep);
+	check_address(doc, "listen", "admin", s->admin, rep);
+	check_address(doc, "listen", "links", s->links, rep);
+	check_url(doc, "platform", "log_url", s->log_url, rep);
+	check_url(doc, "platform", "hosts_url", s->hosts_url, rep);
+	check_log_level(doc, s->log_level, rep);
+	read_key(doc, &s->link, rep);
+	json_decref(doc);
+	return !rep->count;
+}
+
+void mh_entry_settings_release(struct mh_entry_settings *s)
+{
+	release_sections(entry_root, LEN(entry_root), entry_sections,
+			 LEN(entry_sections), s);
+	sodium_memzero(&s->link.key, sizeof(s->link.key));
+}
+
+bool mh_side_settings_read(const char *path, struct mh_side_settings *s,
+			   struct mh_report *rep)
+{
+	json_t *doc;
+
+	memset(s, 0, sizeof(*s));
+	doc = load(path, rep);
+	if (!doc)
+		return false;
+	read_sections(doc, side_root, LEN(side_root), side_sections,
+		      LEN(side_sections), s, rep);
+	check_address(doc, "listen", "links", s->links, rep);
+	check_address(doc, "listen", "metrics", s->metrics, rep);
+	check_url(doc, "platform", "hosts_url", s->hosts_url, rep);
+	check_url(doc, "backend", "url", s->backend_url, rep);
+	check_log_level(doc, s->log_level, rep);
+	if (s->backend_kind && strcmp(s->backend_kind, "engine") &&
+	    strcmp(s->backend_kind, "service"))
+		mh_report_add(rep,
+			      mh_toml_line(json_object_get(doc, "backend"),
+					   "kind"),
+			      "backend.kind",
+			      json_object_get(json_object_get(doc, "backend"),
+					      "kind"),
+			      "must be engine or service");
+	read_key(doc, &s->link, rep);
+	json_decref(doc);
+	return !rep->count;
+}
+
+void mh_side_settings_release(struct mh_side_settings *s)
+{
+	release_sections(side_root, LEN(side_root), side_sections,
+			 LEN(side_sections), s);
+	sodium_memzero(&s->link.key, sizeof(s->link.key));
+}
--- /dev/null
+++ b/core/claims.c
@@ -0,0 +1,228 @@
+#include "core/claims.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "core/clock.h"
+
+#define FIRST_SLOTS 1024
+#define GENERATIONS 2
+
+struct slot {
+	struct mh_id key;
+	uint64_t owner;
+	bool used;
+};
+
+/*
+ * Open addressing with linear probing. Slots are never deleted one by one: a
+ * whole generation is dropped once the next one covers the window.
+ */
+struct generation {
+	struct slot *slots;
+	size_t n_slots;
+	size_t n_used;
+	uint64_t start_ms;
+};
+
+struct mh_claims {
+	struct generation gen[GENERATIONS];
+	uint64_t window_ms;
+};
+
+struct mh_claims *mh_claims_new(uint32_t window_s)
+{
+	struct mh_claims *c = calloc(1, sizeof(*c));
+
+	if (c)
+		c->window_ms = window_s * MH_MS_PER_S;
+	return c;
+}
+
+void mh_claims_free(struct mh_claims *c)
+{
+	int i;
+
+	if (!c)
+		return;
+	for (i = 0; i < GENERATIONS; i++)
+		free(c->gen[i].slots);
+	free(c);
+}
+
+struct mh_id mh_claims_key(const char *account, const struct mh_id *key)
+{
+	XXH64_hash_t seed = XXH64(account, strlen(account), 0);
+	XXH128_hash_t h = XXH3_128bits_withSeed(key, sizeof(*key),
+						 seed);
+	struct mh_id id;
+
+	memcpy(id.b, &h.high64, sizeof(h.high64));
+	memcpy(id.b + sizeof(h.high64), &h.low64, sizeof(h.low64));
+	return id;
+}
+
+size_t mh_claims_encode(const struct mh_claim *claims, size_t n, uint8_t *buf)
+{
+	uint8_t *p = buf;
+	size_t i;
+	int b;
+
+	for (i = 0; i < n; i++) {
+		*p++ = (uint8_t)claims[i].kind;
+		memcpy(p, claims[i].key.b, MH_ID_BYTES);
+		p += MH_ID_BYTES;
+		for (b = 56; b >= 0; b -= 8)
+			*p++ = (uint8_t)(claims[i].owner >> b);
+	}
+	return (size_t)(p - buf);
+}
+
+static void decode(const uint8_t *p, struct mh_claim *claim)
+{
+	int i;
+
+	claim->kind = (enum mh_claim_kind)*p++;
+	memcpy(claim->key.b, p, MH_ID_BYTES);
+	p += MH_ID_BYTES;
+	claim->owner = 0;
+	for (i = 0; i < 8; i++)
+		claim->owner = claim->owner << 8 | *p++;
+}
+
+static struct slot *probe(const struct generation *g, const struct mh_id *key)
+{
+	uint64_t h;
+	size_t i;
+
+	memcpy(&h, key->b, sizeof(h));
+	for (i = h & (g->n_slots - 1);; i = (i + 1) & (g->n_slots - 1)) {
+		struct slot *s = &g->slots[i];
+
+		if (!s->used || mh_id_equal(&s->key, key))
+			return s;
+	}
+}
+
+static bool grow(struct generation *g)
+{
+	struct generation bigger = *g;
+	size_t i;
+
+	bigger.n_slots = g->n_slots ? g->n_slots * 2 : FIRST_SLOTS;
+	bigger.slots = calloc(bigger.n_slots, sizeof(*bigger.slots));
+	if (!bigger.slots)
+		return false;
+	for (i = 0; i < g->n_slots; i++) {
+		if (g->slots[i].used)
+			*probe(&bigger, &g->slots[i].key) = g->slots[i];
+	}
+	free(g->slots);
+	*g = bigger;
+	return true;
+}
+
+static struct slot *find(const struct mh_claims *c, const struct mh_id *key)
+{
+	int i;
+
+	for (i = 0; i < GENERATIONS; i++) {
+		struct slot *s;
+
+		if (!c->gen[i].n_slots)
+			continue;
+		s = probe(&c->gen[i], key);
+		if (s->used)
+			return s;
+	}
+	return NULL;
+}
+
+static void rotate(struct mh_claims *c, uint64_t log_time_ms)
+{
+	struct generation *now = &c->gen[0], *old = &c->gen[1];
+
+	if (!now->start_ms)
+		now->start_ms = log_time_ms;
+	if (log_time_ms < now->start_ms + c->window_ms)
+		return;
+	free(old->slots);
+	*old = *now;
+	memset(now, 0, sizeof(*now));
+	now->start_ms = log_time_ms;
+}
+
+static uint64_t apply(struct mh_claims *c, const struct mh_claim *claim)
+{
+	struct slot *s = find(c, &claim->key);
+
+	if (claim->kind == MH_CLAIM_RELEASE) {
+		if (s && s->owner == claim->owner)
+			s->owner = 0;
+		return s ? s->owner : 0;
+	}
+	if (s && !s->owner)
+		s->owner = claim->owner;
+	if (s)
+		return s->owner;
+	if (c->gen[0].n_used * 2 >= c->gen[0].n_slots && !grow(&c->gen[0]))
+		return 0;
+	s = probe(&c->gen[0], &claim->key);
+	s->used = true;
+	s->key = claim->key;
+	s->owner = claim->owner;
+	c->gen[0].n_used++;
+	return s->owner;
+}
+
+static bool well_formed(const uint8_t *rec, size_t len)
+{
+	size_t i;
+
+	if (!len || len % MH_CLAIM_RECORD_BYTES)
+		return false;
+	for (i = 0; i < len; i += MH_CLAIM_RECORD_BYTES) {
+		if (rec[i] != MH_CLAIM_TAKE && rec[i] != MH_CLAIM_RELEASE)
+			return false;
+	}
+	return true;
+}
+
+bool mh_claims_fold(struct mh_claims *c, const uint8_t *rec, size_t len,
+		    uint64_t log_time_ms,
+		    void (*decided)(void *data, const struct mh_claim *claim,
+				    uint64_t holder),
+		    void *data)
+{
+	struct mh_claim claim;
+	uint64_t holder;
+	size_t i;
+
+	if (!well_formed(rec, len))
+		return false;
+	rotate(c, log_time_ms);
+	for (i = 0; i < len; i += MH_CLAIM_RECORD_BYTES) {
+		decode(rec + i, &claim);
+		holder = apply(c, &claim);
+		if (decided)
+			decided(data, &claim, holder);
+	}
+	return true;
+}
+
+uint64_t mh_claims_holder(const struct mh_claims *c, const struct mh_id *key)
+{
+	struct slot *s = find(c, key);
+
+	return s ? s->owner : 0;
+}
+
+size_t mh_claims_bytes(const struct mh_claims *c)
+{
+	size_t i, n = sizeof(*c);
+
+	for (i = 0; i < GENERATIONS; i++)
+		n += c->gen[i].n_slots * sizeof(struct slot);
+	return n;
+}
--- /dev/null
+++ b/core/claims.h
@@ -0,0 +1,97 @@
+/*
+ * Claims on idempotency keys, folded from the log. The first claim of a key in
+ * log order holds it until its holder releases it or the window has passed.
+ */
+#ifndef MH_CLAIMS_H
+#define MH_CLAIMS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/id.h"
+
+#define MH_CLAIM_RECORD_BYTES 25
+#define MH_CLAIM_BATCH_MAX 256
+
+enum mh_claim_kind {
+	MH_CLAIM_TAKE = 1,
+	MH_CLAIM_RELEASE = 2,
+};
+
+/**
+ * struct mh_claim - one claim or release
+ * @kind: what is recorded
+ * @key: hash of account and idempotency key
+ * @owner: request that claims, unique; never 0
+ */
+struct mh_claim {
+	enum mh_claim_kind kind;
+	struct mh_id key;
+	uint64_t owner;
+};
+
+struct mh_claims;
+
+/**
+ * mh_claims_new() - create an empty table
+ * @window_s: claims are kept for at least this long
+ */
+struct mh_claims *mh_claims_new(uint32_t window_s);
+
+/**
+ * mh_claims_free() - free a table
+ * @c: table or NULL
+ */
+void mh_claims_free(struct mh_claims *c);
+
+/**
+ * mh_claims_key() - hash that stands for a key of an account
+ * @account: name of the account
+ * @key: idempotency key
+ */
+struct mh_id mh_claims_key(const char *account, const struct mh_id *key);
+
+/**
+ * mh_claims_encode() - write a batch as a log record
+ * @claims: claims
+ * @n: number of claims, at most MH_CLAIM_BATCH_MAX
+ * @buf: buffer of @n * MH_CLAIM_RECORD_BYTES
+ *
+ * Return: number of bytes written.
+ */
+size_t mh_claims_encode(const struct mh_claim *claims, size_t n, uint8_t *buf);
+
+/**
+ * mh_claims_fold() - apply one log record
+ * @c: table
+ * @rec: record
+ * @len: length of @rec
+ * @log_time_ms: time of the append as the log states it
+ * @decided: called for each claim with the key's holder after it, or NULL
+ * @data: passed to @decided
+ *
+ * Return: false when the record is malformed; nothing is applied then.
+ */
+bool mh_claims_fold(struct mh_claims *c, const uint8_t *rec, size_t len,
+		    uint64_t log_time_ms,
+		    void (*decided)(void *data, const struct mh_claim *claim,
+				    uint64_t holder),
+		    void *data);
+
+/**
+ * mh_claims_holder() - who holds a key
+ * @c: table
+ * @key: hash from mh_claims_key()
+ *
+ * Return: the owner, 0 when the key is free.
+ */
+uint64_t mh_claims_holder(const struct mh_claims *c, const struct mh_id *key);
+
+/**
+ * mh_claims_bytes() - memory held by the table
+ * @c: table
+ */
+size_t mh_claims_bytes(const struct mh_claims *c);
+
+#endif
--- /dev/null
+++ b/core/entry.c
@@ -0,0 +1,893 @@
+#include "core/entry.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/entry_impl.h"
+
+#define PING_INTERVAL_NS (500 * MH_NS_PER_MS)
+#define TICK_NS (50 * MH_NS_PER_MS)
+#define RETRY_BASE_MS 500
+#define RETRY_SPREAD_MS 2000
+#define RETRY_WAITING_UNIT 500
+#define RESEND_AGE_MS 1000
+#define SNAPSHOT_AGE_MS (6 * 3600 * MH_MS_PER_S)
+#define SNAPSHOT_SPREAD_MS (600 * MH_MS_PER_S)
+#define DEFAULT_KEY_WINDOW_S 3600
+
+uint64_t mh_entry_now(struct mh_entry *e)
+{
+	return mh_clock_mono_ns(&e->clock);
+}
+
+const struct mh_manifest *mh_entry_manifest(const struct mh_entry *e)
+{
+	return mh_fold_manifest(e->fold);
+}
+
+void mh_entry_send(struct mh_entry *e, uint32_t link, const Mh__Frame *frame)
+{
+	e->ops->send(e->data, link, frame);
+}
+
+static bool due_earlier(const void *a, const void *b)
+{
+	const struct mh_req *x = a, *y = b;
+
+	return x->due_ns < y->due_ns;
+}
+
+struct mh_entry *mh_entry_new(const char *host, const struct mh_clock *clock,
+			      uint64_t seed, const struct mh_entry_ops *ops,
+			      void *data)
+{
+	struct mh_entry *e = calloc(1, sizeof(*e));
+
+	if (!e)
+		return NULL;
+	snprintf(e->host, sizeof(e->host), "%s", host);
+	e->clock = *clock;
+	e->rng.state = seed;
+	e->ops = ops;
+	e->data = data;
+	e->fold = mh_fold_new();
+	e->claims = mh_claims_new(DEFAULT_KEY_WINDOW_S);
+	mh_heap_init(&e->due, due_earlier, offsetof(struct mh_req, due_index));
+	if (!e->fold || !e->claims) {
+		mh_entry_free(e);
+		return NULL;
+	}
+	return e;
+}
+
+static struct mh_account_load *get_load(struct mh_entry *e, const char *account)
+{
+	struct mh_account_load *load;
+
+	HASH_FIND_STR(e->loads, account, load);
+	if (load)
+		return load;
+	load = calloc(1, sizeof(*load));
+	if (!load)
+		return NULL;
+	load->account = strdup(account);
+	HASH_ADD_KEYPTR(hh, e->loads, load->account, strlen(load->account),
+			load);
+	return load;
+}
+
+static void put_load(struct mh_entry *e, const char *account)
+{
+	struct mh_account_load *load;
+
+	HASH_FIND_STR(e->loads, account, load);
+	if (!load || --load->open)
+		return;
+	HASH_DEL(e->loads, load);
+	free(load->account);
+	free(load);
+}
+
+void mh_entry_set_due(struct mh_entry *e, struct mh_req *req, uint64_t due_ns)
+{
+	req->due_ns = due_ns;
+	if (req->due_index == MH_HEAP_NONE)
+		mh_heap_add(&e->due, req);
+	else
+		mh_heap_update(&e->due, req);
+}
+
+static struct mh_req *new_req(struct mh_entry *e, struct mh_call *call)
+{
+	struct mh_req *req = calloc(1, sizeof(*req));
+
+	if (!req)
+		return NULL;
+	req->call = call;
+	req->due_index = MH_HEAP_NONE;
+	req->waiter.tier = call->tier;
+	req->waiter.share = call->share;
+	req->waiter.cost_tokens = call->prompt_tokens + call->output_tokens;
+	req->waiter.deadline_ns = call->deadline_ns;
+	req->waiter.account = call->account;
+	req->waiter.owner = req;
+	HASH_ADD(hh_call, e->by_call, call->id, sizeof(call->id), req);
+	return req;
+}
+
+static void lead(struct mh_entry *e, struct mh_req *req)
+{
+	req->is_leader = true;
+	HASH_ADD(hh_leader, e->leaders, claim_key, sizeof(req->claim_key), req);
+}
+
+/* Another request of the same key takes the place of one that leaves. */
+static void hand_on_lead(struct mh_entry *e, struct mh_req *req)
+{
+	struct mh_req *heir = req->followers, *f, *tmp;
+
+	if (!req->is_leader)
+		return;
+	HASH_DELETE(hh_leader, e->leaders, req);
+	req->is_leader = false;
+	if (!heir)
+		return;
+	DL_DELETE(req->followers, heir);
+	heir->leader = NULL;
+	lead(e, heir);
+	DL_FOREACH_SAFE(req->followers, f, tmp)
+	{
+		DL_DELETE(req->followers, f);
+		f->leader = heir;
+		DL_APPEND(heir->followers, f);
+	}
+}
+
+static void leave_state(struct mh_entry *e, struct mh_req *req)
+{
+	if (req->state == MH_REQ_WAIT)
+		mh_entry_leave_lane(e, req, false);
+	if (req->state == MH_REQ_ADMIT)
+		mh_entry_leave_ask(e, req);
+	mh_entry_leave_server(e, req, false);
+}
+
+/* Takes a request out of every index and frees it; its call stays. */
+void mh_entry_finish(struct mh_entry *e, struct mh_req *req)
+{
+	leave_state(e, req);
+	hand_on_lead(e, req);
+	if (req->leader)
+		DL_DELETE(req->leader->followers, req);
+	if (req->claim_owner)
+		HASH_DELETE(hh_owner, e->by_owner, req);
+	mh_heap_remove(&e->due, req);
+	HASH_DELETE(hh_call, e->by_call, req);
+	put_load(e, req->call->account);
+	free(req);
+}
+
+static uint32_t retry_after_ms(struct mh_entry *e, const struct mh_req *req,
+			       enum mh_error error)
+{
+	uint32_t waiting;
+
+	if (!mh_error_info(error)->retry)
+		return 0;
+	waiting = mh_entry_waiting(e, req->call->pool, req->call->tier);
+	return RETRY_BASE_MS +
+	       (uint32_t)(mh_rng_next(&e->rng) % RETRY_SPREAD_MS) *
+		       (1 + waiting / RETRY_WAITING_UNIT);
+}
+
+static bool run_may_have_started(const struct mh_req *req)
+{
+	return req->state == MH_REQ_SENT || req->state == MH_REQ_LOST;
+}
+
+static void refuse_followers(struct mh_entry *e, struct mh_req *req,
+			     enum mh_error error)
+{
+	struct mh_req *f, *tmp;
+
+	DL_FOREACH_SAFE(req->followers, f, tmp)
+	{
+		if (f->state == MH_REQ_FOLLOW)
+			mh_entry_refuse(e, f, error);
+	}
+}
+
+void mh_entry_refuse(struct mh_entry *e, struct mh_req *req,
+		     enum mh_error error)
+{
+	struct mh_refusal refusal = { .error = error };
+	struct mh_call *call = req->call;
+
+	refusal.retry_after_ms = retry_after_ms(e, req, error);
+	mh_count(&e->counters, MH_C_REFUSED);
+	if (!run_may_have_started(req))
+		mh_entry_release_claim(e, req);
+	refuse_followers(e, req, error);
+	mh_entry_leave_server(e, req, true);
+	mh_entry_finish(e, req);
+	e->ops->refuse(e->data, call, &refusal);
+}
+
+static enum mh_error check_call(struct mh_entry *e, const struct mh_call *call)
+{
+	const struct mh_manifest *m = mh_entry_manifest(e);
+	const struct mh_account *account;
+	struct mh_account_load *load;
+
+	if (!m)
+		return MH_ERR_NOT_READY;
+	if (e->draining)
+		return MH_ERR_DRAINING;
+	if (!mh_manifest_pool(m, call->pool))
+		return MH_ERR_UNKNOWN_POOL;
+	account = mh_manifest_account(m, call->account);
+	if (!account || call->tier >= m->n_tiers || call->tier < account->tier)
+		return MH_ERR_FORBIDDEN;
+	HASH_FIND_STR(e->loads, call->account, load);
+	if (load && load->open > account->max_waiting)
+		return MH_ERR_ACCOUNT_LIMIT;
+	if (mh_entry_quarantined(e, &call->fingerprint)) {
+		mh_count(&e->counters, MH_C_QUARANTINED);
+		return MH_ERR_QUARANTINED;
+	}
+	if (call->non_idempotent)
+		return mh_entry_check_key(e, call);
+	return MH_OK;
+}
+
+static bool is_resend(struct mh_entry *e, const struct mh_call *call)
+{
+	return mh_id_is_uuidv7(&call->key) &&
+	       mh_id_time_ms(&call->key) + RESEND_AGE_MS <
+		       mh_clock_wall_ms(&e->clock);
+}
+
+static void route(struct mh_entry *e, struct mh_req *req)
+{
+	struct mh_req *leader;
+
+	if (!req->call->has_key) {
+		mh_entry_admit(e, req);
+		return;
+	}
+	HASH_FIND(hh_leader, e->leaders, &req->claim_key,
+		  sizeof(req->claim_key), leader);
+	if (leader &&
+	    !mh_id_equal(&leader->call->fingerprint, &req->call->fingerprint)) {
+		mh_entry_refuse(e, req, MH_ERR_KEY_REUSED);
+		return;
+	}
+	if (leader) {
+		mh_count(&e->counters, MH_C_JOINED);
+		req->leader = leader;
+		DL_APPEND(leader->followers, req);
+		mh_entry_join_leader(e, req);
+		return;
+	}
+	lead(e, req);
+	if (req->call->non_idempotent)
+		mh_entry_claim(e, req);
+	else if (is_resend(e, req->call))
+		mh_entry_find(e, req);
+	else
+		mh_entry_admit(e, req);
+}
+
+void mh_entry_submit(struct mh_entry *e, struct mh_call *call)
+{
+	struct mh_account_load *load;
+	struct mh_req *req = new_req(e, call);
+	struct mh_refusal internal = { .error = MH_ERR_OVERLOADED,
+				       .retry_after_ms = RETRY_BASE_MS };
+	enum mh_error error;
+
+	if (!req) {
+		e->ops->refuse(e->data, call, &internal);
+		return;
+	}
+	mh_count(&e->counters, MH_C_REQUESTS);
+	load = get_load(e, call->account);
+	if (load)
+		load->open++;
+	if (call->has_key)
+		req->claim_key = mh_claims_key(call->account, &call->key);
+	req->state = MH_REQ_FOLLOW;
+	error = check_call(e, call);
+	if (error) {
+		mh_entry_refuse(e, req, error);
+		return;
+	}
+	mh_entry_set_due(e, req, call->deadline_ns);
+	route(e, req);
+}
+
+/* The heir of a leader that left before its run began goes on in its place. */
+static void restart_heir(struct mh_entry *e, struct mh_req *heir,
+			 const struct mh_req *old)
+{
+	if (heir->state != MH_REQ_FOLLOW)
+		return;
+	heir->claim_held = old->claim_held;
+	heir->claim_lost = old->claim_lost;
+	if (old->claim_owner) {
+		heir->claim_owner = old->claim_owner;
+		HASH_ADD(hh_owner, e->by_owner, claim_owner,
+			 sizeof(heir->claim_owner), heir);
+	}
+	if (heir->claim_owner && !heir->claim_held)
+		heir->state = MH_REQ_CLAIM;
+	else
+		mh_entry_admit(e, heir);
+}
+
+void mh_entry_cancel(struct mh_entry *e, struct mh_call *call)
+{
+	struct mh_req *req, *heir, old;
+
+	HASH_FIND(hh_call, e->by_call, &call->id, sizeof(call->id), req);
+	if (!req)
+		return;
+	mh_count(&e->counters, MH_C_CANCELLED);
+	heir = req->is_leader ? req->followers : NULL;
+	if (run_may_have_started(req))
+		heir = NULL;
+	if (!heir && !run_may_have_started(req))
+		mh_entry_release_claim(e, req);
+	old = *req;
+	mh_entry_leave_server(e, req, true);
+	mh_entry_finish(e, req);
+	if (heir)
+		restart_heir(e, heir, &old);
+}
+
+void mh_entry_drain(struct mh_entry *e)
+{
+	e->draining = true;
+}
+
+uint32_t mh_entry_open(const struct mh_entry *e)
+{
+	return HASH_CNT(hh_call, e->by_call);
+}
+
+static struct mh_server *server_by_link(struct mh_entry *e, uint32_t link)
+{
+	struct mh_server *s;
+
+	DL_FOREACH(e->servers, s)
+	{
+		if (s->up && s->link == link)
+			return s;
+	}
+	return NULL;
+}
+
+static struct mh_peer *peer_by_link(struct mh_entry *e, uint32_t link)
+{
+	struct mh_peer *p;
+
+	DL_FOREACH(e->peers, p)
+	{
+		if (p->up && p->link == link)
+			return p;
+	}
+	return NULL;
+}
+
+static void clear_models(struct mh_server *s)
+{
+	size_t i;
+
+	for (i = 0; i < s->n_models; i++)
+		free(s->models[i]);
+	free(s->models);
+	free(s->pool);
+	s->models = NULL;
+	s->n_models = 0;
+	s->pool = NULL;
+}
+
+static struct mh_server *get_server(struct mh_entry *e, const char *host)
+{
+	struct mh_server *s;
+
+	DL_FOREACH(e->servers, s)
+	{
+		if (!strcmp(s->host, host))
+			return s;
+	}
+	s = calloc(1, sizeof(*s));
+	if (!s)
+		return NULL;
+	snprintf(s->host, sizeof(s->host), "%s", host);
+	DL_APPEND(e->servers, s);
+	return s;
+}
+
+static struct mh_peer *get_peer(struct mh_entry *e, const char *host)
+{
+	struct mh_peer *p;
+
+	DL_FOREACH(e->peers, p)
+	{
+		if (!strcmp(p->host, host))
+			return p;
+	}
+	p = calloc(1, sizeof(*p));
+	if (!p)
+		return NULL;
+	snprintf(p->host, sizeof(p->host), "%s", host);
+	DL_APPEND(e->peers, p);
+	return p;
+}
+
+static bool told_to_leave(struct mh_entry *e, const char *host)
+{
+	const struct mh_manifest *m = mh_entry_manifest(e);
+	struct mh_host_row *row;
+
+	HASH_FIND_STR(e->hosts, host, row);
+	if (row && row->state == MH_HOST_LEAVING)
+		return true;
+	return m && mh_manifest_drained(m, host);
+}
+
+bool mh_server_takes_work(const struct mh_entry *e, const struct mh_server *s)
+{
+	return s->up && !s->leaving &&
+	       !told_to_leave((struct mh_entry *)e, s->host);
+}
+
+static void send_side_config(struct mh_entry *e, struct mh_server *s)
+{
+	const struct mh_manifest *m = mh_entry_manifest(e);
+	const struct mh_pool *pool;
+	Mh__SideConfig msg = MH__SIDE_CONFIG__INIT;
+	Mh__Frame frame = MH__FRAME__INIT;
+
+	if (!m || !s->up)
+		return;
+	pool = mh_manifest_pool(m, s->pool);
+	s->config_sent = m->version;
+	msg.as_of = mh_fold_next_offset(e->fold);
+	msg.draining = mh_manifest_drained(m, s->host);
+	msg.max_running = pool ? pool->max_running : 0;
+	msg.reserve_percent = pool ? pool->reserve_percent : 0;
+	msg.keep_ms = m->policy.keep_ms;
+	frame.body_case = MH__FRAME__BODY_SIDE_CONFIG;
+	frame.side_config = &msg;
+	mh_entry_send(e, s->link, &frame);
+}
+
+static void send_ping(struct mh_entry *e, uint32_t link, const char *host)
+{
+	Mh__Ping msg = MH__PING__INIT;
+	Mh__Frame frame = MH__FRAME__INIT;
+
+	msg.config_offset = mh_fold_next_offset(e->fold);
+	msg.leaving = e->draining;
+	msg.peer_leaving = told_to_leave(e, host);
+	frame.body_case = MH__FRAME__BODY_PING;
+	frame.ping = &msg;
+	mh_entry_send(e, link, &frame);
+}
+
+static void server_link_up(struct mh_entry *e, uint32_t link,
+			   const struct mh_remote *remote)
+{
+	struct mh_server *s = get_server(e, remote->host);
+	size_t i;
+
+	if (!s)
+		return;
+	if (s->up)
+		mh_entry_server_down(e, s);
+	clear_models(s);
+	s->pool = strdup(remote->pool);
+	s->models = calloc(remote->n_models + 1, sizeof(*s->models));
+	for (i = 0; s->models && i < remote->n_models; i++)
+		s->models[s->n_models++] = strdup(remote->models[i]);
+	s->link = link;
+	s->incarnation = remote->incarnation;
+	s->up = true;
+	s->leaving = false;
+	s->want_known = false;
+	s->want_dirty = true;
+	send_ping(e, link, s->host);
+	send_side_config(e, s);
+	mh_entry_server_up(e, s);
+}
+
+void mh_entry_link_up(struct mh_entry *e, uint32_t link,
+		      const struct mh_remote *remote)
+{
+	struct mh_peer *p;
+
+	if (remote->is_side) {
+		server_link_up(e, link, remote);
+		return;
+	}
+	p = get_peer(e, remote->host);
+	if (!p)
+		return;
+	p->link = link;
+	p->up = true;
+	send_ping(e, link, p->host);
+}
+
+void mh_entry_link_down(struct mh_entry *e, uint32_t link)
+{
+	struct mh_server *s = server_by_link(e, link);
+	struct mh_peer *p = peer_by_link(e, link);
+
+	if (s) {
+		mh_count(&e->counters, MH_C_LINK_LOST);
+		mh_entry_server_down(e, s);
+	}
+	if (p) {
+		p->up = false;
+		mh_entry_peer_gone(e, p);
+	}
+}
+
+static void send_pull(struct mh_entry *e, uint32_t link)
+{
+	Mh__ConfigPull msg = MH__CONFIG_PULL__INIT;
+	Mh__Frame frame = MH__FRAME__INIT;
+
+	msg.have_offset = mh_fold_next_offset(e->fold);
+	frame.body_case = MH__FRAME__BODY_CONFIG_PULL;
+	frame.config_pull = &msg;
+	mh_entry_send(e, link, &frame);
+}
+
+static void send_state(struct mh_entry *e, uint32_t link)
+{
+	const struct mh_manifest *m = mh_entry_manifest(e);
+	Mh__ConfigState msg = MH__CONFIG_STATE__INIT;
+	Mh__Frame frame = MH__FRAME__INIT;
+	char *text;
+
+	if (!m)
+		return;
+	text = json_dumps(m->doc, JSON_COMPACT);
+	if (!text)
+		return;
+	msg.as_of = mh_fold_next_offset(e->fold);
+	msg.version = m->version;
+	msg.document.data = (uint8_t *)text;
+	msg.document.len = strlen(text);
+	frame.body_case = MH__FRAME__BODY_CONFIG_STATE;
+	frame.config_state = &msg;
+	mh_entry_send(e, link, &frame);
+	free(text);
+}
+
+static void config_applied(struct mh_entry *e)
+{
+	struct mh_manifest *old = mh_fold_take_old(e->fold);
+	const struct mh_manifest *now = mh_entry_manifest(e);
+	struct mh_server *s;
+
+	if (!now)
+		return;
+	mh_count(&e->counters, MH_C_CONFIG_CHANGES);
+	e->ops->config_changed(e->data, old, now);
+	DL_FOREACH(e->servers, s)
+	{
+		s->want_dirty = true;
+		send_side_config(e, s);
+	}
+}
+
+static void on_config_state(struct mh_entry *e, const Mh__ConfigState *msg)
+{
+	if (mh_fold_adopt(e->fold, msg->as_of, msg->version,
+			  (const char *)msg->document.data, msg->document.len))
+		config_applied(e);
+}
+
+static void on_ping(struct mh_entry *e, uint32_t link, struct mh_server *s,
+		    struct mh_peer *p, const Mh__Ping *msg)
+{
+	if (s && s->leaving != (bool)msg->leaving) {
+		s->leaving = msg->leaving;
+		s->want_dirty = true;
+	}
+	if (!p)
+		return;
+	p->config_offset = msg->config_offset;
+	if (msg->config_offset > mh_fold_next_offset(e->fold))
+		send_pull(e, link);
+}
+
+static void recv_from_server(struct mh_entry *e, struct mh_server *s,
+			     const Mh__Frame *frame)
+{
+	switch (frame->body_case) {
+	case MH__FRAME__BODY_GRANT:
+		mh_entry_on_grant(e, s, frame->grant);
+		break;
+	case MH__FRAME__BODY_REFUSED:
+		mh_entry_on_refused(e, s, frame->refused);
+		break;
+	case MH__FRAME__BODY_HEAD:
+		mh_entry_on_head(e, s, frame->head);
+		break;
+	case MH__FRAME__BODY_DATA:
+		mh_entry_on_data(e, s, frame->data);
+		break;
+	case MH__FRAME__BODY_END:
+		mh_entry_on_end(e, s, frame->end);
+		break;
+	default:
+		break;
+	}
+}
+
+static void recv_from_peer(struct mh_entry *e, struct mh_peer *p,
+			   const Mh__Frame *frame)
+{
+	switch (frame->body_case) {
+	case MH__FRAME__BODY_GIVE_WAY:
+		mh_entry_on_give_way(e, p->link, frame->give_way);
+		break;
+	case MH__FRAME__BODY_GAVE:
+		mh_entry_on_gave(e, frame->gave);
+		break;
+	case MH__FRAME__BODY_CONFIG_PULL:
+		send_state(e, p->link);
+		break;
+	case MH__FRAME__BODY_CONFIG_STATE:
+		on_config_state(e, frame->config_state);
+		break;
+	default:
+		break;
+	}
+}
+
+void mh_entry_recv(struct mh_entry *e, uint32_t link, const Mh__Frame *frame)
+{
+	struct mh_server *s = server_by_link(e, link);
+	struct mh_peer *p = s ? NULL : peer_by_link(e, link);
+
+	if (!s && !p) {
+		mh_count(&e->counters, MH_C_LATE_FRAMES);
+		return;
+	}
+	if (frame->body_case == MH__FRAME__BODY_PING)
+		on_ping(e, link, s, p, frame->ping);
+	else if (frame->body_case == MH__FRAME__BODY_SUSPECT)
+		mh_entry_on_suspect(e, link, frame->suspect);
+	else if (s)
+		recv_from_server(e, s, frame);
+	else
+		recv_from_peer(e, p, frame);
+}
+
+static void clear_hosts(struct mh_entry *e)
+{
+	struct mh_host_row *row, *tmp;
+
+	HASH_ITER(hh, e->hosts, row, tmp)
+	{
+		HASH_DEL(e->hosts, row);
+		free(row);
+	}
+}
+
+static void mark_peers(struct mh_entry *e)
+{
+	struct mh_host_row *row, *tmp;
+	struct mh_peer *p;
+
+	DL_FOREACH(e->peers, p)
+		p->listed = false;
+	HASH_ITER(hh, e->hosts, row, tmp)
+	{
+		if (!row->is_entry || !strcmp(row->name, e->host))
+			continue;
+		p = get_peer(e, row->name);
+		if (p)
+			p->listed = true;
+	}
+}
+
+void mh_entry_hosts(struct mh_entry *e, const struct mh_host *hosts, size_t n)
+{
+	struct mh_host_row *row;
+	struct mh_server *s;
+	size_t i;
+
+	clear_hosts(e);
+	e->n_entries = 0;
+	for (i = 0; i < n; i++) {
+		HASH_FIND_STR(e->hosts, hosts[i].name, row);
+		if (row)
+			continue;
+		row = calloc(1, sizeof(*row));
+		if (!row)
+			return;
+		snprintf(row->name, sizeof(row->name), "%s", hosts[i].name);
+		row->is_entry = hosts[i].is_entry;
+		row->state = hosts[i].state;
+		e->n_entries += row->is_entry;
+		HASH_ADD_STR(e->hosts, name, row);
+	}
+	mark_peers(e);
+	DL_FOREACH(e->servers, s)
+		s->want_dirty = true;
+}
+
+void mh_entry_config_start(struct mh_entry *e, uint64_t first_offset)
+{
+	mh_fold_start(e->fold, first_offset);
+}
+
+void mh_entry_config_record(struct mh_entry *e, uint64_t offset,
+			    uint64_t when_ms, const char *rec, size_t len)
+{
+	uint64_t before = mh_fold_version(e->fold);
+
+	mh_fold_record(e->fold, offset, when_ms, rec, len);
+	if (mh_fold_version(e->fold) != before)
+		config_applied(e);
+}
+
+/* The entry that notices first writes the snapshot; a second one is harmless. */
+static void write_snapshot_if_due(struct mh_entry *e)
+{
+	uint64_t now_ms = mh_clock_wall_ms(&e->clock);
+	char *text;
+
+	if (!mh_entry_manifest(e) || !e->log_up || now_ms < e->next_snapshot_ms)
+		return;
+	e->next_snapshot_ms = now_ms + mh_rng_next(&e->rng) %
+					       SNAPSHOT_SPREAD_MS;
+	if (now_ms < mh_fold_whole_ms(e->fold) + SNAPSHOT_AGE_MS)
+		return;
+	text = mh_fold_snapshot(e->fold);
+	if (text)
+		e->ops->append_config(e->data, text, strlen(text));
+	free(text);
+}
+
+static void on_due(struct mh_entry *e, struct mh_req *req, uint64_t now)
+{
+	switch (req->state) {
+	case MH_REQ_FIND:
+		mh_entry_find_done(e, req);
+		return;
+	case MH_REQ_SENT:
+		mh_entry_poll_run(e, req);
+		return;
+	case MH_REQ_LOST:
+		mh_entry_refuse(e, req, MH_ERR_LINK_LOST);
+		return;
+	case MH_REQ_FOLLOW:
+		/* The leader may yet run. */
+		mh_entry_refuse(e, req, MH_ERR_DUPLICATE);
+		return;
+	case MH_REQ_WAIT:
+		if (now < req->call->deadline_ns) {
+			mh_entry_widen(e, req);
+			return;
+		}
+		break;
+	case MH_REQ_CLAIM:
+		if (e->log_up)
+			break;
+		mh_entry_refuse(e, req, MH_ERR_LOG_UNAVAILABLE);
+		return;
+	case MH_REQ_ADMIT:
+		break;
+	}
+	mh_entry_refuse(e, req, MH_ERR_DEADLINE);
+}
+
+static void send_pings(struct mh_entry *e, uint64_t now)
+{
+	struct mh_server *s;
+	struct mh_peer *p;
+
+	if (now < e->next_ping_ns)
+		return;
+	e->next_ping_ns = now + PING_INTERVAL_NS;
+	DL_FOREACH(e->servers, s)
+	{
+		if (s->up)
+			send_ping(e, s->link, s->host);
+	}
+	DL_FOREACH(e->peers, p)
+	{
+		if (p->up)
+			send_ping(e, p->link, p->host);
+	}
+}
+
+uint64_t mh_entry_tick(struct mh_entry *e)
+{
+	uint64_t now = mh_entry_now(e), next = now + TICK_NS;
+	struct mh_req *req;
+
+	for (req = mh_heap_min(&e->due); req && req->due_ns <= now;
+	     req = mh_heap_min(&e->due))
+		on_due(e, req, now);
+	mh_entry_resolve_asks(e);
+	mh_entry_flush_claims(e);
+	mh_entry_flush_wants(e);
+	write_snapshot_if_due(e);
+	send_pings(e, now);
+	if (req && req->due_ns < next)
+		next = req->due_ns;
+	if (e->n_batch && e->next_append_ns < next)
+		next = e->next_append_ns > now ? e->next_append_ns : now;
+	return next;
+}
+
+const struct mh_fold *mh_entry_fold(const struct mh_entry *e)
+{
+	return e->fold;
+}
+
+struct mh_counters *mh_entry_counters(struct mh_entry *e)
+{
+	return &e->counters;
+}
+
+size_t mh_entry_servers(const struct mh_entry *e, struct mh_server_view *v,
+			size_t max)
+{
+	const struct mh_server *s;
+	size_t n = 0;
+
+	DL_FOREACH(e->servers, s)
+	{
+		if (n == max)
+			break;
+		v[n].host = s->host;
+		v[n].pool = s->pool ? s->pool : "";
+		v[n].up = s->up;
+		v[n].leaving = !mh_server_takes_work(e, s);
+		v[n].running = s->running;
+		n++;
+	}
+	return n;
+}
+
+void mh_entry_free(struct mh_entry *e)
+{
+	struct mh_req *req, *tmp_req;
+	struct mh_server *s, *tmp_s;
+	struct mh_peer *p, *tmp_p;
+	struct mh_suspicion *sus, *tmp_sus;
+
+	if (!e)
+		return;
+	HASH_ITER(hh_call, e->by_call, req, tmp_req)
+		mh_entry_finish(e, req);
+	mh_entry_free_queues(e);
+	DL_FOREACH_SAFE(e->servers, s, tmp_s)
+	{
+		clear_models(s);
+		free(s);
+	}
+	DL_FOREACH_SAFE(e->peers, p, tmp_p)
+		free(p);
+	HASH_ITER(hh, e->suspicions, sus, tmp_sus)
+	{
+		HASH_DEL(e->suspicions, sus);
+		free(sus);
+	}
+	clear_hosts(e);
+	mh_heap_release(&e->due);
+	mh_claims_free(e->claims);
+	mh_fold_free(e->fold);
+	free(e);
+}
--- /dev/null
+++ b/core/entry_claim.c
@@ -0,0 +1,185 @@
+/*
+ * Claims on the keys of non-idempotent calls: batched appends, and what to do
+ * once the log has decided.
+ */
+#include <string.h>
+
+#include "core/entry_impl.h"
+
+#define FUTURE_SKEW_MS (60 * MH_MS_PER_S)
+#define START_SKEW_MS (60 * MH_MS_PER_S)
+#define NS_PER_S 1000000000ull
+
+static bool key_in_window(struct mh_entry *e, const struct mh_call *call)
+{
+	const struct mh_manifest *m = mh_entry_manifest(e);
+	uint64_t window_ms = m->policy.key_window_s * MH_MS_PER_S;
+	uint64_t now_ms = mh_clock_wall_ms(&e->clock);
+	uint64_t key_ms = mh_id_time_ms(&call->key);
+
+	if (key_ms > now_ms + FUTURE_SKEW_MS)
+		return false;
+	/* The tenth left over covers skew between the hosts' clocks. */
+	if (key_ms + window_ms - window_ms / 10 < now_ms)
+		return false;
+	return !e->claims_truncated ||
+	       key_ms > e->claims_first_ms + START_SKEW_MS;
+}
+
+enum mh_error mh_entry_check_key(struct mh_entry *e, const struct mh_call *call)
+{
+	if (!call->has_key)
+		return MH_ERR_KEY_REQUIRED;
+	if (!mh_id_is_uuidv7(&call->key))
+		return MH_ERR_KEY_INVALID;
+	if (!e->log_up || !e->claims_started)
+		return MH_ERR_LOG_UNAVAILABLE;
+	if (!key_in_window(e, call))
+		return MH_ERR_KEY_EXPIRED;
+	return MH_OK;
+}
+
+static bool queue_claim(struct mh_entry *e, enum mh_claim_kind kind,
+			const struct mh_req *req)
+{
+	struct mh_claim *claim;
+
+	if (e->n_batch == MH_CLAIM_BATCH_MAX)
+		return false;
+	claim = &e->batch[e->n_batch++];
+	claim->kind = kind;
+	claim->key = req->claim_key;
+	claim->owner = req->claim_owner;
+	return true;
+}
+
+static void claim_is_lost(struct mh_entry *e, struct mh_req *req)
+{
+	mh_count(&e->counters, MH_C_CLAIMS_LOST);
+	req->claim_lost = true;
+	mh_entry_find(e, req);
+}
+
+void mh_entry_claim(struct mh_entry *e, struct mh_req *req)
+{
+	req->claim_owner = mh_rng_next(&e->rng) | 1;
+	HASH_ADD(hh_owner, e->by_owner, claim_owner, sizeof(req->claim_owner),
+		 req);
+	if (mh_claims_holder(e->claims, &req->claim_key)) {
+		claim_is_lost(e, req);
+		return;
+	}
+	req->state = MH_REQ_CLAIM;
+	mh_entry_set_due(e, req, req->call->deadline_ns);
+	if (!queue_claim(e, MH_CLAIM_TAKE, req)) {
+		/* Nothing was written that would need a release. */
+		req->claim_lost = true;
+		mh_entry_refuse(e, req, MH_ERR_OVERLOADED);
+		return;
+	}
+	mh_count(&e->counters, MH_C_CLAIMS);
+}
+
+/*
+ * A request that will never run gives its key back, so that the caller's next
+ * try with the same key can run. Without the record the key stays taken, which
+ * is safe.
+ */
+void mh_entry_release_claim(struct mh_entry *e, struct mh_req *req)
+{
+	if (!req->claim_owner || req->claim_lost)
+		return;
+	if (queue_claim(e, MH_CLAIM_RELEASE, req))
+		mh_count(&e->counters, MH_C_CLAIMS_RELEASED);
+}
+
+static uint64_t append_interval_ns(const struct mh_entry *e)
+{
+	const struct mh_manifest *m = mh_entry_manifest(e);
+	uint32_t entries = e->n_entries ? e->n_entries : 1;
+
+	return NS_PER_S * entries / (m ? m->policy.appends_per_s : 1);
+}
+
+void mh_entry_flush_claims(struct mh_entry *e)
+{
+	uint8_t buf[MH_CLAIM_BATCH_MAX * MH_CLAIM_RECORD_BYTES];
+	uint64_t now = mh_entry_now(e);
+	size_t len;
+
+	if (!e->n_batch || !e->log_up || now < e->next_append_ns)
+		return;
+	e->next_append_ns = now + append_interval_ns(e);
+	len = mh_claims_encode(e->batch, e->n_batch, buf);
+	e->n_batch = 0;
+	mh_count(&e->counters, MH_C_APPENDS);
+	e->ops->append_claims(e->data, buf, len);
+}
+
+static void on_decided(void *data, const struct mh_claim *claim,
+		       uint64_t holder)
+{
+	struct mh_entry *e = data;
+	struct mh_req *req;
+
+	if (claim->kind != MH_CLAIM_TAKE)
+		return;
+	HASH_FIND(hh_owner, e->by_owner, &claim->owner, sizeof(claim->owner),
+		  req);
+	if (!req || req->state != MH_REQ_CLAIM)
+		return;
+	if (holder != claim->owner) {
+		claim_is_lost(e, req);
+		return;
+	}
+	req->claim_held = true;
+	mh_entry_admit(e, req);
+}
+
+void mh_entry_claims_start(struct mh_entry *e, uint64_t first_offset,
+			   uint64_t first_ms)
+{
+	if (e->claims_started && first_offset <= e->claims_next)
+		return;
+	/* Records between what was read and the start are lost to us. */
+	e->claims_started = true;
+	e->claims_truncated = first_offset > 0;
+	e->claims_first_ms = first_ms;
+	e->claims_next = first_offset;
+}
+
+void mh_entry_claims_record(struct mh_entry *e, uint64_t offset,
+			    uint64_t when_ms, const uint8_t *rec, size_t len)
+{
+	if (offset < e->claims_next)
+		return;
+	e->claims_next = offset + 1;
+	if (!mh_claims_fold(e->claims, rec, len, when_ms, on_decided, e))
+		mh_count(&e->counters, MH_C_BAD_FRAMES);
+}
+
+void mh_entry_log_state(struct mh_entry *e, bool up)
+{
+	struct mh_req *req, *tmp;
+
+	if (e->log_up == up)
+		return;
+	e->log_up = up;
+	if (up)
+		return;
+	HASH_ITER(hh_call, e->by_call, req, tmp)
+	{
+		/* Refused on the next tick. */
+		if (req->state == MH_REQ_CLAIM)
+			mh_entry_set_due(e, req, 0);
+	}
+}
+
+/* Asked right before the hand-over, after the last wait. */
+bool mh_entry_claim_is_valid(struct mh_entry *e, const struct mh_req *req)
+{
+	if (!req->call->non_idempotent)
+		return true;
+	return req->claim_held && key_in_window(e, req->call) &&
+	       mh_claims_holder(e->claims, &req->claim_key) == req->claim_owner;
+}
--- /dev/null
+++ b/core/entry_impl.h
@@ -0,0 +1,255 @@
+/*
+ * What the parts of the entry's core share; not for use outside of it.
+ */
+#ifndef MH_ENTRY_IMPL_H
+#define MH_ENTRY_IMPL_H
+
+#define XXH_STATIC_LINKING_ONLY
+#include <xxhash.h>
+
+#include <uthash.h>
+#include <utlist.h>
+
+#include "core/claims.h"
+#include "core/entry.h"
+#include "core/heap.h"
+#include "core/lane.h"
+
+#define MH_HOST_NAME_BYTES 64
+#define MH_MAX_NARROW 2
+
+enum mh_req_state {
+	MH_REQ_FOLLOW, /* waits for a local request of the same key */
+	MH_REQ_FIND,   /* asks the sides for a run of the same key */
+	MH_REQ_CLAIM,  /* its claim is on the way through the log */
+	MH_REQ_ADMIT,  /* over the limit, peers are asked to give way */
+	MH_REQ_WAIT,   /* in a lane */
+	MH_REQ_SENT,   /* handed over, or attached to a run */
+	MH_REQ_LOST,   /* the link was lost; waits for it to come back */
+};
+
+struct mh_server;
+
+/* A call and all that the core knows of it. */
+struct mh_req {
+	struct mh_call *call;
+	enum mh_req_state state;
+	struct mh_waiter waiter;
+	struct mh_lane *lane;
+	struct mh_server *asked[MH_MAX_NARROW];
+	bool wide;
+
+	/* the run */
+	struct mh_id ref;
+	bool attached;
+	struct mh_server *server;
+	char server_host[MH_HOST_NAME_BYTES];
+	uint64_t server_incarnation;
+	uint64_t sent_ns;
+	uint64_t heard_ns;
+	bool head_seen;
+	uint32_t next_seq;
+	XXH64_state_t hash;
+	uint32_t find_pending;
+
+	/* the claim */
+	struct mh_id claim_key;
+	uint64_t claim_owner;
+	bool claim_held;
+	bool claim_lost;
+	bool asks_give_way;
+
+	uint64_t due_ns;
+	uint32_t due_index;
+	bool is_leader;
+	UT_hash_handle hh_call;
+	UT_hash_handle hh_ref;
+	UT_hash_handle hh_leader;
+	UT_hash_handle hh_owner;
+	struct mh_req *prev, *next; /* list of followers or of admissions */
+	struct mh_req *leader;
+	struct mh_req *followers;
+};
+
+/* A backend server, seen through the link to its side. */
+struct mh_server {
+	char host[MH_HOST_NAME_BYTES];
+	uint64_t incarnation;
+	uint32_t link;
+	bool up;
+	bool leaving;      /* the side's own word or the host list */
+	char *pool;
+	char **models;
+	size_t n_models;
+	uint32_t running;
+	uint32_t narrow[MH_MAX_TIERS];
+	uint32_t want_sent[MH_MAX_TIERS];
+	bool want_known;
+	bool want_dirty;
+	uint64_t want_sent_ns;
+	uint64_t config_sent;
+	struct mh_server *prev, *next;
+};
+
+/* Another entry host. */
+struct mh_peer {
+	char host[MH_HOST_NAME_BYTES];
+	uint32_t link;
+	bool up;
+	bool listed;       /* on the host list, so its word is needed */
+	uint64_t config_offset;
+	struct mh_peer *prev, *next;
+};
+
+/* What a peer said to a request to give way. */
+struct mh_assurance {
+	struct mh_peer *peer;
+	uint64_t ask_id;
+	uint64_t sent_ns;
+	uint64_t none_until_ns;
+	uint32_t term_ms;
+	bool outstanding;
+	struct mh_assurance *prev, *next;
+};
+
+/* Requests of one tier that need room in a pool. */
+struct mh_ask {
+	char *pool;
+	uint8_t tier;
+	struct mh_assurance *assurances;
+	struct mh_req *reqs;
+	uint32_t n_reqs;
+	struct mh_ask *prev, *next;
+};
+
+/* Tiers below @tier are kept out of a pool until a time. */
+struct mh_pool_floor {
+	char *pool;
+	uint64_t until_ns[MH_MAX_TIERS];
+	struct mh_pool_floor *prev, *next;
+};
+
+struct mh_suspicion {
+	struct mh_id fingerprint;
+	uint64_t events[2];
+	uint32_t count;
+	uint64_t seen_ns;
+	UT_hash_handle hh;
+};
+
+struct mh_host_row {
+	char name[MH_HOST_NAME_BYTES];
+	bool is_entry;
+	enum mh_host_state state;
+	UT_hash_handle hh;
+};
+
+struct mh_account_load {
+	char *account;
+	uint32_t open;
+	UT_hash_handle hh;
+};
+
+struct mh_entry {
+	char host[MH_HOST_NAME_BYTES];
+	struct mh_clock clock;
+	struct mh_rng rng;
+	const struct mh_entry_ops *ops;
+	void *data;
+	struct mh_counters counters;
+	bool draining;
+
+	struct mh_fold *fold;
+	struct mh_claims *claims;
+	uint64_t claims_next;
+	uint64_t claims_first_ms;
+	bool claims_truncated;
+	bool claims_started;
+	bool log_up;
+	struct mh_claim batch[MH_CLAIM_BATCH_MAX];
+	size_t n_batch;
+	uint64_t next_append_ns;
+	uint64_t next_snapshot_ms;
+
+	struct mh_req *by_call;
+	struct mh_req *by_ref;
+	struct mh_req *leaders;
+	struct mh_req *by_owner;
+	struct mh_heap due;
+	struct mh_lane **lanes;
+	size_t n_lanes;
+	struct mh_server *servers;
+	struct mh_peer *peers;
+	struct mh_ask *asks;
+	struct mh_pool_floor *floors;
+	struct mh_suspicion *suspicions;
+	struct mh_host_row *hosts;
+	uint32_t n_entries;
+	struct mh_account_load *loads;
+	uint64_t next_ask_id;
+	uint64_t next_ping_ns;
+};
+
+/* entry.c */
+uint64_t mh_entry_now(struct mh_entry *e);
+void mh_entry_set_due(struct mh_entry *e, struct mh_req *req, uint64_t due_ns);
+void mh_entry_refuse(struct mh_entry *e, struct mh_req *req,
+		     enum mh_error error);
+void mh_entry_finish(struct mh_entry *e, struct mh_req *req);
+void mh_entry_send(struct mh_entry *e, uint32_t link, const Mh__Frame *frame);
+const struct mh_manifest *mh_entry_manifest(const struct mh_entry *e);
+bool mh_server_takes_work(const struct mh_entry *e, const struct mh_server *s);
+
+/* entry_claim.c */
+void mh_entry_claim(struct mh_entry *e, struct mh_req *req);
+void mh_entry_release_claim(struct mh_entry *e, struct mh_req *req);
+void mh_entry_flush_claims(struct mh_entry *e);
+enum mh_error mh_entry_check_key(struct mh_entry *e,
+				 const struct mh_call *call);
+bool mh_entry_claim_is_valid(struct mh_entry *e, const struct mh_req *req);
+
+/* entry_queue.c */
+void mh_entry_admit(struct mh_entry *e, struct mh_req *req);
+void mh_entry_leave_lane(struct mh_entry *e, struct mh_req *req, bool served);
+void mh_entry_widen(struct mh_entry *e, struct mh_req *req);
+void mh_entry_leave_ask(struct mh_entry *e, struct mh_req *req);
+void mh_entry_resolve_asks(struct mh_entry *e);
+void mh_entry_flush_wants(struct mh_entry *e);
+void mh_entry_on_give_way(struct mh_entry *e, uint32_t link,
+			  const Mh__GiveWay *msg);
+void mh_entry_on_gave(struct mh_entry *e, const Mh__Gave *msg);
+struct mh_req *mh_entry_best(struct mh_entry *e, const struct mh_server *s,
+			     uint8_t lowest_tier);
+bool mh_server_serves(const struct mh_server *s, const char *pool,
+		      const char *model);
+void mh_entry_free_queues(struct mh_entry *e);
+void mh_entry_peer_gone(struct mh_entry *e, struct mh_peer *peer);
+
+/* entry_run.c */
+void mh_entry_on_grant(struct mh_entry *e, struct mh_server *s,
+		       const Mh__Grant *msg);
+void mh_entry_find(struct mh_entry *e, struct mh_req *req);
+void mh_entry_find_done(struct mh_entry *e, struct mh_req *req);
+void mh_entry_join_leader(struct mh_entry *e, struct mh_req *req);
+void mh_entry_poll_run(struct mh_entry *e, struct mh_req *req);
+void mh_entry_on_refused(struct mh_entry *e, struct mh_server *s,
+			 const Mh__Refused *msg);
+void mh_entry_on_head(struct mh_entry *e, struct mh_server *s,
+		      const Mh__Head *msg);
+void mh_entry_on_data(struct mh_entry *e, struct mh_server *s,
+		      const Mh__Data *msg);
+void mh_entry_on_end(struct mh_entry *e, struct mh_server *s,
+		     const Mh__End *msg);
+void mh_entry_leave_server(struct mh_entry *e, struct mh_req *req,
+			   bool send_cancel);
+void mh_entry_server_down(struct mh_entry *e, struct mh_server *s);
+void mh_entry_server_up(struct mh_entry *e, struct mh_server *s);
+
+/* entry_suspect.c */
+void mh_entry_on_suspect(struct mh_entry *e, uint32_t from_link,
+			 const Mh__Suspect *msg);
+bool mh_entry_quarantined(struct mh_entry *e, const struct mh_id *fingerprint);
+void mh_entry_clear_suspicion(struct mh_entry *e,
+			      const struct mh_id *fingerprint);
+
+#endif
--- /dev/null
+++ b/core/entry_queue.c
@@ -0,0 +1,694 @@
+/*
+ * Waiting requests: admission, giving way between entries, demand towards the
+ * sides, and the choice of the request that a grant is used for.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/entry_impl.h"
+
+#define ASK_RETRY_NS (200 * MH_NS_PER_MS)
+#define WANT_REFRESH_NS (50 * MH_NS_PER_MS)
+#define MAX_SLACK_MS 86400000u
+
+/* An assurance is used for this share of its term, to cover clock rates. */
+#define TERM_USED_PERCENT 80
+
+static struct mh_lane *get_lane(struct mh_entry *e, const char *pool,
+				const char *model)
+{
+	struct mh_lane **lanes;
+	size_t i;
+
+	for (i = 0; i < e->n_lanes; i++) {
+		if (!strcmp(e->lanes[i]->pool, pool) &&
+		    !strcmp(e->lanes[i]->model, model))
+			return e->lanes[i];
+	}
+	lanes = realloc(e->lanes, (e->n_lanes + 1) * sizeof(*lanes));
+	if (!lanes)
+		return NULL;
+	e->lanes = lanes;
+	lanes[e->n_lanes] = mh_lane_new(pool, model);
+	return lanes[e->n_lanes] ? lanes[e->n_lanes++] : NULL;
+}
+
+bool mh_server_serves(const struct mh_server *s, const char *pool,
+		      const char *model)
+{
+	size_t i;
+
+	if (!s->pool || strcmp(s->pool, pool))
+		return false;
+	if (!*model)
+		return true;
+	for (i = 0; i < s->n_models; i++) {
+		if (!strcmp(s->models[i], model))
+			return true;
+	}
+	return false;
+}
+
+static uint32_t pool_waiting(const struct mh_entry *e, const char *pool)
+{
+	uint32_t n = 0;
+	size_t i;
+
+	for (i = 0; i < e->n_lanes; i++) {
+		if (!strcmp(e->lanes[i]->pool, pool))
+			n += e->lanes[i]->count;
+	}
+	return n;
+}
+
+uint32_t mh_entry_waiting(const struct mh_entry *e, const char *pool,
+			  uint8_t tier)
+{
+	uint32_t n = 0;
+	size_t i;
+
+	for (i = 0; i < e->n_lanes; i++) {
+		if (!strcmp(e->lanes[i]->pool, pool))
+			n += mh_lane_count(e->lanes[i], tier);
+	}
+	return n;
+}
+
+static struct mh_waiter *pool_victim(struct mh_entry *e, const char *pool,
+				     uint8_t tier)
+{
+	struct mh_waiter *victim = NULL;
+	size_t i;
+
+	for (i = 0; i < e->n_lanes; i++) {
+		struct mh_waiter *w;
+
+		if (strcmp(e->lanes[i]->pool, pool))
+			continue;
+		w = mh_lane_victim(e->lanes[i], tier);
+		if (w && (!victim || w->tier > victim->tier))
+			victim = w;
+	}
+	return victim;
+}
+
+static bool shed_one(struct mh_entry *e, const char *pool, uint8_t tier)
+{
+	struct mh_waiter *victim = pool_victim(e, pool, tier);
+
+	if (!victim)
+		return false;
+	mh_count(&e->counters, MH_C_GIVE_WAY_SHED);
+	mh_entry_refuse(e, victim->owner, MH_ERR_SHED_FOR_HIGHER_TIER);
+	return true;
+}
+
+static struct mh_pool_floor *get_floor(struct mh_entry *e, const char *pool)
+{
+	struct mh_pool_floor *f;
+
+	DL_FOREACH(e->floors, f)
+	{
+		if (!strcmp(f->pool, pool))
+			return f;
+	}
+	f = calloc(1, sizeof(*f));
+	if (!f)
+		return NULL;
+	f->pool = strdup(pool);
+	DL_APPEND(e->floors, f);
+	return f;
+}
+
+/* Whether a peer was promised that this tier stays out for now. */
+static bool kept_out(struct mh_entry *e, const char *pool, uint8_t tier)
+{
+	uint64_t now = mh_entry_now(e);
+	struct mh_pool_floor *f;
+	uint8_t i;
+
+	DL_FOREACH(e->floors, f)
+	{
+		if (strcmp(f->pool, pool))
+			continue;
+		for (i = 0; i < tier; i++) {
+			if (f->until_ns[i] > now)
+				return true;
+		}
+	}
+	return false;
+}
+
+static uint32_t pool_limit(const struct mh_entry *e, const char *pool)
+{
+	const struct mh_pool *p = mh_manifest_pool(mh_entry_manifest(e), pool);
+
+	return p ? p->max_waiting : 0;
+}
+
+static bool has_room(struct mh_entry *e, const struct mh_req *req)
+{
+	return pool_waiting(e, req->call->pool) <
+	       pool_limit(e, req->call->pool);
+}
+
+/* Score for rendezvous hashing of a prompt's beginning over servers. */
+static uint64_t affinity(uint64_t prefix_hash, const struct mh_server *s)
+{
+	return XXH64(s->host, strlen(s->host), prefix_hash);
+}
+
+static struct mh_server *pick_server(struct mh_entry *e,
+				     const struct mh_req *req, bool by_load)
+{
+	struct mh_server *s, *best = NULL;
+	uint64_t best_score = 0;
+
+	DL_FOREACH(e->servers, s)
+	{
+		uint64_t score = affinity(req->call->prefix_hash, s);
+
+		if (!mh_server_takes_work(e, s) ||
+		    !mh_server_serves(s, req->call->pool, req->call->model))
+			continue;
+		if (by_load && best && s->running > best->running)
+			continue;
+		if (by_load && best && s->running < best->running)
+			best = NULL;
+		if (best && score <= best_score)
+			continue;
+		best = s;
+		best_score = score;
+	}
+	return best;
+}
+
+static void ask_server(struct mh_req *req, struct mh_server *s)
+{
+	int i;
+
+	for (i = 0; i < MH_MAX_NARROW; i++) {
+		if (req->asked[i] == s)
+			return;
+		if (req->asked[i])
+			continue;
+		req->asked[i] = s;
+		s->narrow[req->waiter.tier]++;
+		s->want_dirty = true;
+		return;
+	}
+}
+
+static void mark_lane(struct mh_entry *e, const struct mh_lane *lane)
+{
+	struct mh_server *s;
+
+	DL_FOREACH(e->servers, s)
+	{
+		if (s->up && mh_server_serves(s, lane->pool, lane->model))
+			s->want_dirty = true;
+	}
+}
+
+static void forget_asked(struct mh_req *req)
+{
+	int i;
+
+	for (i = 0; i < MH_MAX_NARROW; i++) {
+		struct mh_server *s = req->asked[i];
+
+		if (!s)
+			continue;
+		s->narrow[req->waiter.tier]--;
+		s->want_dirty = true;
+		req->asked[i] = NULL;
+	}
+}
+
+void mh_entry_widen(struct mh_entry *e, struct mh_req *req)
+{
+	if (req->wide)
+		return;
+	forget_asked(req);
+	req->wide = true;
+	req->lane->wide[req->waiter.tier]++;
+	mark_lane(e, req->lane);
+	mh_entry_set_due(e, req, req->call->deadline_ns);
+}
+
+static void enter_lane(struct mh_entry *e, struct mh_req *req)
+{
+	const struct mh_manifest *m = mh_entry_manifest(e);
+	struct mh_server *near, *idle;
+	uint64_t widen_ns;
+
+	req->lane = get_lane(e, req->call->pool, req->call->model);
+	if (!req->lane || !mh_lane_add(req->lane, &req->waiter)) {
+		mh_entry_refuse(e, req, MH_ERR_OVERLOADED);
+		return;
+	}
+	req->state = MH_REQ_WAIT;
+	req->wide = false;
+	near = pick_server(e, req, false);
+	idle = pick_server(e, req, true);
+	if (!near || req->lane->count > 1 || near->running > idle->running + 1) {
+		/* Something waits already: every server is worth asking. */
+		mh_entry_widen(e, req);
+		return;
+	}
+	ask_server(req, near);
+	widen_ns = mh_entry_now(e) + m->policy.widen_ms * MH_NS_PER_MS;
+	if (widen_ns > req->call->deadline_ns)
+		widen_ns = req->call->deadline_ns;
+	mh_entry_set_due(e, req, widen_ns);
+}
+
+void mh_entry_leave_lane(struct mh_entry *e, struct mh_req *req, bool served)
+{
+	if (served)
+		mh_lane_serve(req->lane, &req->waiter);
+	else
+		mh_lane_remove(req->lane, &req->waiter);
+	forget_asked(req);
+	if (!req->wide)
+		return;
+	req->wide = false;
+	req->lane->wide[req->waiter.tier]--;
+	mark_lane(e, req->lane);
+}
+
+static struct mh_ask *get_ask(struct mh_entry *e, const char *pool,
+			      uint8_t tier)
+{
+	struct mh_ask *ask;
+
+	DL_FOREACH(e->asks, ask)
+	{
+		if (ask->tier == tier && !strcmp(ask->pool, pool))
+			return ask;
+	}
+	ask = calloc(1, sizeof(*ask));
+	if (!ask)
+		return NULL;
+	ask->pool = strdup(pool);
+	ask->tier = tier;
+	DL_APPEND(e->asks, ask);
+	return ask;
+}
+
+static void enter_ask(struct mh_entry *e, struct mh_req *req)
+{
+	struct mh_ask *ask = get_ask(e, req->call->pool, req->call->tier);
+
+	if (!ask) {
+		mh_entry_refuse(e, req, MH_ERR_OVERLOADED);
+		return;
+	}
+	req->state = MH_REQ_ADMIT;
+	DL_APPEND(ask->reqs, req);
+	ask->n_reqs++;
+	mh_entry_set_due(e, req, req->call->deadline_ns);
+}
+
+void mh_entry_leave_ask(struct mh_entry *e, struct mh_req *req)
+{
+	struct mh_ask *ask = get_ask(e, req->call->pool, req->call->tier);
+
+	if (!ask)
+		return;
+	DL_DELETE(ask->reqs, req);
+	ask->n_reqs--;
+}
+
+static bool is_lowest_tier(const struct mh_entry *e, uint8_t tier)
+{
+	return tier + 1 >= mh_entry_manifest(e)->n_tiers;
+}
+
+/*
+ * Lets a request wait if there is room, sheds a lower tier for it if there is
+ * not, and asks the other entries before a tier above the lowest is refused.
+ */
+void mh_entry_admit(struct mh_entry *e, struct mh_req *req)
+{
+	const char *pool = req->call->pool;
+	uint8_t tier = req->call->tier;
+	bool out = kept_out(e, pool, tier);
+
+	if (!out && (has_room(e, req) || shed_one(e, pool, tier))) {
+		enter_lane(e, req);
+		return;
+	}
+	if (is_lowest_tier(e, tier)) {
+		mh_entry_refuse(e, req, MH_ERR_OVERLOADED);
+		return;
+	}
+	enter_ask(e, req);
+}
+
+static struct mh_assurance *get_assurance(struct mh_ask *ask,
+					  struct mh_peer *peer)
+{
+	struct mh_assurance *a;
+
+	DL_FOREACH(ask->assurances, a)
+	{
+		if (a->peer == peer)
+			return a;
+	}
+	a = calloc(1, sizeof(*a));
+	if (!a)
+		return NULL;
+	a->peer = peer;
+	DL_APPEND(ask->assurances, a);
+	return a;
+}
+
+static void send_give_way(struct mh_entry *e, const struct mh_ask *ask,
+			  struct mh_assurance *a, uint32_t count)
+{
+	Mh__GiveWay msg = MH__GIVE_WAY__INIT;
+	Mh__Frame frame = MH__FRAME__INIT;
+
+	a->ask_id = ++e->next_ask_id;
+	a->sent_ns = mh_entry_now(e);
+	a->outstanding = true;
+	a->term_ms = mh_entry_manifest(e)->policy.give_way_term_ms;
+	msg.ask_id = a->ask_id;
+	msg.pool = ask->pool;
+	msg.tier = ask->tier;
+	msg.term_ms = a->term_ms;
+	msg.count = count;
+	frame.body_case = MH__FRAME__BODY_GIVE_WAY;
+	frame.give_way = &msg;
+	mh_count(&e->counters, MH_C_GIVE_WAY_SENT);
+	mh_entry_send(e, a->peer->link, &frame);
+}
+
+static uint32_t count_up_peers(const struct mh_entry *e)
+{
+	const struct mh_peer *p;
+	uint32_t n = 0;
+
+	DL_FOREACH(e->peers, p)
+		n += p->up;
+	return n;
+}
+
+/* Whether every other entry has said that nothing lower waits there. */
+static bool all_assured(struct mh_entry *e, struct mh_ask *ask)
+{
+	uint64_t now = mh_entry_now(e);
+	uint32_t n_up = count_up_peers(e), turn;
+	struct mh_peer *p;
+	bool all = true;
+
+	/* The peers share the number of requests that need room. */
+	turn = n_up ? (uint32_t)(mh_rng_next(&e->rng) % n_up) : 0;
+
+	DL_FOREACH(e->peers, p)
+	{
+		struct mh_assurance *a;
+
+		if (!p->up && !p->listed)
+			continue;
+		a = get_assurance(ask, p);
+		if (a && a->none_until_ns > now)
+			continue;
+		all = false;
+		if (!a || !p->up)
+			continue;
+		turn = (turn + 1) % n_up;
+		if (!a->outstanding || now > a->sent_ns + ASK_RETRY_NS)
+			send_give_way(e, ask, a,
+				      (ask->n_reqs + turn) / n_up);
+	}
+	return all;
+}
+
+static void admit_from_ask(struct mh_entry *e, struct mh_req *req)
+{
+	mh_entry_leave_ask(e, req);
+	enter_lane(e, req);
+}
+
+static void resolve_ask(struct mh_entry *e, struct mh_ask *ask)
+{
+	bool out = kept_out(e, ask->pool, ask->tier);
+
+	while (ask->reqs && !out &&
+	       (has_room(e, ask->reqs) || shed_one(e, ask->pool, ask->tier)))
+		admit_from_ask(e, ask->reqs);
+	if (!ask->reqs || !all_assured(e, ask))
+		return;
+	/* Kept out here while lower ones wait: those go first. */
+	while (shed_one(e, ask->pool, ask->tier))
+		;
+	while (ask->reqs)
+		mh_entry_refuse(e, ask->reqs, MH_ERR_OVERLOADED);
+}
+
+void mh_entry_resolve_asks(struct mh_entry *e)
+{
+	struct mh_ask *ask;
+
+	DL_FOREACH(e->asks, ask)
+	{
+		if (ask->reqs)
+			resolve_ask(e, ask);
+	}
+}
+
+void mh_entry_on_give_way(struct mh_entry *e, uint32_t link,
+			  const Mh__GiveWay *msg)
+{
+	struct mh_pool_floor *floor;
+	Mh__Gave reply = MH__GAVE__INIT;
+	Mh__Frame frame = MH__FRAME__INIT;
+	uint8_t tier = (uint8_t)msg->tier;
+
+	if (msg->tier >= MH_MAX_TIERS)
+		return;
+	while (reply.shed < msg->count && shed_one(e, msg->pool, tier))
+		reply.shed++;
+	floor = get_floor(e, msg->pool);
+	if (floor && !pool_victim(e, msg->pool, tier)) {
+		uint64_t until = mh_entry_now(e) + msg->term_ms * MH_NS_PER_MS;
+
+		if (floor->until_ns[tier] < until)
+			floor->until_ns[tier] = until;
+		reply.none_left = true;
+	}
+	reply.ask_id = msg->ask_id;
+	frame.body_case = MH__FRAME__BODY_GAVE;
+	frame.gave = &reply;
+	mh_entry_send(e, link, &frame);
+}
+
+static void apply_gave(struct mh_entry *e, struct mh_ask *ask,
+		       struct mh_assurance *a, const Mh__Gave *msg)
+{
+	uint32_t room = msg->shed;
+
+	a->outstanding = false;
+	if (msg->none_left)
+		a->none_until_ns = a->sent_ns + a->term_ms * MH_NS_PER_MS *
+							TERM_USED_PERCENT / 100;
+	/* Room given up by a peer may be used here, over this entry's limit. */
+	while (room-- && ask->reqs && !kept_out(e, ask->pool, ask->tier))
+		admit_from_ask(e, ask->reqs);
+}
+
+void mh_entry_on_gave(struct mh_entry *e, const Mh__Gave *msg)
+{
+	struct mh_assurance *a;
+	struct mh_ask *ask;
+
+	DL_FOREACH(e->asks, ask)
+	{
+		DL_FOREACH(ask->assurances, a)
+		{
+			if (!a->outstanding || a->ask_id != msg->ask_id)
+				continue;
+			apply_gave(e, ask, a, msg);
+			return;
+		}
+	}
+	mh_count(&e->counters, MH_C_LATE_FRAMES);
+}
+
+void mh_entry_peer_gone(struct mh_entry *e, struct mh_peer *peer)
+{
+	struct mh_assurance *a;
+	struct mh_ask *ask;
+
+	DL_FOREACH(e->asks, ask)
+	{
+		DL_FOREACH(ask->assurances, a)
+		{
+			if (a->peer == peer)
+				a->outstanding = false;
+		}
+	}
+}
+
+struct mh_req *mh_entry_best(struct mh_entry *e, const struct mh_server *s,
+			     uint8_t lowest_tier)
+{
+	struct mh_waiter *best = NULL;
+	size_t i;
+
+	for (i = 0; i < e->n_lanes; i++) {
+		struct mh_lane *lane = e->lanes[i];
+		struct mh_waiter *w;
+
+		if (!lane->count ||
+		    !mh_server_serves(s, lane->pool, lane->model))
+			continue;
+		w = mh_lane_best(lane, lowest_tier);
+		if (!w || (best && w->tier > best->tier))
+			continue;
+		if (!best || w->tier < best->tier ||
+		    w->deadline_ns < best->deadline_ns)
+			best = w;
+	}
+	return best ? best->owner : NULL;
+}
+
+static void count_wants(const struct mh_entry *e, const struct mh_server *s,
+			uint32_t *want)
+{
+	size_t i, t;
+
+	memcpy(want, s->narrow, sizeof(s->narrow));
+	for (i = 0; i < e->n_lanes; i++) {
+		const struct mh_lane *lane = e->lanes[i];
+
+		if (!lane->count ||
+		    !mh_server_serves(s, lane->pool, lane->model))
+			continue;
+		for (t = 0; t < MH_MAX_TIERS; t++)
+			want[t] += lane->wide[t];
+	}
+}
+
+static uint32_t slack_ms(struct mh_entry *e, const struct mh_server *s,
+			 uint8_t tier)
+{
+	uint64_t now = mh_entry_now(e), earliest = UINT64_MAX;
+	size_t i;
+
+	for (i = 0; i < e->n_lanes; i++) {
+		uint64_t t;
+
+		if (!e->lanes[i]->count ||
+		    !mh_server_serves(s, e->lanes[i]->pool, e->lanes[i]->model))
+			continue;
+		t = mh_lane_deadline_ns(e->lanes[i], tier);
+		if (t < earliest)
+			earliest = t;
+	}
+	if (earliest <= now)
+		return 0;
+	if (earliest - now > MAX_SLACK_MS * MH_NS_PER_MS)
+		return MAX_SLACK_MS;
+	return (uint32_t)((earliest - now) / MH_NS_PER_MS);
+}
+
+/* A change that the side must hear of now, not at the next refresh. */
+static bool is_urgent(const struct mh_server *s, const uint32_t *want)
+{
+	size_t t;
+
+	if (!s->want_known)
+		return true;
+	for (t = 0; t < MH_MAX_TIERS; t++) {
+		if (!want[t] != !s->want_sent[t] || want[t] > s->want_sent[t])
+			return true;
+	}
+	return false;
+}
+
+static void send_want(struct mh_entry *e, struct mh_server *s,
+		      const uint32_t *want)
+{
+	Mh__Want msg = MH__WANT__INIT;
+	Mh__Frame frame = MH__FRAME__INIT;
+	uint32_t counts[MH_MAX_TIERS], slack[MH_MAX_TIERS];
+	uint8_t t, n = 0;
+
+	for (t = 0; t < MH_MAX_TIERS; t++) {
+		counts[t] = want[t];
+		slack[t] = want[t] ? slack_ms(e, s, t) : 0;
+		if (want[t])
+			n = (uint8_t)(t + 1);
+	}
+	msg.n_count = n;
+	msg.count = counts;
+	msg.n_slack_ms = n;
+	msg.slack_ms = slack;
+	frame.body_case = MH__FRAME__BODY_WANT;
+	frame.want = &msg;
+	mh_count(&e->counters, MH_C_WANTS);
+	mh_entry_send(e, s->link, &frame);
+	memcpy(s->want_sent, want, sizeof(s->want_sent));
+	s->want_known = true;
+	s->want_dirty = false;
+	s->want_sent_ns = mh_entry_now(e);
+}
+
+void mh_entry_flush_wants(struct mh_entry *e)
+{
+	static const uint32_t nothing[MH_MAX_TIERS];
+	uint64_t now = mh_entry_now(e);
+	struct mh_server *s;
+
+	DL_FOREACH(e->servers, s)
+	{
+		uint32_t want[MH_MAX_TIERS];
+
+		if (!s->up || !s->want_dirty)
+			continue;
+		if (mh_server_takes_work(e, s))
+			count_wants(e, s, want);
+		else
+			memcpy(want, nothing, sizeof(want));
+		if (s->want_known &&
+		    !memcmp(want, s->want_sent, sizeof(want))) {
+			s->want_dirty = false;
+			continue;
+		}
+		if (is_urgent(s, want) ||
+		    now > s->want_sent_ns + WANT_REFRESH_NS)
+			send_want(e, s, want);
+	}
+}
+
+static void free_ask(struct mh_ask *ask)
+{
+	struct mh_assurance *a, *tmp;
+
+	DL_FOREACH_SAFE(ask->assurances, a, tmp)
+		free(a);
+	free(ask->pool);
+	free(ask);
+}
+
+void mh_entry_free_queues(struct mh_entry *e)
+{
+	struct mh_pool_floor *f, *tmp_f;
+	struct mh_ask *ask, *tmp;
+	size_t i;
+
+	DL_FOREACH_SAFE(e->asks, ask, tmp)
+		free_ask(ask);
+	DL_FOREACH_SAFE(e->floors, f, tmp_f)
+	{
+		free(f->pool);
+		free(f);
+	}
+	for (i = 0; i < e->n_lanes; i++)
+		mh_lane_free(e->lanes[i]);
+	free(e->lanes);
+}
--- /dev/null
+++ b/core/err.c
@@ -0,0 +1,77 @@
+#include "core/err.h"
+
+#define NR MH_OUTCOME_NOT_RUN
+#define UN MH_OUTCOME_UNKNOWN
+
+static const struct mh_error_info table[MH_ERR_COUNT] = {
+	[MH_OK] = { "ok", 200, NR, false, "Success" },
+	[MH_ERR_BAD_REQUEST] = { "bad_request", 400, NR, false,
+				 "The request is malformed" },
+	[MH_ERR_BODY_TOO_LARGE] = { "body_too_large", 413, NR, false,
+				    "The body exceeds the limit" },
+	[MH_ERR_UNAUTHORIZED] = { "unauthorized", 401, NR, false,
+				  "The key is missing or unknown" },
+	[MH_ERR_FORBIDDEN] = { "forbidden", 403, NR, false,
+			       "The contract does not allow this" },
+	[MH_ERR_UNKNOWN_MODEL] = { "unknown_model", 404, NR, false,
+				   "No pool serves this model" },
+	[MH_ERR_UNKNOWN_POOL] = { "unknown_pool", 404, NR, false,
+				  "There is no such service pool" },
+	[MH_ERR_NOT_READY] = { "not_ready", 503, NR, true,
+			       "No configuration is held yet" },
+	[MH_ERR_DRAINING] = { "draining", 503, NR, true,
+			      "This entry host is shutting down" },
+	[MH_ERR_OVERLOADED] = { "overloaded", 503, NR, true,
+				"The pool has no room" },
+	[MH_ERR_ACCOUNT_LIMIT] = { "account_limit", 429, NR, true,
+				   "The account's limit is reached" },
+	[MH_ERR_SHED_FOR_HIGHER_TIER] = { "shed_for_higher_tier", 503, NR, true,
+					  "Gave way to a higher tier" },
+	[MH_ERR_DEADLINE] = { "deadline_exceeded", 504, NR, true,
+			      "Could not be started in time" },
+	[MH_ERR_LOG_UNAVAILABLE] = { "log_unavailable", 503, NR, true,
+				     "Claims can't be recorded at present" },
+	[MH_ERR_KEY_REQUIRED] = { "idempotency_key_required", 400, NR, false,
+				  "A non-idempotent call needs a key" },
+	[MH_ERR_KEY_INVALID] = { "idempotency_key_invalid", 400, NR, false,
+				 "The key is not a UUIDv7" },
+	[MH_ERR_KEY_EXPIRED] = { "idempotency_key_expired", 409, UN, false,
+				 "The key is outside the window" },
+	[MH_ERR_KEY_REUSED] = { "idempotency_key_reused", 422, NR, false,
+				"The key belongs to another request" },
+	[MH_ERR_DUPLICATE] = { "duplicate", 409, UN, false,
+			       "Another request holds this key" },
+	[MH_ERR_QUARANTINED] = { "quarantined", 422, NR, false,
+				 "This request is suspected of "
+				 "crashing backend servers" },
+	[MH_ERR_CALLER_GONE] = { "caller_gone", 499, NR, false,
+				 "The caller closed the connection" },
+	[MH_ERR_GRANT_EXPIRED] = { "grant_expired", 503, NR, true,
+				   "The grant was used after its term" },
+	[MH_ERR_NOT_FOUND] = { "not_found", 404, NR, false, "No such run" },
+	[MH_ERR_SIDE_LEAVING] = { "server_leaving", 503, NR, true,
+				  "The backend server is leaving" },
+	[MH_ERR_LINK_LOST] = { "link_lost", 502, UN, false,
+			       "Lost contact with the backend server" },
+	[MH_ERR_BACKEND_FAILED] = { "backend_failed", 502, UN, false,
+				    "The backend server failed" },
+	[MH_ERR_BACKEND_CUT] = { "backend_cut", 502, UN, false,
+				 "The backend server cut the answer" },
+	[MH_ERR_CORRUPT_ANSWER] = { "corrupt_answer", 502, UN, false,
+				    "The answer failed its check" },
+	[MH_ERR_CANCELLED] = { "cancelled", 499, UN, false,
+			       "The request was cancelled" },
+	[MH_ERR_INTERNAL] = { "internal", 500, UN, false, "Internal error" },
+};
+
+const struct mh_error_info *mh_error_info(enum mh_error err)
+{
+	if ((unsigned int)err >= MH_ERR_COUNT)
+		err = MH_ERR_INTERNAL;
+	return &table[err];
+}
+
+const char *mh_outcome_name(enum mh_outcome outcome)
+{
+	return outcome == MH_OUTCOME_NOT_RUN ? "not_run" : "outcome_unknown";
+}
--- /dev/null
+++ b/core/fold.c
@@ -0,0 +1,363 @@
+#include "core/fold.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/toml.h"
+
+struct mh_fold {
+	struct mh_manifest *manifest;
+	struct mh_manifest *old;
+	bool complete;
+	uint64_t first_offset;
+	uint64_t next_offset;
+	uint64_t version;
+	uint64_t whole_ms;
+	struct mh_audit_entry audit[MH_AUDIT_MAX];
+	size_t n_audit;
+	/* Records read past a truncated start, kept until a snapshot comes. */
+	struct pending *pending;
+	size_t n_pending;
+};
+
+struct pending {
+	uint64_t offset;
+	uint64_t when_ms;
+	json_t *rec;
+};
+
+struct mh_fold *mh_fold_new(void)
+{
+	struct mh_fold *f = calloc(1, sizeof(*f));
+
+	if (f)
+		f->complete = true;
+	return f;
+}
+
+static void drop_pending(struct mh_fold *f)
+{
+	size_t i;
+
+	for (i = 0; i < f->n_pending; i++)
+		json_decref(f->pending[i].rec);
+	free(f->pending);
+	f->pending = NULL;
+	f->n_pending = 0;
+}
+
+void mh_fold_free(struct mh_fold *f)
+{
+	if (!f)
+		return;
+	drop_pending(f);
+	mh_manifest_free(f->old);
+	mh_manifest_free(f->manifest);
+	free(f);
+}
+
+void mh_fold_start(struct mh_fold *f, uint64_t first_offset)
+{
+	if (f->next_offset >= first_offset)
+		return;
+	/* Records were lost to us: what is in force stays until we catch up. */
+	drop_pending(f);
+	f->complete = false;
+	f->first_offset = first_offset;
+	f->next_offset = first_offset;
+}
+
+static void copy_text(char *dst, size_t size, const json_t *rec,
+		      const char *key)
+{
+	const char *s = json_string_value(json_object_get(rec, key));
+
+	snprintf(dst, size, "%s", s ? s : "");
+}
+
+static struct mh_audit_entry *audit_add(struct mh_fold *f, const json_t *rec,
+					uint64_t offset, uint64_t when_ms)
+{
+	struct mh_audit_entry *a = &f->audit[f->n_audit++ % MH_AUDIT_MAX];
+
+	memset(a, 0, sizeof(*a));
+	a->offset = offset;
+	a->when_ms = when_ms;
+	a->base = (uint64_t)json_integer_value(json_object_get(rec, "base"));
+	copy_text(a->who, sizeof(a->who), rec, "who");
+	copy_text(a->kind, sizeof(a->kind), rec, "kind");
+	copy_text(a->nonce, sizeof(a->nonce), rec, "nonce");
+	copy_text(a->note, sizeof(a->note), rec, "note");
+	return a;
+}
+
+static void replace_manifest(struct mh_fold *f, struct mh_manifest *m,
+			     uint64_t version)
+{
+	/* The first one replaced may be in use; later ones never were. */
+	if (f->old)
+		mh_manifest_free(f->manifest);
+	else
+		f->old = f->manifest;
+	f->manifest = m;
+	f->version = version;
+	m->version = version;
+}
+
+static struct mh_manifest *build(json_t *doc, char *note, size_t note_len)
+{
+	struct mh_report rep = { .file = "manifest" };
+	struct mh_manifest *m = mh_manifest_read(doc, &rep);
+
+	if (!m)
+		snprintf(note, note_len, "%s", rep.text ? rep.text : "invalid");
+	mh_report_clear(&rep);
+	return m;
+}
+
+static json_t *new_document(const struct mh_fold *f, const json_t *rec,
+			    bool is_delta)
+{
+	const json_t *doc = json_object_get(rec, "doc");
+
+	if (!json_is_object(doc))
+		return NULL;
+	if (!is_delta)
+		return json_deep_copy(doc);
+	if (!f->manifest)
+		return NULL;
+	return mh_manifest_merge(f->manifest->doc, doc);
+}
+
+static enum mh_fold_result apply_change(struct mh_fold *f, const json_t *rec,
+					uint64_t offset, uint64_t when_ms,
+					bool is_delta)
+{
+	struct mh_audit_entry *a = audit_add(f, rec, offset, when_ms);
+	struct mh_manifest *m;
+	json_t *doc;
+
+	a->version = f->version;
+	if (a->base != f->version) {
+		snprintf(a->note, sizeof(a->note),
+			 "base %llu is not the version in force, %llu",
+			 (unsigned long long)a->base,
+			 (unsigned long long)f->version);
+		return a->result = MH_FOLD_REFUSED_BASE;
+	}
+	doc = new_document(f, rec, is_delta);
+	m = doc ? build(doc, a->note, sizeof(a->note)) : NULL;
+	json_decref(doc);
+	if (!m)
+		return a->result = MH_FOLD_REFUSED_INVALID;
+	replace_manifest(f, m, offset + 1);
+	if (!is_delta)
+		f->whole_ms = when_ms;
+	a->version = f->version;
+	return a->result = MH_FOLD_ACCEPTED;
+}
+
+static uint64_t get_u64(const json_t *rec, const char *key)
+{
+	return (uint64_t)json_integer_value(json_object_get(rec, key));
+}
+
+static enum mh_fold_result apply_snapshot(struct mh_fold *f, const json_t *rec,
+					  uint64_t when_ms)
+{
+	/* Only a snapshot of the state in force renews it. */
+	if (get_u64(rec, "version") != f->version)
+		return MH_FOLD_SKIPPED;
+	if (when_ms > f->whole_ms)
+		f->whole_ms = when_ms;
+	return MH_FOLD_SNAPSHOT;
+}
+
+static enum mh_fold_result apply(struct mh_fold *f, const json_t *rec,
+				 uint64_t offset, uint64_t when_ms)
+{
+	const char *kind = json_string_value(json_object_get(rec, "kind"));
+
+	f->next_offset = offset + 1;
+	if (!kind)
+		return MH_FOLD_SKIPPED;
+	if (!strcmp(kind, "manifest"))
+		return apply_change(f, rec, offset, when_ms, false);
+	if (!strcmp(kind, "delta"))
+		return apply_change(f, rec, offset, when_ms, true);
+	if (!strcmp(kind, "snapshot"))
+		return apply_snapshot(f, rec, when_ms);
+	/* Kinds of later releases are passed over. */
+	return MH_FOLD_SKIPPED;
+}
+
+static void keep_pending(struct mh_fold *f, json_t *rec, uint64_t offset,
+			 uint64_t when_ms)
+{
+	struct pending *p = realloc(f->pending,
+				    (f->n_pending + 1) * sizeof(*p));
+
+	if (!p)
+		return;
+	f->pending = p;
+	p = &f->pending[f->n_pending++];
+	p->offset = offset;
+	p->when_ms = when_ms;
+	p->rec = json_incref(rec);
+}
+
+/* Puts a known state in force and folds the kept records that follow it. */
+static void resume_at(struct mh_fold *f, struct mh_manifest *m,
+		      uint64_t version, uint64_t as_of)
+{
+	uint64_t end = f->next_offset > as_of ? f->next_offset : as_of;
+	size_t i;
+
+	if (version > f->version)
+		replace_manifest(f, m, version);
+	else
+		mh_manifest_free(m);
+	f->complete = true;
+	for (i = 0; i < f->n_pending; i++) {
+		struct pending *p = &f->pending[i];
+
+		if (p->offset >= as_of)
+			apply(f, p->rec, p->offset, p->when_ms);
+	}
+	f->next_offset = end;
+	drop_pending(f);
+}
+
+/*
+ * A snapshot states up to which offset it was folded. It is a safe start if
+ * every record from there on can still be read.
+ */
+static bool start_from_snapshot(struct mh_fold *f, const json_t *rec,
+				uint64_t when_ms)
+{
+	const char *kind = json_string_value(json_object_get(rec, "kind"));
+	uint64_t as_of = get_u64(rec, "next_offset");
+	char note[MH_AUDIT_TEXT_BYTES];
+	struct mh_manifest *m;
+
+	if (!kind || strcmp(kind, "snapshot") || as_of < f->first_offset)
+		return false;
+	m = build(json_object_get(rec, "doc"), note, sizeof(note));
+	if (!m)
+		return false;
+	f->whole_ms = when_ms;
+	resume_at(f, m, get_u64(rec, "version"), as_of);
+	return true;
+}
+
+enum mh_fold_result mh_fold_record(struct mh_fold *f, uint64_t offset,
+				   uint64_t when_ms, const char *text,
+				   size_t len)
+{
+	enum mh_fold_result result = MH_FOLD_SKIPPED;
+	json_t *rec;
+
+	if (offset < f->next_offset)
+		return MH_FOLD_SKIPPED;
+	rec = json_loadb(text, len, 0, NULL);
+	if (f->complete) {
+		result = apply(f, rec, offset, when_ms);
+		json_decref(rec);
+		return result;
+	}
+	f->next_offset = offset + 1;
+	keep_pending(f, rec, offset, when_ms);
+	if (start_from_snapshot(f, rec, when_ms))
+		result = MH_FOLD_SNAPSHOT;
+	json_decref(rec);
+	return result;
+}
+
+bool mh_fold_adopt(struct mh_fold *f, uint64_t next_offset, uint64_t version,
+		   const char *text, size_t len)
+{
+	char note[MH_AUDIT_TEXT_BYTES];
+	struct mh_manifest *m;
+	json_t *doc;
+
+	if (f->complete && next_offset <= f->next_offset)
+		return false;
+	if (!f->complete && next_offset < f->first_offset)
+		return false;
+	if (f->complete && f->manifest && version == f->version) {
+		f->next_offset = next_offset;
+		return false;
+	}
+	doc = json_loadb(text, len, 0, NULL);
+	m = doc ? build(doc, note, sizeof(note)) : NULL;
+	json_decref(doc);
+	if (!m)
+		return false;
+	resume_at(f, m, version, next_offset);
+	return true;
+}
+
+struct mh_manifest *mh_fold_take_old(struct mh_fold *f)
+{
+	struct mh_manifest *old = f->old;
+
+	f->old = NULL;
+	return old;
+}
+
+const struct mh_manifest *mh_fold_manifest(const struct mh_fold *f)
+{
+	return f->manifest;
+}
+
+uint64_t mh_fold_next_offset(const struct mh_fold *f)
+{
+	return f->next_offset;
+}
+
+uint64_t mh_fold_version(const struct mh_fold *f)
+{
+	return f->version;
+}
+
+uint64_t mh_fold_whole_ms(const struct mh_fold *f)
+{
+	return f->whole_ms;
+}
+
+char *mh_fold_snapshot(const struct mh_fold *f)
+{
+	json_t *rec = json_pack("{s:s, s:I, s:I, s:O}", "kind", "snapshot",
+				"version", (json_int_t)f->version,
+				"next_offset", (json_int_t)f->next_offset,
+				"doc", f->manifest->doc);
+	char *text = json_dumps(rec, JSON_COMPACT);
+
+	json_decref(rec);
+	return text;
+}
+
+const struct mh_audit_entry *mh_fold_audit(const struct mh_fold *f, size_t i)
+{
+	if (i >= f->n_audit || i >= MH_AUDIT_MAX)
+		return NULL;
+	return &f->audit[(f->n_audit - 1 - i) % MH_AUDIT_MAX];
+}
+
+const char *mh_fold_result_name(enum mh_fold_result result)
+{
+	switch (result) {
+	case MH_FOLD_ACCEPTED:
+		return "accepted";
+	case MH_FOLD_REFUSED_BASE:
+		return "refused_base";
+	case MH_FOLD_REFUSED_INVALID:
+		return "refused_invalid";
+	case MH_FOLD_SNAPSHOT:
+		return "snapshot";
+	case MH_FOLD_SKIPPED:
+		return "skipped";
+	}
+	return "skipped";
+}
--- /dev/null
+++ b/core/lane.c
@@ -0,0 +1,196 @@
+#include "core/lane.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Virtual time advances by cost * VTIME_SCALE / share. */
+#define VTIME_SCALE 1024
+
+/* Queues of accounts kept after they ran empty; beyond this they are freed. */
+#define MAX_IDLE_QUEUES 256
+
+static bool earlier(const void *a, const void *b)
+{
+	const struct mh_waiter *x = a, *y = b;
+
+	return x->deadline_ns < y->deadline_ns;
+}
+
+static bool less_served(const void *a, const void *b)
+{
+	const struct mh_share_queue *x = a, *y = b;
+
+	return x->vtime < y->vtime;
+}
+
+struct mh_lane *mh_lane_new(const char *pool, const char *model)
+{
+	struct mh_lane *lane = calloc(1, sizeof(*lane));
+	size_t i;
+
+	if (!lane)
+		return NULL;
+	lane->pool = strdup(pool);
+	lane->model = strdup(model);
+	for (i = 0; i < MH_MAX_TIERS; i++) {
+		mh_heap_init(&lane->tiers[i].by_deadline, earlier,
+			     offsetof(struct mh_waiter, tier_index));
+		mh_heap_init(&lane->tiers[i].active, less_served,
+			     offsetof(struct mh_share_queue, active_index));
+	}
+	return lane;
+}
+
+static void free_queue(struct mh_lane_tier *tier, struct mh_share_queue *q)
+{
+	HASH_DEL(tier->queues, q);
+	mh_heap_release(&q->waiters);
+	free(q->account);
+	free(q);
+}
+
+void mh_lane_free(struct mh_lane *lane)
+{
+	struct mh_share_queue *q, *tmp;
+	size_t i;
+
+	if (!lane)
+		return;
+	for (i = 0; i < MH_MAX_TIERS; i++) {
+		struct mh_lane_tier *tier = &lane->tiers[i];
+
+		HASH_ITER(hh, tier->queues, q, tmp)
+			free_queue(tier, q);
+		mh_heap_release(&tier->by_deadline);
+		mh_heap_release(&tier->active);
+	}
+	free(lane->pool);
+	free(lane->model);
+	free(lane);
+}
+
+static void drop_idle_queues(struct mh_lane_tier *tier)
+{
+	struct mh_share_queue *q, *tmp;
+
+	if (HASH_COUNT(tier->queues) < tier->active.n + MAX_IDLE_QUEUES)
+		return;
+	HASH_ITER(hh, tier->queues, q, tmp)
+	{
+		if (!q->waiters.n && q->vtime <= tier->vtime)
+			free_queue(tier, q);
+	}
+}
+
+static struct mh_share_queue *get_queue(struct mh_lane_tier *tier,
+					const char *account)
+{
+	struct mh_share_queue *q;
+
+	HASH_FIND_STR(tier->queues, account, q);
+	if (q)
+		return q;
+	drop_idle_queues(tier);
+	q = calloc(1, sizeof(*q));
+	if (!q)
+		return NULL;
+	q->account = strdup(account);
+	q->active_index = MH_HEAP_NONE;
+	mh_heap_init(&q->waiters, earlier,
+		     offsetof(struct mh_waiter, queue_index));
+	HASH_ADD_KEYPTR(hh, tier->queues, q->account, strlen(q->account), q);
+	return q;
+}
+
+bool mh_lane_add(struct mh_lane *lane, struct mh_waiter *w)
+{
+	struct mh_lane_tier *tier = &lane->tiers[w->tier];
+	struct mh_share_queue *q = get_queue(tier, w->account);
+
+	w->tier_index = MH_HEAP_NONE;
+	w->queue_index = MH_HEAP_NONE;
+	if (!q)
+		return false;
+	if (!mh_heap_add(&tier->by_deadline, w))
+		return false;
+	if (!mh_heap_add(&q->waiters, w)) {
+		mh_heap_remove(&tier->by_deadline, w);
+		return false;
+	}
+	w->queue = q;
+	if (q->waiters.n == 1) {
+		/* An idle account gets no credit for the past. */
+		if (q->vtime < tier->vtime)
+			q->vtime = tier->vtime;
+		mh_heap_add(&tier->active, q);
+	}
+	tier->cost_tokens += w->cost_tokens;
+	lane->count++;
+	return true;
+}
+
+void mh_lane_remove(struct mh_lane *lane, struct mh_waiter *w)
+{
+	struct mh_lane_tier *tier = &lane->tiers[w->tier];
+
+	mh_heap_remove(&tier->by_deadline, w);
+	mh_heap_remove(&w->queue->waiters, w);
+	if (!w->queue->waiters.n)
+		mh_heap_remove(&tier->active, w->queue);
+	w->queue = NULL;
+	tier->cost_tokens -= w->cost_tokens;
+	lane->count--;
+}
+
+void mh_lane_serve(struct mh_lane *lane, struct mh_waiter *w)
+{
+	struct mh_lane_tier *tier = &lane->tiers[w->tier];
+	struct mh_share_queue *q = w->queue;
+	uint64_t cost = w->cost_tokens ? w->cost_tokens : 1;
+	uint32_t share = w->share ? w->share : 1;
+
+	if (tier->vtime < q->vtime)
+		tier->vtime = q->vtime;
+	mh_lane_remove(lane, w);
+	q->vtime += cost * VTIME_SCALE / share;
+	if (q->waiters.n)
+		mh_heap_update(&tier->active, q);
+}
+
+struct mh_waiter *mh_lane_best(const struct mh_lane *lane, uint8_t lowest_tier)
+{
+	uint8_t i;
+
+	for (i = 0; i < MH_MAX_TIERS && i <= lowest_tier; i++) {
+		struct mh_share_queue *q = mh_heap_min(&lane->tiers[i].active);
+
+		if (q)
+			return mh_heap_min(&q->waiters);
+	}
+	return NULL;
+}
+
+struct mh_waiter *mh_lane_victim(const struct mh_lane *lane, uint8_t tier)
+{
+	int i;
+
+	for (i = MH_MAX_TIERS - 1; i > (int)tier; i--) {
+		struct mh_waiter *w = mh_heap_last(&lane->tiers[i].by_deadline);
+
+		if (w)
+			return w;
+	}
+	return NULL;
+}
+
+uint32_t mh_lane_count(const struct mh_lane *lane, uint8_t tier)
+{
+	return lane->tiers[tier].by_deadline.n;
+}
+
+uint64_t mh_lane_deadline_ns(const struct mh_lane *lane, uint8_t tier)
+{
+	struct mh_waiter *w = mh_heap_min(&lane->tiers[tier].by_deadline);
+
+	return w ? w->deadline_ns : UINT64_MAX;
+}
--- /dev/null
+++ b/core/lane.h
@@ -0,0 +1,132 @@
+/*
+ * Requests that wait at one entry for one model of a pool: strict tiers,
+ * weighted fair sharing between the accounts of a tier, earliest deadline
+ * first within an account.
+ */
+#ifndef MH_LANE_H
+#define MH_LANE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uthash.h>
+
+#include "core/heap.h"
+#include "core/manifest.h"
+
+struct mh_share_queue;
+
+/**
+ * struct mh_waiter - place of a request in a lane
+ * @tier: tier, 0 is the highest
+ * @cost_tokens: work that the request stands for
+ * @share: weight of its account
+ * @deadline_ns: monotonic time
+ * @account: name of its account, outlives the waiter
+ * @owner: request that the waiter belongs to
+ */
+struct mh_waiter {
+	uint8_t tier;
+	uint32_t cost_tokens;
+	uint32_t share;
+	uint64_t deadline_ns;
+	const char *account;
+	void *owner;
+	/* private: */
+	struct mh_share_queue *queue;
+	uint32_t tier_index;
+	uint32_t queue_index;
+};
+
+/* Requests of one account in one tier. */
+struct mh_share_queue {
+	char *account;
+	uint64_t vtime;
+	struct mh_heap waiters;
+	uint32_t active_index;
+	UT_hash_handle hh;
+};
+
+struct mh_lane_tier {
+	uint64_t vtime;
+	uint64_t cost_tokens;
+	struct mh_heap by_deadline;
+	struct mh_heap active;
+	struct mh_share_queue *queues;
+};
+
+struct mh_lane {
+	char *pool;
+	char *model;
+	struct mh_lane_tier tiers[MH_MAX_TIERS];
+	uint32_t count;
+	/* Waiters per tier that any server may be asked for. */
+	uint32_t wide[MH_MAX_TIERS];
+};
+
+/**
+ * mh_lane_new() - create an empty lane
+ * @pool: name of the pool, copied
+ * @model: name of the model, "" for a service; copied
+ */
+struct mh_lane *mh_lane_new(const char *pool, const char *model);
+
+/**
+ * mh_lane_free() - free a lane; waiters are the caller's
+ * @lane: lane or NULL
+ */
+void mh_lane_free(struct mh_lane *lane);
+
+/**
+ * mh_lane_add() - queue a waiter
+ * @lane: lane
+ * @w: waiter with its public members set
+ *
+ * Return: false when memory runs out.
+ */
+bool mh_lane_add(struct mh_lane *lane, struct mh_waiter *w);
+
+/**
+ * mh_lane_remove() - take a waiter out without serving it
+ * @lane: lane
+ * @w: waiter in the lane
+ */
+void mh_lane_remove(struct mh_lane *lane, struct mh_waiter *w);
+
+/**
+ * mh_lane_serve() - take a waiter out and charge its account
+ * @lane: lane
+ * @w: waiter in the lane
+ */
+void mh_lane_serve(struct mh_lane *lane, struct mh_waiter *w);
+
+/**
+ * mh_lane_best() - waiter to serve next
+ * @lane: lane
+ * @lowest_tier: tiers with a greater index are passed over
+ */
+struct mh_waiter *mh_lane_best(const struct mh_lane *lane, uint8_t lowest_tier);
+
+/**
+ * mh_lane_victim() - waiter to shed for a request of a higher tier
+ * @lane: lane
+ * @tier: only tiers with a greater index are considered
+ */
+struct mh_waiter *mh_lane_victim(const struct mh_lane *lane, uint8_t tier);
+
+/**
+ * mh_lane_count() - number of waiters of a tier
+ * @lane: lane
+ * @tier: tier
+ */
+uint32_t mh_lane_count(const struct mh_lane *lane, uint8_t tier);
+
+/**
+ * mh_lane_deadline_ns() - earliest deadline of a tier
+ * @lane: lane
+ * @tier: tier
+ *
+ * Return: monotonic time, UINT64_MAX when none waits.
+ */
+uint64_t mh_lane_deadline_ns(const struct mh_lane *lane, uint8_t tier);
+
+#endif
--- /dev/null
+++ b/core/manifest.h
@@ -0,0 +1,201 @@
+/*
+ * The manifest: tiers, pools, client accounts and their contracts, policy.
+ * One checking function serves mangoctl, the API and every process that folds
+ * the log.
+ */
+#ifndef MH_MANIFEST_H
+#define MH_MANIFEST_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <uthash.h>
+
+#include "config/reader.h"
+
+#define MH_MAX_TIERS 8
+#define MH_SCHEMA_VERSION 1
+
+/**
+ * struct mh_tier - a tier of callers; the first in the manifest is the highest
+ * @name: name
+ * @deadline_ms: deadline of a request that states none
+ */
+struct mh_tier {
+	char *name;
+	uint32_t deadline_ms;
+};
+
+/**
+ * struct mh_pool - a pool of backend servers
+ * @name: name
+ * @kind: "engine" or "service"
+ * @models: models that the pool serves; empty for a service
+ * @not_repeatable: "METHOD /path" prefixes of calls that may run only once
+ * @max_waiting: requests that one entry holds for the pool
+ * @max_running: runs that one backend server takes at a time
+ * @reserve_percent: share of the slots kept free of each lower tier
+ */
+struct mh_pool {
+	char *name;
+	char *kind;
+	struct mh_strings models;
+	struct mh_strings not_repeatable;
+	uint32_t max_waiting;
+	uint32_t max_running;
+	uint32_t reserve_percent;
+	bool is_service;
+};
+
+/**
+ * struct mh_account - a client account and its contract
+ * @name: name
+ * @keys_sha256: hex hashes of the account's keys; several while one rotates
+ * @tier_name: highest tier that the account may use
+ * @share: weight against other accounts of a tier
+ * @max_waiting: requests of the account that one entry holds
+ */
+struct mh_account {
+	char *name;
+	struct mh_strings keys_sha256;
+	char *tier_name;
+	uint32_t share;
+	uint32_t max_waiting;
+	uint8_t tier;
+};
+
+/**
+ * struct mh_operator - somebody who may use the administration API
+ * @name: name for the audit trail
+ * @token_sha256: hex hash of the token
+ * @role: "reader", "publisher" or "admin"
+ */
+struct mh_operator {
+	char *name;
+	char *token_sha256;
+	char *role;
+};
+
+/**
+ * struct mh_policy - settings of the scheduling policy
+ * @grant_term_ms: term of a grant
+ * @widen_ms: time after which a request asks every backend server
+ * @give_way_term_ms: how long lower tiers are kept out after giving way
+ * @keep_ms: how long a side keeps a finished answer for a resend
+ * @key_window_s: how long an idempotency key is remembered
+ * @appends_per_s: appends that all entries together may make
+ */
+struct mh_policy {
+	uint32_t grant_term_ms;
+	uint32_t widen_ms;
+	uint32_t give_way_term_ms;
+	uint32_t keep_ms;
+	uint32_t key_window_s;
+	uint32_t appends_per_s;
+};
+
+struct mh_key_ref {
+	char *hash;
+	const struct mh_account *account;
+	UT_hash_handle hh;
+};
+
+struct mh_manifest {
+	uint64_t version;
+	struct mh_tier tiers[MH_MAX_TIERS];
+	uint8_t n_tiers;
+	struct mh_pool *pools;
+	size_t n_pools;
+	struct mh_account *accounts;
+	size_t n_accounts;
+	struct mh_operator *operators;
+	size_t n_operators;
+	struct mh_strings drained;
+	struct mh_policy policy;
+	struct mh_key_ref *by_key;
+	json_t *doc;
+};
+
+/**
+ * mh_manifest_read() - check a document and build the manifest
+ * @doc: document; a reference is taken
+ * @rep: every error found is added here
+ *
+ * Return: the manifest, or NULL when @rep has errors.
+ */
+struct mh_manifest *mh_manifest_read(json_t *doc, struct mh_report *rep);
+
+/**
+ * mh_manifest_free() - free a manifest and all it owns
+ * @m: manifest or NULL
+ */
+void mh_manifest_free(struct mh_manifest *m);
+
+/**
+ * mh_manifest_merge() - apply a delta to a document
+ * @doc: current document
+ * @delta: tables to merge; arrays of named tables merge by name, and the
+ *         array "remove" lists "section:name" entries to take out
+ *
+ * Return: a new document, or NULL when memory runs out.
+ */
+json_t *mh_manifest_merge(const json_t *doc, const json_t *delta);
+
+/**
+ * mh_manifest_pool() - find a pool by name
+ * @m: manifest
+ * @name: name of the pool
+ */
+const struct mh_pool *mh_manifest_pool(const struct mh_manifest *m,
+				       const char *name);
+
+/**
+ * mh_manifest_pool_for_model() - find the pool that serves a model
+ * @m: manifest
+ * @model: name of the model
+ */
+const struct mh_pool *mh_manifest_pool_for_model(const struct mh_manifest *m,
+						 const char *model);
+
+/**
+ * mh_manifest_account() - find an account by name
+ * @m: manifest
+ * @name: name of the account
+ */
+const struct mh_account *mh_manifest_account(const struct mh_manifest *m,
+					     const char *name);
+
+/**
+ * mh_manifest_account_by_key() - find an account by the hash of a key
+ * @m: manifest
+ * @sha256_hex: lower-case hex hash
+ */
+const struct mh_account *
+mh_manifest_account_by_key(const struct mh_manifest *m, const char *sha256_hex);
+
+/**
+ * mh_manifest_tier() - index of a tier by name
+ * @m: manifest
+ * @name: name of the tier
+ *
+ * Return: index, or -1.
+ */
+int mh_manifest_tier(const struct mh_manifest *m, const char *name);
+
+/**
+ * mh_manifest_drained() - whether operators drain a host
+ * @m: manifest
+ * @host: name of the host
+ */
+bool mh_manifest_drained(const struct mh_manifest *m, const char *host);
+
+/**
+ * mh_pool_repeatable() - whether a call may be repeated
+ * @pool: pool of the call
+ * @method: HTTP method
+ * @path: path within the pool
+ */
+bool mh_pool_repeatable(const struct mh_pool *pool, const char *method,
+			const char *path);
+
+#endif
--- /dev/null
+++ b/ctl/main.c
@@ -0,0 +1,451 @@
+/*
+ * mangoctl: checks and publishes manifests, and asks entries what they see.
+ */
+#include <getopt.h>
+#include <neon/ne_request.h>
+#include <neon/ne_session.h>
+#include <neon/ne_socket.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/cmdline.h"
+#include "config/settings.h"
+#include "config/toml.h"
+#include "core/manifest.h"
+#include "platform/http_client.h"
+
+#define TIMEOUT_S 15
+#define PATH_BYTES 256
+#define REPLY_BYTES (8u << 20)
+
+struct ctl {
+	const char *server;
+	const char *token;
+	const char *base;
+	const char *note;
+	bool delta;
+	bool json;
+};
+
+struct command {
+	const char *name;
+	const char *args;
+	const char *help;
+	int n_args;
+	int (*run)(struct ctl *ctl, char **args);
+};
+
+static const struct option options[] = {
+	{ "server", required_argument, NULL, 's' },
+	{ "token", required_argument, NULL, 't' },
+	{ "base", required_argument, NULL, 'b' },
+	{ "note", required_argument, NULL, 'n' },
+	{ "delta", no_argument, NULL, 'd' },
+	{ "json", no_argument, NULL, 'j' },
+	{ "help", no_argument, NULL, 'h' },
+	{ "version", no_argument, NULL, 'v' },
+	{ NULL, 0, NULL, 0 },
+};
+
+/* Asks the administration API; prints why on failure. */
+static int api(const struct ctl *ctl, const char *method, const char *path,
+	       const char *body, int *status, json_t **reply)
+{
+	char *base, *full = NULL, *text = NULL;
+	ne_session *sess = mh_http_session(ctl->server, TIMEOUT_S, &base);
+	ne_request *req = NULL;
+	int rc = MH_EXIT_FAILED;
+	ssize_t n;
+	size_t len = 0;
+
+	*reply = NULL;
+	if (!sess || !(text = malloc(REPLY_BYTES)))
+		goto out;
+	if (asprintf(&full, "%s/admin/v1/%s", base, path) < 0)
+		goto out;
+	req = ne_request_create(sess, method, full);
+	ne_set_request_flag(req, NE_REQFLAG_IDEMPOTENT, 0);
+	if (ctl->token)
+		ne_print_request_header(req, "Authorization", "Bearer %s",
+					ctl->token);
+	if (body)
+		ne_set_request_body_buffer(req, body, strlen(body));
+	if (ne_begin_request(req) != NE_OK) {
+		fprintf(stderr, "mangoctl: %s: %s\n", ctl->server,
+			ne_get_error(sess));
+		goto out;
+	}
+	*status = ne_get_status(req)->code;
+	while ((n = ne_read_response_block(req, text + len,
+					   REPLY_BYTES - len)) > 0)
+		len += (size_t)n;
+	*reply = json_loadb(text, len, JSON_DECODE_ANY, NULL);
+	rc = MH_EXIT_OK;
+out:
+	if (req)
+		ne_request_destroy(req);
+	if (sess)
+		ne_session_destroy(sess);
+	free(base);
+	free(full);
+	free(text);
+	return rc;
+}
+
+static const char *str(const json_t *doc, const char *key)
+{
+	const char *s = json_string_value(json_object_get(doc, key));
+
+	return s ? s : "";
+}
+
+static long long num(const json_t *doc, const char *key)
+{
+	return json_integer_value(json_object_get(doc, key));
+}
+
+static void print_json(const json_t *doc)
+{
+	json_dumpf(doc, stdout, JSON_INDENT(2) | JSON_ENCODE_ANY);
+	putchar('\n');
+}
+
+/* Return: an exit code for an answer that is not the wished one. */
+static int refused(const struct ctl *ctl, int status, const json_t *reply)
+{
+	if (ctl->json)
+		print_json(reply);
+	else
+		fprintf(stderr, "mangoctl: %d %s %s\n", status,
+			str(reply, "title"), str(reply, "detail"));
+	if (status == 400)
+		return MH_EXIT_CONFIG;
+	return status == 500 ? MH_EXIT_UNKNOWN : MH_EXIT_FAILED;
+}
+
+static json_t *load_manifest(const char *path, char **text)
+{
+	char err[512];
+	size_t len;
+	json_t *doc;
+
+	*text = mh_file_read(path, &len);
+	if (!*text) {
+		perror(path);
+		return NULL;
+	}
+	doc = mh_toml_parse(*text, len, path, err, sizeof(err));
+	if (!doc)
+		fprintf(stderr, "%s: %s\n", path, err);
+	return doc;
+}
+
+static int run_check(struct ctl *ctl, char **args)
+{
+	struct mh_report rep = { .file = args[0] };
+	struct mh_manifest *m;
+	char *text;
+	json_t *doc = load_manifest(args[0], &text);
+	int rc = MH_EXIT_CONFIG;
+
+	if (!doc)
+		goto out;
+	m = mh_manifest_read(doc, &rep);
+	if (m)
+		rc = MH_EXIT_OK;
+	if (ctl->json)
+		printf("{\"valid\": %s, \"errors\": %u}\n",
+		       m ? "true" : "false", rep.count);
+	else if (m)
+		printf("%s: valid\n", args[0]);
+	if (rep.text)
+		fputs(rep.text, stderr);
+	mh_report_clear(&rep);
+	mh_manifest_free(m);
+out:
+	json_decref(doc);
+	free(text);
+	return rc;
+}
+
+static int print_change(const struct ctl *ctl, int status, const json_t *reply)
+{
+	bool accepted = json_is_true(json_object_get(reply, "accepted"));
+
+	if (status != 200 && status != 409)
+		return refused(ctl, status, reply);
+	if (ctl->json)
+		print_json(reply);
+	else if (accepted)
+		printf("accepted as version %lld\n", num(reply, "version"));
+	else
+		fprintf(stderr, "mangoctl: refused: %s\n", str(reply, "note"));
+	return accepted ? MH_EXIT_OK : MH_EXIT_REFUSED;
+}
+
+static long long current_version(struct ctl *ctl)
+{
+	json_t *reply;
+	long long version = -1;
+	int status;
+
+	if (!api(ctl, "GET", "status", NULL, &status, &reply) && status == 200)
+		version = num(reply, "version");
+	json_decref(reply);
+	return version;
+}
+
+static int run_publish(struct ctl *ctl, char **args)
+{
+	json_t *doc, *body = NULL, *reply = NULL;
+	int status, rc = MH_EXIT_CONFIG;
+	char *text, *body_text = NULL;
+	long long base;
+
+	doc = load_manifest(args[0], &text);
+	if (!doc)
+		goto out;
+	base = ctl->base ? atoll(ctl->base) : current_version(ctl);
+	if (base < 0) {
+		rc = MH_EXIT_FAILED;
+		fprintf(stderr, "mangoctl: can't learn the version in force\n");
+		goto out;
+	}
+	body = json_pack("{s:s, s:I, s:s, s:s}", "kind",
+			 ctl->delta ? "delta" : "manifest", "base",
+			 (json_int_t)base, "toml", text, "note",
+			 ctl->note ? ctl->note : "");
+	body_text = json_dumps(body, JSON_COMPACT);
+	rc = api(ctl, "POST", "publish", body_text, &status, &reply);
+	if (!rc)
+		rc = print_change(ctl, status, reply);
+out:
+	json_decref(doc);
+	json_decref(body);
+	json_decref(reply);
+	free(text);
+	free(body_text);
+	return rc;
+}
+
+static int change_host(struct ctl *ctl, const char *host, const char *verb)
+{
+	char path[PATH_BYTES];
+	json_t *reply;
+	int status, rc;
+
+	snprintf(path, sizeof(path), "hosts/%s/%s", host, verb);
+	rc = api(ctl, "POST", path, "", &status, &reply);
+	if (!rc)
+		rc = print_change(ctl, status, reply);
+	json_decref(reply);
+	return rc;
+}
+
+static int run_drain(struct ctl *ctl, char **args)
+{
+	return change_host(ctl, args[0], "drain");
+}
+
+static int run_undrain(struct ctl *ctl, char **args)
+{
+	return change_host(ctl, args[0], "undrain");
+}
+
+static void print_status(const json_t *doc)
+{
+	const json_t *row, *waiting;
+	const char *tier;
+	size_t i;
+
+	printf("entry %s in %s: version %lld, %lld open%s\n", str(doc, "host"),
+	       str(doc, "zone"), num(doc, "version"), num(doc, "open"),
+	       json_is_true(json_object_get(doc, "draining")) ? ", draining" :
+								"");
+	json_array_foreach(json_object_get(doc, "servers"), i, row)
+		printf("  server %-20s pool %-16s %-4s %s %lld running\n",
+		       str(row, "host"), str(row, "pool"),
+		       json_is_true(json_object_get(row, "up")) ? "up" : "down",
+		       json_is_true(json_object_get(row, "leaving")) ?
+			       "leaving" :
+			       "",
+		       num(row, "running"));
+	json_array_foreach(json_object_get(doc, "pools"), i, row)
+	{
+		printf("  pool %-16s waiting", str(row, "name"));
+		json_object_foreach(json_object_get(row, "waiting"), tier,
+				    waiting)
+			printf(" %s=%lld", tier,
+			       (long long)json_integer_value(waiting));
+		putchar('\n');
+	}
+}
+
+static void print_audit(const json_t *rows)
+{
+	const json_t *row;
+	size_t i;
+
+	json_array_foreach(rows, i, row)
+		printf("%lld %-15s base=%lld version=%lld who=%s kind=%s %s\n",
+		       num(row, "offset"), str(row, "result"), num(row, "base"),
+		       num(row, "version"), str(row, "who"), str(row, "kind"),
+		       str(row, "note"));
+}
+
+static void print_explain(const json_t *rows)
+{
+	const json_t *row;
+	size_t i;
+
+	json_array_foreach(rows, i, row)
+		printf("%s (%s): %s, %s, account %s, pool %s %s, tier %lld, "
+		       "server %s, first byte %lld us, end %lld us\n",
+		       str(row, "request_id"), str(row, "id"),
+		       str(row, "result"), str(row, "outcome"),
+		       str(row, "account"), str(row, "pool"), str(row, "model"),
+		       num(row, "tier"),
+		       *str(row, "server") ? str(row, "server") : "none",
+		       num(row, "first_us"), num(row, "total_us"));
+}
+
+static int get_and_print(struct ctl *ctl, const char *path,
+			 void (*print)(const json_t *doc))
+{
+	json_t *reply;
+	int status, rc;
+
+	rc = api(ctl, "GET", path, NULL, &status, &reply);
+	if (!rc && status != 200)
+		rc = refused(ctl, status, reply);
+	else if (!rc && ctl->json)
+		print_json(reply);
+	else if (!rc)
+		print(reply);
+	json_decref(reply);
+	return rc;
+}
+
+static int run_status(struct ctl *ctl, char **args)
+{
+	(void)args;
+	return get_and_print(ctl, "status", print_status);
+}
+
+static int run_audit(struct ctl *ctl, char **args)
+{
+	(void)args;
+	return get_and_print(ctl, "audit", print_audit);
+}
+
+static int run_manifest(struct ctl *ctl, char **args)
+{
+	(void)args;
+	return get_and_print(ctl, "manifest", print_json);
+}
+
+static int run_explain(struct ctl *ctl, char **args)
+{
+	char path[PATH_BYTES];
+
+	snprintf(path, sizeof(path), "requests/%s", args[0]);
+	return get_and_print(ctl, path, print_explain);
+}
+
+static const struct command commands[] = {
+	{ "check", "FILE", "check a manifest", 1, run_check },
+	{ "publish", "FILE", "publish a manifest, or a delta with --delta", 1,
+	  run_publish },
+	{ "manifest", "", "show the manifest in force", 0, run_manifest },
+	{ "status", "", "show hosts, pools and what waits", 0, run_status },
+	{ "audit", "", "show the changes, newest first", 0, run_audit },
+	{ "drain", "HOST", "give a host no new work", 1, run_drain },
+	{ "undrain", "HOST", "give a host work again", 1, run_undrain },
+	{ "explain", "REQUEST-ID", "tell what became of a request", 1,
+	  run_explain },
+};
+
+#define N_COMMANDS (sizeof(commands) / sizeof(commands[0]))
+
+static void print_help(void)
+{
+	size_t i;
+
+	printf("Usage: mangoctl [OPTION]... COMMAND [ARG]\n\n");
+	for (i = 0; i < N_COMMANDS; i++)
+		printf("  %-9s %-11s %s\n", commands[i].name, commands[i].args,
+		       commands[i].help);
+	printf("\n"
+	       "  -s, --server URL   administration API of an entry\n"
+	       "                     (default: $MANGOHEAD_SERVER)\n"
+	       "  -t, --token TOKEN  operator token\n"
+	       "                     (default: $MANGOHEAD_TOKEN)\n"
+	       "  -b, --base N       version that a change is made against\n"
+	       "  -n, --note TEXT    words for the audit trail\n"
+	       "  -d, --delta        publish a delta\n"
+	       "  -j, --json         print JSON\n"
+	       "  -h, --help         show this text\n"
+	       "  -v, --version      show the version\n\n"
+	       "Exit codes: 0 done, 1 failed, 2 usage, 3 invalid manifest,\n"
+	       "4 refused because another change came first, 5 not known\n");
+}
+
+static int run_command(struct ctl *ctl, int argc, char **argv)
+{
+	size_t i;
+
+	for (i = 0; argc && i < N_COMMANDS; i++) {
+		if (strcmp(commands[i].name, argv[0]))
+			continue;
+		if (argc - 1 != commands[i].n_args)
+			break;
+		return commands[i].run(ctl, argv + 1);
+	}
+	fprintf(stderr, "mangoctl: unknown command; see mangoctl --help\n");
+	return MH_EXIT_USAGE;
+}
+
+int main(int argc, char **argv)
+{
+	struct ctl ctl = { .server = getenv("MANGOHEAD_SERVER"),
+			   .token = getenv("MANGOHEAD_TOKEN") };
+	int c;
+
+	if (!ctl.server)
+		ctl.server = "http://127.0.0.1:8081";
+	while ((c = getopt_long(argc, argv, "+s:t:b:n:djhv", options, NULL)) !=
+	       -1) {
+		switch (c) {
+		case 's':
+			ctl.server = optarg;
+			break;
+		case 't':
+			ctl.token = optarg;
+			break;
+		case 'b':
+			ctl.base = optarg;
+			break;
+		case 'n':
+			ctl.note = optarg;
+			break;
+		case 'd':
+			ctl.delta = true;
+			break;
+		case 'j':
+			ctl.json = true;
+			break;
+		case 'h':
+			print_help();
+			return MH_EXIT_OK;
+		case 'v':
+			printf("mangoctl %s\n", MH_VERSION);
+			return MH_EXIT_OK;
+		default:
+			return MH_EXIT_USAGE;
+		}
+	}
+	if (ne_sock_init())
+		return MH_EXIT_FAILED;
+	return run_command(&ctl, argc - optind, argv + optind);
+}
--- /dev/null
+++ b/entry/app.c
@@ -0,0 +1,446 @@
+#include "entry/app.h"
+
+#include <microhttpd.h>
+#include <pthread.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/logging.h"
+
+#define LOG_CONFIG_READ (1u << 0)
+#define LOG_CLAIMS_READ (1u << 1)
+#define LOG_APPEND (1u << 2)
+#define LOG_ALL (LOG_CONFIG_READ | LOG_CLAIMS_READ | LOG_APPEND)
+
+struct sync_task {
+	struct mh_task task;
+	struct mh_app *app;
+	void (*fn)(struct mh_app *, void *);
+	void *arg;
+	pthread_mutex_t lock;
+	pthread_cond_t done_cond;
+	bool done;
+};
+
+static void run_sync(struct mh_task *task)
+{
+	struct sync_task *sync = (struct sync_task *)task;
+
+	sync->fn(sync->app, sync->arg);
+	pthread_mutex_lock(&sync->lock);
+	sync->done = true;
+	pthread_cond_signal(&sync->done_cond);
+	pthread_mutex_unlock(&sync->lock);
+}
+
+void mh_app_sync(struct mh_app *app, void (*fn)(struct mh_app *, void *),
+		 void *arg)
+{
+	struct sync_task sync = { .task.run = run_sync,
+				  .app = app,
+				  .fn = fn,
+				  .arg = arg,
+				  .lock = PTHREAD_MUTEX_INITIALIZER,
+				  .done_cond = PTHREAD_COND_INITIALIZER };
+
+	mh_loop_post(app->loop, &sync.task);
+	pthread_mutex_lock(&sync.lock);
+	while (!sync.done)
+		pthread_cond_wait(&sync.done_cond, &sync.lock);
+	pthread_mutex_unlock(&sync.lock);
+}
+
+/* Events of the log followers, handed over to the core's thread. */
+struct log_task {
+	struct mh_task task;
+	struct mh_app *app;
+	bool is_claims;
+	bool is_start;
+	uint64_t offset;
+	uint64_t when_ms;
+	size_t len;
+	uint8_t bytes[];
+};
+
+static void run_log_task(struct mh_task *task)
+{
+	struct log_task *t = (struct log_task *)task;
+	struct mh_entry *core = t->app->core;
+
+	if (t->is_claims && t->is_start)
+		mh_entry_claims_start(core, t->offset, t->when_ms);
+	else if (t->is_claims)
+		mh_entry_claims_record(core, t->offset, t->when_ms, t->bytes,
+				       t->len);
+	else if (t->is_start)
+		mh_entry_config_start(core, t->offset);
+	else
+		mh_entry_config_record(core, t->offset, t->when_ms,
+				       (const char *)t->bytes, t->len);
+	free(t);
+}
+
+static void post_log_task(struct mh_app *app, bool is_claims, bool is_start,
+			  uint64_t offset, uint64_t when_ms,
+			  const uint8_t *bytes, size_t len)
+{
+	struct log_task *t = calloc(1, sizeof(*t) + len);
+
+	if (!t)
+		abort();
+	t->task.run = run_log_task;
+	t->app = app;
+	t->is_claims = is_claims;
+	t->is_start = is_start;
+	t->offset = offset;
+	t->when_ms = when_ms;
+	t->len = len;
+	if (len)
+		memcpy(t->bytes, bytes, len);
+	mh_loop_post(app->loop, &t->task);
+}
+
+static void config_start(void *data, uint64_t first_offset, uint64_t first_ms)
+{
+	post_log_task(data, false, true, first_offset, first_ms, NULL, 0);
+}
+
+static void config_record(void *data, uint64_t offset, uint64_t when_ms,
+			  const uint8_t *bytes, size_t len)
+{
+	post_log_task(data, false, false, offset, when_ms, bytes, len);
+}
+
+static void claims_start(void *data, uint64_t first_offset, uint64_t first_ms)
+{
+	post_log_task(data, true, true, first_offset, first_ms, NULL, 0);
+}
+
+static void claims_record(void *data, uint64_t offset, uint64_t when_ms,
+			  const uint8_t *bytes, size_t len)
+{
+	post_log_task(data, true, false, offset, when_ms, bytes, len);
+}
+
+struct state_task {
+	struct mh_task task;
+	struct mh_app *app;
+	uint32_t part;
+	bool up;
+};
+
+static void run_state_task(struct mh_task *task)
+{
+	struct state_task *t = (struct state_task *)task;
+	struct mh_app *app = t->app;
+	uint32_t before = app->log_parts_up;
+	bool up;
+
+	if (t->up)
+		app->log_parts_up |= t->part;
+	else
+		app->log_parts_up &= ~t->part;
+	up = app->log_parts_up == LOG_ALL;
+	if (up != (before == LOG_ALL)) {
+		mh_log_warn("log", "state up=%d", up);
+		mh_entry_log_state(app->core, up);
+	}
+	free(t);
+}
+
+static void post_state(struct mh_app *app, uint32_t part, bool up)
+{
+	struct state_task *t = calloc(1, sizeof(*t));
+
+	if (!t)
+		abort();
+	t->task.run = run_state_task;
+	t->app = app;
+	t->part = part;
+	t->up = up;
+	mh_loop_post(app->loop, &t->task);
+}
+
+static void config_state(void *data, bool up)
+{
+	post_state(data, LOG_CONFIG_READ, up);
+}
+
+static void claims_state(void *data, bool up)
+{
+	post_state(data, LOG_CLAIMS_READ, up);
+}
+
+static void append_state(void *data, bool up)
+{
+	post_state(data, LOG_APPEND, up);
+}
+
+static const struct mh_log_ops config_log_ops = {
+	.start = config_start,
+	.record = config_record,
+	.state = config_state,
+};
+
+static const struct mh_log_ops claims_log_ops = {
+	.start = claims_start,
+	.record = claims_record,
+	.state = claims_state,
+};
+
+struct hosts_task {
+	struct mh_task task;
+	struct mh_app *app;
+	struct mh_host_snapshot *hosts;
+};
+
+/* Between two entries, the one whose name sorts first makes the link. */
+static bool dials(const struct mh_app *app, const struct mh_host_entry *host)
+{
+	return !host->is_entry ||
+	       strcmp(app->settings.host, host->name) < 0;
+}
+
+static bool still_dialled(const struct mh_app *app,
+			  const struct mh_host_snapshot *hosts,
+			  const char *address)
+{
+	size_t i;
+
+	for (i = 0; i < hosts->n; i++) {
+		if (!strcmp(hosts->v[i].address, address))
+			return dials(app, &hosts->v[i]);
+	}
+	return false;
+}
+
+static void update_dialled(struct mh_app *app,
+			   const struct mh_host_snapshot *hosts)
+{
+	const char *address;
+	size_t i;
+
+	for (i = 0; i < hosts->n; i++) {
+		if (strcmp(hosts->v[i].name, app->settings.host) &&
+		    dials(app, &hosts->v[i]))
+			mh_links_dial(app->links, hosts->v[i].address);
+	}
+	for (i = 0; (address = mh_links_dialled(app->links, i));) {
+		if (still_dialled(app, hosts, address))
+			i++;
+		else
+			mh_links_undial(app->links, address);
+	}
+}
+
+static void run_hosts_task(struct mh_task *task)
+{
+	struct hosts_task *t = (struct hosts_task *)task;
+	struct mh_host *rows = calloc(t->hosts->n + 1, sizeof(*rows));
+	size_t i;
+
+	for (i = 0; rows && i < t->hosts->n; i++) {
+		rows[i].name = t->hosts->v[i].name;
+		rows[i].is_entry = t->hosts->v[i].is_entry;
+		rows[i].state = t->hosts->v[i].leaving ? MH_HOST_LEAVING :
+							 MH_HOST_LIVE;
+	}
+	if (rows)
+		mh_entry_hosts(t->app->core, rows, t->hosts->n);
+	update_dialled(t->app, t->hosts);
+	free(rows);
+	mh_host_snapshot_free(t->hosts);
+	free(t);
+}
+
+static void hosts_seen(void *data, struct mh_host_snapshot *hosts)
+{
+	struct hosts_task *t = calloc(1, sizeof(*t));
+
+	if (!t)
+		abort();
+	t->task.run = run_hosts_task;
+	t->app = data;
+	t->hosts = hosts;
+	mh_loop_post(t->app->loop, &t->task);
+}
+
+static void link_up(void *data, uint32_t link, const Mh__Hello *hello)
+{
+	struct mh_app *app = data;
+	struct mh_remote remote = {
+		.host = hello->host,
+		.incarnation = hello->incarnation,
+		.is_side = hello->role == MH_ROLE_SIDE,
+		.pool = hello->pool,
+		.models = (const char *const *)hello->models,
+		.n_models = hello->n_models,
+	};
+
+	mh_log_info("link", "up host=%s zone=%s link=%u", hello->host,
+		    hello->zone, link);
+	mh_entry_link_up(app->core, link, &remote);
+}
+
+static void link_down(void *data, uint32_t link)
+{
+	struct mh_app *app = data;
+
+	mh_log_info("link", "down link=%u", link);
+	mh_entry_link_down(app->core, link);
+}
+
+static void link_frame(void *data, uint32_t link, const Mh__Frame *frame)
+{
+	struct mh_app *app = data;
+
+	mh_entry_recv(app->core, link, frame);
+}
+
+static const struct mh_link_ops link_ops = {
+	.up = link_up,
+	.down = link_down,
+	.frame = link_frame,
+};
+
+static void on_signal(void *data)
+{
+	struct mh_app *app = data;
+
+	if (app->drain_signals++) {
+		mh_log_warn("entry", "stopping at once open=%u",
+			    mh_entry_open(app->core));
+		mh_loop_stop(app->loop);
+		return;
+	}
+	mh_log_info("entry", "draining open=%u", mh_entry_open(app->core));
+	mh_entry_drain(app->core);
+	__atomic_store_n(&app->ready, false, __ATOMIC_RELAXED);
+}
+
+static struct mh_links *start_links(struct mh_app *app)
+{
+	struct mh_link_conf conf = {
+		.host = app->settings.host,
+		.zone = app->settings.zone,
+		.role = MH_ROLE_ENTRY,
+		.pool = "",
+		.max_frame_bytes = app->settings.link.max_frame_bytes,
+		.max_queue_bytes = app->settings.link.max_queue_bytes,
+	};
+	struct mh_links *links;
+
+	randombytes_buf(&conf.incarnation, sizeof(conf.incarnation));
+	memcpy(conf.key, app->settings.link.key, sizeof(conf.key));
+	links = mh_links_new(app->loop, &conf, mh_entry_counters(app->core),
+			     &link_ops, app);
+	sodium_memzero(conf.key, sizeof(conf.key));
+	if (links && mh_links_listen(links, app->settings.links)) {
+		mh_log_error("entry", "can't listen address=%s",
+			     app->settings.links);
+		mh_links_free(links);
+		return NULL;
+	}
+	return links;
+}
+
+struct mh_app *mh_app_new(struct mh_entry_settings *settings)
+{
+	struct mh_app *app = calloc(1, sizeof(*app));
+	uint64_t seed;
+
+	if (!app) {
+		mh_entry_settings_release(settings);
+		return NULL;
+	}
+	app->settings = *settings;
+	app->signals.watch.fd = -1;
+	/* Appending counts as working until it fails. */
+	app->log_parts_up = LOG_APPEND;
+	randombytes_buf(&seed, sizeof(seed));
+	app->loop = mh_loop_new();
+	if (!app->loop ||
+	    mh_signals_watch(&app->signals, app->loop, on_signal, app))
+		goto err;
+	app->core = mh_entry_new(app->settings.host, &mh_system_clock, seed,
+				 &mh_http_entry_ops, app);
+	if (!app->core)
+		goto err;
+	app->links = start_links(app);
+	if (!app->links)
+		goto err;
+	app->http = mh_http_start(app);
+	app->admin = app->http ? mh_admin_start(app) : NULL;
+	if (!app->admin) {
+		mh_log_error("entry", "can't listen callers=%s admin=%s",
+			     app->settings.callers, app->settings.admin);
+		goto err;
+	}
+	app->appender = mh_log_appender_new(app->settings.log_url,
+					    append_state, app);
+	app->config_follower = mh_log_follow(app->settings.log_url,
+					     MH_STREAM_CONFIG, &config_log_ops,
+					     app);
+	app->claims_follower = mh_log_follow(app->settings.log_url,
+					     MH_STREAM_CLAIMS, &claims_log_ops,
+					     app);
+	app->host_list = mh_host_list_start(app->settings.hosts_url,
+					    app->settings.hosts_poll_ms,
+					    hosts_seen, app);
+	if (!app->appender || !app->config_follower || !app->claims_follower ||
+	    !app->host_list)
+		goto err;
+	return app;
+err:
+	mh_app_free(app);
+	return NULL;
+}
+
+static bool drained(struct mh_app *app)
+{
+	return app->drain_signals && !mh_entry_open(app->core) &&
+	       !__atomic_load_n(&app->open_calls, __ATOMIC_RELAXED) &&
+	       !mh_links_unsent(app->links);
+}
+
+static uint64_t tick(void *data)
+{
+	struct mh_app *app = data;
+	uint64_t next = mh_entry_tick(app->core);
+
+	mh_links_flush(app->links);
+	if (drained(app)) {
+		mh_log_info("entry", "drained");
+		mh_loop_stop(app->loop);
+	}
+	return next;
+}
+
+void mh_app_run(struct mh_app *app)
+{
+	mh_log_info("entry", "started host=%s zone=%s callers=%s",
+		    app->settings.host, app->settings.zone,
+		    app->settings.callers);
+	mh_loop_run(app->loop, tick, app);
+}
+
+void mh_app_free(struct mh_app *app)
+{
+	if (!app)
+		return;
+	mh_host_list_stop(app->host_list);
+	mh_log_unfollow(app->claims_follower);
+	mh_log_unfollow(app->config_follower);
+	mh_log_appender_free(app->appender);
+	if (app->admin)
+		MHD_stop_daemon(app->admin);
+	if (app->http)
+		MHD_stop_daemon(app->http);
+	mh_links_free(app->links);
+	mh_entry_free(app->core);
+	mh_signals_release(&app->signals);
+	mh_loop_free(app->loop);
+	mh_entry_settings_release(&app->settings);
+	free(app);
+}
--- /dev/null
+++ b/entry/app.h
@@ -0,0 +1,132 @@
+/*
+ * The entry program: wires the core to callers, operators, links and the
+ * platform's services.
+ */
+#ifndef MH_ENTRY_APP_H
+#define MH_ENTRY_APP_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "config/settings.h"
+#include "core/entry.h"
+#include "net/link.h"
+#include "net/loop.h"
+#include "net/signals.h"
+#include "platform/host_list.h"
+#include "platform/log_client.h"
+
+#define MH_STREAM_CONFIG "config"
+#define MH_STREAM_CLAIMS "claims"
+#define MH_JOURNAL_SIZE 4096
+#define MH_CALLER_ID_BYTES 64
+
+struct MHD_Daemon;
+
+/**
+ * struct mh_journal_entry - what became of one request
+ * @caller_id: request id as the caller knows it
+ * @id: request id
+ * @account: client account
+ * @pool: pool
+ * @model: model
+ * @tier: tier
+ * @server: backend server that answered, "" if none
+ * @error: error kind, MH_OK for a whole answer
+ * @when_ms: Unix time of the end
+ * @first_us: time to the first byte, 0 if none came
+ * @total_us: time to the end
+ */
+struct mh_journal_entry {
+	char caller_id[MH_CALLER_ID_BYTES];
+	struct mh_id id;
+	char account[64];
+	char pool[64];
+	char model[64];
+	uint8_t tier;
+	char server[64];
+	enum mh_error error;
+	uint64_t when_ms;
+	uint64_t first_us;
+	uint64_t total_us;
+};
+
+/**
+ * struct mh_app - the program's parts, each owned by it
+ * @settings: settings
+ * @loop: loop of the core's thread
+ * @core: decisions
+ * @links: links to sides and entries
+ * @config_follower: reads the configuration stream
+ * @claims_follower: reads the claims stream
+ * @appender: appends to the log
+ * @host_list: polls the host list
+ * @http: callers' server
+ * @admin: operators' server
+ * @manifest: manifest in force, read under RCU
+ * @ready: a manifest is held and the program does not drain
+ * @open_calls: calls whose connection is not finished
+ * @log_parts_up: which parts of the log client work, one bit each
+ * @journal: ring of finished requests, the core thread's
+ * @n_journal: number of requests ever entered into @journal
+ * @drain_signals: number of signals that asked to drain
+ * @signals: watch for the signals that end the program
+ */
+struct mh_app {
+	struct mh_entry_settings settings;
+	struct mh_loop *loop;
+	struct mh_entry *core;
+	struct mh_links *links;
+	struct mh_log_follower *config_follower;
+	struct mh_log_follower *claims_follower;
+	struct mh_log_appender *appender;
+	struct mh_host_list *host_list;
+	struct MHD_Daemon *http;
+	struct MHD_Daemon *admin;
+	struct mh_manifest *manifest;
+	bool ready;
+	uint32_t open_calls;
+	uint32_t log_parts_up;
+	struct mh_journal_entry journal[MH_JOURNAL_SIZE];
+	uint64_t n_journal;
+	int drain_signals;
+	struct mh_signals signals;
+};
+
+/**
+ * mh_app_new() - build all parts in order
+ * @settings: settings, taken over
+ *
+ * Return: the program, or NULL after logging why not.
+ */
+struct mh_app *mh_app_new(struct mh_entry_settings *settings);
+
+/**
+ * mh_app_run() - run until a signal ends it
+ * @app: program
+ */
+void mh_app_run(struct mh_app *app);
+
+/**
+ * mh_app_free() - tear all parts down in reverse
+ * @app: program or NULL
+ */
+void mh_app_free(struct mh_app *app);
+
+/**
+ * mh_app_sync() - run a function on the core's thread and wait for it
+ * @app: program
+ * @fn: function
+ * @arg: its argument
+ */
+void mh_app_sync(struct mh_app *app, void (*fn)(struct mh_app *, void *),
+		 void *arg);
+
+/* http.c: the callers' side */
+extern const struct mh_entry_ops mh_http_entry_ops;
+struct MHD_Daemon *mh_http_start(struct mh_app *app);
+
+/* admin.c: the operators' side */
+struct MHD_Daemon *mh_admin_start(struct mh_app *app);
+
+#endif
--- /dev/null
+++ b/entry/http.c
@@ -0,0 +1,629 @@
+/*
+ * The callers' HTTP server. A call lives on two threads: libmicrohttpd's, which
+ * talks to the caller, and the core's, which produces the answer. What both
+ * touch is under the call's lock.
+ */
+#include <microhttpd.h>
+#include <pthread.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+#include <urcu-bp.h>
+
+#include "entry/app.h"
+#include "entry/parse.h"
+#include "net/http_server.h"
+
+/* A caller that reads this much slower than its answer comes is cut off. */
+#define MAX_UNREAD_BYTES (32u << 20)
+#define CONNECTION_TIMEOUT_S 120
+#define READER_BLOCK_BYTES 16384
+#define NS_PER_US 1000
+
+struct http_call {
+	struct mh_app *app;
+	struct MHD_Connection *conn;
+	char *uri;
+	struct mh_http_body body;
+	struct mh_parsed_call parsed;
+	char caller_id[MH_CALLER_ID_BYTES];
+	bool submitted;
+	struct mh_task submit;
+	struct mh_task cancel;
+
+	/* the core's thread only */
+	struct mh_watch hangup;
+	bool in_core;
+	uint64_t start_ns;
+	uint64_t first_ns;
+
+	pthread_mutex_t lock;
+	int refs;
+	bool suspended;
+	bool head;
+	uint32_t status;
+	char *content_type;
+	char *server;
+	uint8_t *out;
+	size_t out_start;
+	size_t out_len;
+	size_t out_cap;
+	bool whole;
+	bool failed;
+	struct mh_refusal refusal;
+};
+
+static void free_call(struct http_call *hc)
+{
+	mh_call_release(&hc->parsed);
+	pthread_mutex_destroy(&hc->lock);
+	free(hc->uri);
+	free(hc->body.p);
+	free(hc->content_type);
+	free(hc->server);
+	free(hc->out);
+	free(hc);
+}
+
+static void unref(struct http_call *hc)
+{
+	bool last;
+
+	pthread_mutex_lock(&hc->lock);
+	last = !--hc->refs;
+	pthread_mutex_unlock(&hc->lock);
+	if (last)
+		free_call(hc);
+}
+
+/* With the lock held. */
+static void wake(struct http_call *hc)
+{
+	if (!hc->suspended)
+		return;
+	hc->suspended = false;
+	MHD_resume_connection(hc->conn);
+}
+
+/* With the lock held. */
+static bool append_out(struct http_call *hc, const uint8_t *bytes, size_t len)
+{
+	if (hc->out_start && hc->out_start == hc->out_len) {
+		hc->out_start = 0;
+		hc->out_len = 0;
+	}
+	if (hc->out_len + len > hc->out_cap) {
+		size_t cap = (hc->out_len + len) * 2;
+		uint8_t *p = realloc(hc->out, cap);
+
+		if (!p)
+			return false;
+		hc->out = p;
+		hc->out_cap = cap;
+	}
+	memcpy(hc->out + hc->out_len, bytes, len);
+	hc->out_len += len;
+	return true;
+}
+
+static void write_journal(struct http_call *hc, enum mh_error error)
+{
+	struct mh_app *app = hc->app;
+	struct mh_journal_entry *j =
+		&app->journal[app->n_journal++ % MH_JOURNAL_SIZE];
+	const struct mh_call *call = &hc->parsed.call;
+	uint64_t now = mh_clock_mono_ns(&mh_system_clock);
+
+	memset(j, 0, sizeof(*j));
+	memcpy(j->caller_id, hc->caller_id, sizeof(j->caller_id));
+	j->id = call->id;
+	snprintf(j->account, sizeof(j->account), "%s", call->account);
+	snprintf(j->pool, sizeof(j->pool), "%s", call->pool);
+	snprintf(j->model, sizeof(j->model), "%s", call->model);
+	snprintf(j->server, sizeof(j->server), "%s",
+		 hc->server ? hc->server : "");
+	j->tier = call->tier;
+	j->error = error;
+	j->when_ms = mh_clock_wall_ms(&mh_system_clock);
+	if (hc->first_ns)
+		j->first_us = (hc->first_ns - hc->start_ns) / NS_PER_US;
+	j->total_us = (now - hc->start_ns) / NS_PER_US;
+}
+
+static void stop_watching(struct http_call *hc)
+{
+	if (hc->hangup.fd < 0)
+		return;
+	mh_loop_remove(hc->app->loop, &hc->hangup);
+	close(hc->hangup.fd);
+	hc->hangup.fd = -1;
+}
+
+/* The core is done with the call. */
+static void leave_core(struct http_call *hc, enum mh_error error)
+{
+	hc->in_core = false;
+	stop_watching(hc);
+	write_journal(hc, error);
+}
+
+static void op_head(void *data, struct mh_call *call, uint32_t status,
+		    const char *content_type, const char *server)
+{
+	struct http_call *hc = call->data;
+
+	(void)data;
+	hc->first_ns = mh_clock_mono_ns(&mh_system_clock);
+	pthread_mutex_lock(&hc->lock);
+	hc->head = true;
+	hc->status = status;
+	hc->content_type = strdup(content_type);
+	hc->server = strdup(server);
+	if (hc->parsed.stream)
+		wake(hc);
+	pthread_mutex_unlock(&hc->lock);
+}
+
+static void cancel_in_core(struct http_call *hc, enum mh_error error)
+{
+	if (!hc->in_core)
+		return;
+	mh_entry_cancel(hc->app->core, &hc->parsed.call);
+	leave_core(hc, error);
+	pthread_mutex_lock(&hc->lock);
+	hc->failed = true;
+	hc->refusal.error = error;
+	wake(hc);
+	pthread_mutex_unlock(&hc->lock);
+	unref(hc);
+}
+
+static void op_chunk(void *data, struct mh_call *call, const uint8_t *bytes,
+		     size_t len)
+{
+	struct http_call *hc = call->data;
+	bool overrun;
+
+	(void)data;
+	pthread_mutex_lock(&hc->lock);
+	overrun = hc->out_len - hc->out_start + len > MAX_UNREAD_BYTES ||
+		  !append_out(hc, bytes, len);
+	if (overrun)
+		/* The end can't be shown as whole any more. */
+		hc->failed = true;
+	if (hc->parsed.stream)
+		wake(hc);
+	pthread_mutex_unlock(&hc->lock);
+}
+
+static void op_end(void *data, struct mh_call *call)
+{
+	struct http_call *hc = call->data;
+
+	(void)data;
+	leave_core(hc, MH_OK);
+	pthread_mutex_lock(&hc->lock);
+	hc->whole = !hc->failed;
+	if (hc->failed)
+		hc->refusal.error = MH_ERR_INTERNAL;
+	wake(hc);
+	pthread_mutex_unlock(&hc->lock);
+	unref(hc);
+}
+
+/* With the lock held. The caller learns why its stream ends early. */
+static void append_error_event(struct http_call *hc)
+{
+	char *text = mh_problem_text(hc->refusal.error, NULL, hc->caller_id,
+				     hc->refusal.retry_after_ms);
+
+	if (!text)
+		return;
+	append_out(hc, (const uint8_t *)"event: error\ndata: ", 19);
+	append_out(hc, (const uint8_t *)text, strlen(text));
+	append_out(hc, (const uint8_t *)"\n\n", 2);
+	free(text);
+}
+
+static void op_refuse(void *data, struct mh_call *call,
+		      const struct mh_refusal *refusal)
+{
+	struct http_call *hc = call->data;
+
+	(void)data;
+	leave_core(hc, refusal->error);
+	pthread_mutex_lock(&hc->lock);
+	hc->failed = true;
+	hc->refusal = *refusal;
+	if (hc->head && hc->parsed.stream)
+		append_error_event(hc);
+	wake(hc);
+	pthread_mutex_unlock(&hc->lock);
+	unref(hc);
+}
+
+static void op_send(void *data, uint32_t link, const Mh__Frame *frame)
+{
+	struct mh_app *app = data;
+
+	mh_links_send(app->links, link, frame);
+}
+
+static void op_append_claims(void *data, const uint8_t *rec, size_t len)
+{
+	struct mh_app *app = data;
+
+	mh_log_appender_add(app->appender, MH_STREAM_CLAIMS, rec, len);
+}
+
+static void op_append_config(void *data, const char *rec, size_t len)
+{
+	struct mh_app *app = data;
+
+	mh_log_appender_add(app->appender, MH_STREAM_CONFIG, rec, len);
+}
+
+static void op_config_changed(void *data, struct mh_manifest *old,
+			      const struct mh_manifest *now)
+{
+	struct mh_app *app = data;
+
+	rcu_assign_pointer(app->manifest, (struct mh_manifest *)now);
+	if (!app->drain_signals)
+		__atomic_store_n(&app->ready, true, __ATOMIC_RELAXED);
+	if (!old)
+		return;
+	/* Readers hold it for the parsing of one request only. */
+	synchronize_rcu();
+	mh_manifest_free(old);
+}
+
+const struct mh_entry_ops mh_http_entry_ops = {
+	.send = op_send,
+	.head = op_head,
+	.chunk = op_chunk,
+	.end = op_end,
+	.refuse = op_refuse,
+	.append_claims = op_append_claims,
+	.append_config = op_append_config,
+	.config_changed = op_config_changed,
+};
+
+static void on_hangup(void *data, uint32_t events)
+{
+	struct http_call *hc = data;
+
+	(void)events;
+	cancel_in_core(hc, MH_ERR_CALLER_GONE);
+}
+
+static void prepare_hangup(struct http_call *hc)
+{
+	const union MHD_ConnectionInfo *info;
+
+	hc->hangup.fd = -1;
+	info = MHD_get_connection_info(hc->conn,
+				       MHD_CONNECTION_INFO_CONNECTION_FD);
+	if (!info)
+		return;
+	/* A descriptor of our own, since libmicrohttpd may close its one. */
+	hc->hangup.fd = dup(info->connect_fd);
+	hc->hangup.ready = on_hangup;
+	hc->hangup.data = hc;
+}
+
+static void run_submit(struct mh_task *task)
+{
+	struct http_call *hc = caa_container_of(task, struct http_call, submit);
+
+	hc->in_core = true;
+	if (hc->hangup.fd >= 0)
+		mh_loop_add(hc->app->loop, &hc->hangup, EPOLLRDHUP);
+	mh_entry_submit(hc->app->core, &hc->parsed.call);
+}
+
+static void run_cancel(struct mh_task *task)
+{
+	struct http_call *hc = caa_container_of(task, struct http_call, cancel);
+
+	cancel_in_core(hc, MH_ERR_CALLER_GONE);
+	unref(hc);
+}
+
+static void *on_uri(void *cls, const char *uri, struct MHD_Connection *conn)
+{
+	struct mh_app *app = cls;
+	struct http_call *hc = calloc(1, sizeof(*hc));
+
+	if (!hc)
+		return NULL;
+	hc->app = app;
+	hc->conn = conn;
+	hc->uri = strdup(uri);
+	hc->body.max = app->settings.max_body_bytes;
+	hc->refs = 1;
+	hc->hangup.fd = -1;
+	pthread_mutex_init(&hc->lock, NULL);
+	__atomic_add_fetch(&app->open_calls, 1, __ATOMIC_RELAXED);
+	return hc;
+}
+
+static void on_completed(void *cls, struct MHD_Connection *conn, void **ctx,
+			 enum MHD_RequestTerminationCode code)
+{
+	struct http_call *hc = *ctx;
+	struct mh_app *app = cls;
+
+	(void)conn;
+	(void)code;
+	if (!hc)
+		return;
+	*ctx = NULL;
+	__atomic_sub_fetch(&app->open_calls, 1, __ATOMIC_RELAXED);
+	if (!hc->submitted) {
+		unref(hc);
+		return;
+	}
+	/* The reference goes with the task. */
+	hc->cancel.run = run_cancel;
+	mh_loop_post(app->loop, &hc->cancel);
+}
+
+static const char *header(struct MHD_Connection *conn, const char *name)
+{
+	return MHD_lookup_connection_value(conn, MHD_HEADER_KIND, name);
+}
+
+static enum mh_error parse(struct http_call *hc, const char *method,
+			   const char **detail)
+{
+	struct mh_http_request req = {
+		.method = method,
+		.uri = hc->uri,
+		.content_type = header(hc->conn, "Content-Type"),
+		.authorization = header(hc->conn, "Authorization"),
+		.tier = header(hc->conn, "X-Tier"),
+		.deadline_ms = header(hc->conn, "X-Deadline-Ms"),
+		.key = header(hc->conn, "Idempotency-Key"),
+		.non_idempotent = header(hc->conn, "X-Non-Idempotent"),
+		.body = hc->body.p,
+		.body_len = hc->body.len,
+	};
+	const struct mh_manifest *m;
+	enum mh_error error = MH_ERR_NOT_READY;
+
+	if (hc->body.too_large)
+		return MH_ERR_BODY_TOO_LARGE;
+	rcu_read_lock();
+	m = rcu_dereference(hc->app->manifest);
+	if (m)
+		error = mh_call_parse(m, &req,
+				      mh_clock_mono_ns(&mh_system_clock),
+				      &hc->parsed, detail);
+	rcu_read_unlock();
+	return error;
+}
+
+static void set_ids(struct http_call *hc)
+{
+	const char *given = header(hc->conn, "X-Request-Id");
+	struct mh_id *id = &hc->parsed.call.id;
+	uint64_t rand[2];
+	char text[MH_ID_TEXT_BYTES];
+
+	randombytes_buf(rand, sizeof(rand));
+	mh_id_make_v7(id, mh_clock_wall_ms(&mh_system_clock), rand[0], rand[1]);
+	mh_id_format(id, text);
+	snprintf(hc->caller_id, sizeof(hc->caller_id), "%s",
+		 given ? given : text);
+}
+
+static enum MHD_Result submit(struct http_call *hc)
+{
+	hc->parsed.call.data = hc;
+	hc->start_ns = mh_clock_mono_ns(&mh_system_clock);
+	hc->submitted = true;
+	hc->submit.run = run_submit;
+	pthread_mutex_lock(&hc->lock);
+	hc->refs++;
+	hc->suspended = true;
+	MHD_suspend_connection(hc->conn);
+	pthread_mutex_unlock(&hc->lock);
+	mh_loop_post(hc->app->loop, &hc->submit);
+	return MHD_YES;
+}
+
+static void add_headers(struct http_call *hc, struct MHD_Response *response)
+{
+	MHD_add_response_header(response, "X-Request-Id", hc->caller_id);
+	if (hc->server)
+		MHD_add_response_header(response, "X-Mangohead-Server",
+					hc->server);
+	if (hc->content_type && *hc->content_type)
+		MHD_add_response_header(response, "Content-Type",
+					hc->content_type);
+}
+
+static ssize_t read_stream(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	struct http_call *hc = cls;
+	size_t n;
+	ssize_t result;
+
+	(void)pos;
+	pthread_mutex_lock(&hc->lock);
+	n = hc->out_len - hc->out_start;
+	if (n) {
+		n = n < max ? n : max;
+		memcpy(buf, hc->out + hc->out_start, n);
+		hc->out_start += n;
+		result = (ssize_t)n;
+	} else if (hc->whole) {
+		result = MHD_CONTENT_READER_END_OF_STREAM;
+	} else if (hc->failed) {
+		result = MHD_CONTENT_READER_END_WITH_ERROR;
+	} else {
+		hc->suspended = true;
+		MHD_suspend_connection(hc->conn);
+		result = 0;
+	}
+	pthread_mutex_unlock(&hc->lock);
+	return result;
+}
+
+static enum MHD_Result queue(struct http_call *hc,
+			     struct MHD_Response *response)
+{
+	enum MHD_Result result;
+
+	if (!response)
+		return MHD_NO;
+	add_headers(hc, response);
+	result = MHD_queue_response(hc->conn, hc->status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static enum MHD_Result answer(struct http_call *hc)
+{
+	bool whole, failed, streaming;
+
+	pthread_mutex_lock(&hc->lock);
+	whole = hc->whole;
+	failed = hc->failed;
+	streaming = hc->parsed.stream && hc->head;
+	pthread_mutex_unlock(&hc->lock);
+	if (streaming)
+		return queue(hc, MHD_create_response_from_callback(
+					 MHD_SIZE_UNKNOWN, READER_BLOCK_BYTES,
+					 read_stream, hc, NULL));
+	if (failed)
+		return mh_http_reply_problem(hc->conn, hc->refusal.error, NULL,
+					     hc->caller_id,
+					     hc->refusal.retry_after_ms);
+	if (!whole)
+		return MHD_YES;
+	return queue(hc, MHD_create_response_from_buffer(
+				 hc->out_len, hc->out,
+				 MHD_RESPMEM_PERSISTENT));
+}
+
+static enum MHD_Result list_models(struct http_call *hc)
+{
+	const struct mh_manifest *m;
+	json_t *data = json_array();
+	size_t i, j;
+
+	rcu_read_lock();
+	m = rcu_dereference(hc->app->manifest);
+	for (i = 0; m && i < m->n_pools; i++) {
+		for (j = 0; j < m->pools[i].models.n; j++)
+			json_array_append_new(
+				data,
+				json_pack("{s:s, s:s, s:s}", "id",
+					  m->pools[i].models.v[j], "object",
+					  "model", "owned_by",
+					  m->pools[i].name));
+	}
+	rcu_read_unlock();
+	return mh_http_reply_json(hc->conn, MHD_HTTP_OK,
+				  json_pack("{s:s, s:o}", "object", "list",
+					    "data", data));
+}
+
+static enum MHD_Result reply_metrics(struct http_call *hc)
+{
+	char *text = mh_http_metrics(mh_entry_counters(hc->app->core));
+	enum MHD_Result result;
+
+	if (!text)
+		return MHD_NO;
+	result = mh_http_reply_text(hc->conn, MHD_HTTP_OK,
+				    "text/plain; version=0.0.4", text);
+	free(text);
+	return result;
+}
+
+/* Paths that are answered without the core. */
+static bool answer_locally(struct http_call *hc, enum MHD_Result *result)
+{
+	bool ready = __atomic_load_n(&hc->app->ready, __ATOMIC_RELAXED);
+
+	if (!strcmp(hc->uri, "/healthz"))
+		*result = mh_http_reply_text(hc->conn, MHD_HTTP_OK,
+					     "text/plain", "ok\n");
+	else if (!strcmp(hc->uri, "/readyz"))
+		*result = mh_http_reply_text(hc->conn, ready ? 200 : 503,
+					     "text/plain",
+					     ready ? "ready\n" : "not ready\n");
+	else if (!strcmp(hc->uri, "/metrics"))
+		*result = reply_metrics(hc);
+	else if (!strcmp(hc->uri, "/v1/models"))
+		*result = list_models(hc);
+	else
+		return false;
+	return true;
+}
+
+static enum MHD_Result on_request(void *cls, struct MHD_Connection *conn,
+				  const char *url, const char *method,
+				  const char *version, const char *upload,
+				  size_t *upload_size, void **ctx)
+{
+	struct http_call *hc = *ctx;
+	const char *detail = NULL;
+	enum MHD_Result result;
+	enum mh_error error;
+
+	(void)cls;
+	(void)conn;
+	(void)url;
+	(void)version;
+	if (!hc || !hc->uri)
+		return MHD_NO;
+	if (hc->submitted)
+		return answer(hc);
+	if (*upload_size) {
+		mh_http_body_add(&hc->body, upload, *upload_size);
+		*upload_size = 0;
+		return MHD_YES;
+	}
+	/* The first call of a request comes before its body. */
+	if (!hc->body.cap) {
+		mh_http_body_add(&hc->body, "", 0);
+		return MHD_YES;
+	}
+	mh_count(mh_entry_counters(hc->app->core), MH_C_HTTP_REQUESTS);
+	if (answer_locally(hc, &result))
+		return result;
+	set_ids(hc);
+	error = parse(hc, method, &detail);
+	if (error)
+		return mh_http_reply_problem(hc->conn, error, detail,
+					     hc->caller_id,
+					     mh_error_info(error)->retry ?
+						     1000 :
+						     0);
+	prepare_hangup(hc);
+	return submit(hc);
+}
+
+struct MHD_Daemon *mh_http_start(struct mh_app *app)
+{
+	struct sockaddr_in sa;
+
+	if (!mh_http_sockaddr(app->settings.callers, &sa))
+		return NULL;
+	return MHD_start_daemon(
+		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0,
+		NULL, NULL, on_request, app, MHD_OPTION_SOCK_ADDR, &sa,
+		MHD_OPTION_THREAD_POOL_SIZE, app->settings.http_threads,
+		MHD_OPTION_CONNECTION_LIMIT, app->settings.max_connections,
+		MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_TIMEOUT_S,
+		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1,
+		MHD_OPTION_URI_LOG_CALLBACK, on_uri, app,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, app, MHD_OPTION_END);
+}
--- /dev/null
+++ b/net/link.c
@@ -0,0 +1,689 @@
+#include "net/link.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <uthash.h>
+#include <utlist.h>
+
+#define HEADER_BYTES 4
+#define NONCE_BYTES 32
+#define READ_BYTES 65536
+#define HANDSHAKE_NS (3000 * MH_NS_PER_MS)
+#define SILENCE_NS (3000 * MH_NS_PER_MS)
+#define BACKOFF_FIRST_MS 50
+#define BACKOFF_MAX_MS 2000
+#define LISTEN_BACKLOG 128
+#define IP_BYTES 64
+
+enum link_state {
+	LINK_CONNECTING,
+	LINK_HELLO, /* waits for the other's hello */
+	LINK_PROOF, /* waits for the other's proof */
+	LINK_UP,
+	LINK_CLOSED,
+};
+
+struct buffer {
+	uint8_t *p;
+	size_t start;
+	size_t len;
+	size_t cap;
+};
+
+struct link {
+	uint32_t id;
+	enum link_state state;
+	struct mh_links *set;
+	struct dialled *dialled; /* NULL when the other end connected */
+	struct mh_watch watch;
+	struct buffer in;
+	struct buffer out;
+	bool dirty;
+	bool want_write;
+	uint8_t nonce[NONCE_BYTES];
+	Mh__Frame *hello;
+	uint64_t heard_ns;
+	UT_hash_handle hh;
+};
+
+/* An address that a link is kept to. */
+struct dialled {
+	char *address;
+	struct link *link;
+	uint32_t backoff_ms;
+	uint64_t retry_ns;
+	struct dialled *prev, *next;
+};
+
+struct mh_links {
+	struct mh_loop *loop;
+	struct mh_link_conf conf;
+	struct mh_counters *counters;
+	const struct mh_link_ops *ops;
+	void *data;
+	struct mh_rng rng;
+	struct mh_watch listener;
+	struct link *links;
+	struct dialled *dialled;
+	uint32_t next_id;
+};
+
+static uint64_t now_ns(void)
+{
+	return mh_clock_mono_ns(&mh_system_clock);
+}
+
+bool mh_address_parse(const char *text, char *ip, uint16_t *port)
+{
+	const char *colon = strrchr(text, ':');
+	struct in_addr addr;
+	char *end;
+	long n;
+
+	if (!colon || (size_t)(colon - text) >= IP_BYTES)
+		return false;
+	memcpy(ip, text, (size_t)(colon - text));
+	ip[colon - text] = '\0';
+	n = strtol(colon + 1, &end, 10);
+	if (*end || end == colon + 1 || n < 0 || n > UINT16_MAX)
+		return false;
+	*port = (uint16_t)n;
+	return inet_pton(AF_INET, ip, &addr) == 1;
+}
+
+static bool to_sockaddr(const char *address, struct sockaddr_in *sa)
+{
+	char ip[IP_BYTES];
+	uint16_t port;
+
+	memset(sa, 0, sizeof(*sa));
+	if (!mh_address_parse(address, ip, &port))
+		return false;
+	sa->sin_family = AF_INET;
+	sa->sin_port = htons(port);
+	return inet_pton(AF_INET, ip, &sa->sin_addr) == 1;
+}
+
+struct mh_links *mh_links_new(struct mh_loop *loop,
+			      const struct mh_link_conf *conf,
+			      struct mh_counters *counters,
+			      const struct mh_link_ops *ops, void *data)
+{
+	struct mh_links *set = calloc(1, sizeof(*set));
+
+	if (!set || sodium_init() < 0) {
+		free(set);
+		return NULL;
+	}
+	set->loop = loop;
+	set->conf = *conf;
+	set->counters = counters;
+	set->ops = ops;
+	set->data = data;
+	set->listener.fd = -1;
+	randombytes_buf(&set->rng.state, sizeof(set->rng.state));
+	return set;
+}
+
+static bool reserve(struct buffer *b, size_t more)
+{
+	size_t cap;
+	uint8_t *p;
+
+	if (b->start && b->start + b->len + more > b->cap) {
+		memmove(b->p, b->p + b->start, b->len);
+		b->start = 0;
+	}
+	if (b->len + more <= b->cap)
+		return true;
+	cap = (b->len + more) * 2;
+	p = realloc(b->p, cap);
+	if (!p)
+		return false;
+	b->p = p;
+	b->cap = cap;
+	return true;
+}
+
+static void consume(struct buffer *b, size_t n)
+{
+	b->start += n;
+	b->len -= n;
+	if (!b->len)
+		b->start = 0;
+}
+
+static void free_link(struct link *l)
+{
+	HASH_DEL(l->set->links, l);
+	if (l->hello)
+		mh__frame__free_unpacked(l->hello, NULL);
+	free(l->in.p);
+	free(l->out.p);
+	free(l);
+}
+
+static void schedule_retry(struct mh_links *set, struct dialled *d)
+{
+	uint64_t spread = mh_rng_next(&set->rng) % (d->backoff_ms + 1);
+
+	d->link = NULL;
+	d->retry_ns = now_ns() + (d->backoff_ms / 2 + spread) * MH_NS_PER_MS;
+	d->backoff_ms *= 2;
+	if (d->backoff_ms > BACKOFF_MAX_MS)
+		d->backoff_ms = BACKOFF_MAX_MS;
+}
+
+/* The link is freed by the next flush, since its caller may still use it. */
+static void close_link(struct link *l)
+{
+	bool was_up = l->state == LINK_UP;
+
+	if (l->state == LINK_CLOSED)
+		return;
+	l->state = LINK_CLOSED;
+	mh_loop_remove(l->set->loop, &l->watch);
+	close(l->watch.fd);
+	if (l->dialled)
+		schedule_retry(l->set, l->dialled);
+	l->dialled = NULL;
+	if (was_up)
+		l->set->ops->down(l->set->data, l->id);
+}
+
+static void watch_for(struct link *l, bool want_write)
+{
+	if (l->want_write == want_write)
+		return;
+	l->want_write = want_write;
+	mh_loop_change(l->set->loop, &l->watch,
+		       EPOLLIN | (want_write ? EPOLLOUT : 0));
+}
+
+static void write_out(struct link *l)
+{
+	while (l->out.len) {
+		ssize_t n = send(l->watch.fd, l->out.p + l->out.start,
+				 l->out.len, MSG_NOSIGNAL);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+			break;
+		if (n < 0) {
+			close_link(l);
+			return;
+		}
+		mh_count_add(l->set->counters, MH_C_BYTES_OUT, (uint64_t)n);
+		consume(&l->out, (size_t)n);
+	}
+	watch_for(l, l->out.len > 0);
+}
+
+static bool is_payload(const Mh__Frame *frame)
+{
+	switch (frame->body_case) {
+	case MH__FRAME__BODY_HANDOVER:
+	case MH__FRAME__BODY_HEAD:
+	case MH__FRAME__BODY_DATA:
+	case MH__FRAME__BODY_END:
+		return true;
+	default:
+		return false;
+	}
+}
+
+static void queue_frame(struct link *l, const Mh__Frame *frame)
+{
+	struct mh_links *set = l->set;
+	size_t len = mh__frame__get_packed_size(frame);
+	uint32_t header = htonl((uint32_t)len);
+	uint8_t *p;
+
+	if (l->state == LINK_CLOSED)
+		return;
+	if (len > set->conf.max_frame_bytes ||
+	    l->out.len + len > set->conf.max_queue_bytes ||
+	    !reserve(&l->out, HEADER_BYTES + len)) {
+		/* The peer is too slow, or the frame can't be carried. */
+		close_link(l);
+		return;
+	}
+	p = l->out.p + l->out.start + l->out.len;
+	memcpy(p, &header, HEADER_BYTES);
+	mh__frame__pack(frame, p + HEADER_BYTES);
+	l->out.len += HEADER_BYTES + len;
+	l->dirty = true;
+	mh_count(set->counters, MH_C_FRAMES_OUT);
+	if (!is_payload(frame))
+		mh_count_add(set->counters, MH_C_CONTROL_BYTES_OUT,
+			     HEADER_BYTES + len);
+}
+
+void mh_links_send(struct mh_links *set, uint32_t id, const Mh__Frame *frame)
+{
+	struct link *l;
+
+	HASH_FIND(hh, set->links, &id, sizeof(id), l);
+	if (l && l->state == LINK_UP)
+		queue_frame(l, frame);
+}
+
+static void send_hello(struct link *l)
+{
+	const struct mh_link_conf *conf = &l->set->conf;
+	Mh__Hello msg = MH__HELLO__INIT;
+	Mh__Frame frame = MH__FRAME__INIT;
+
+	randombytes_buf(l->nonce, sizeof(l->nonce));
+	msg.version = MH_LINK_VERSION;
+	msg.host = (char *)conf->host;
+	msg.zone = (char *)conf->zone;
+	msg.role = conf->role;
+	msg.incarnation = conf->incarnation;
+	msg.pool = (char *)conf->pool;
+	msg.n_models = conf->n_models;
+	msg.models = conf->models;
+	msg.nonce.data = l->nonce;
+	msg.nonce.len = sizeof(l->nonce);
+	frame.body_case = MH__FRAME__BODY_HELLO;
+	frame.hello = &msg;
+	queue_frame(l, &frame);
+}
+
+/* Who proves is part of the input, so that a proof can't be played back. */
+static void make_mac(uint8_t *mac, const uint8_t *key, uint32_t role,
+		     const char *host, uint64_t incarnation,
+		     const uint8_t *own_nonce, const uint8_t *other_nonce)
+{
+	crypto_auth_hmacsha512256_state st;
+	uint32_t wire_role = htonl(role);
+
+	crypto_auth_hmacsha512256_init(&st, key, MH_LINK_KEY_BYTES);
+	crypto_auth_hmacsha512256_update(&st, (const uint8_t *)&wire_role,
+					 sizeof(wire_role));
+	crypto_auth_hmacsha512256_update(&st, (const uint8_t *)&incarnation,
+					 sizeof(incarnation));
+	crypto_auth_hmacsha512256_update(&st, own_nonce, NONCE_BYTES);
+	crypto_auth_hmacsha512256_update(&st, other_nonce, NONCE_BYTES);
+	crypto_auth_hmacsha512256_update(&st, (const uint8_t *)host,
+					 strlen(host));
+	crypto_auth_hmacsha512256_final(&st, mac);
+}
+
+static void send_proof(struct link *l)
+{
+	const struct mh_link_conf *conf = &l->set->conf;
+	uint8_t mac[crypto_auth_hmacsha512256_BYTES];
+	Mh__Proof msg = MH__PROOF__INIT;
+	Mh__Frame frame = MH__FRAME__INIT;
+
+	make_mac(mac, conf->key, conf->role, conf->host, conf->incarnation,
+		 l->nonce, l->hello->hello->nonce.data);
+	msg.mac.data = mac;
+	msg.mac.len = sizeof(mac);
+	frame.body_case = MH__FRAME__BODY_PROOF;
+	frame.proof = &msg;
+	queue_frame(l, &frame);
+}
+
+static void reject(struct link *l)
+{
+	mh_count(l->set->counters, MH_C_BAD_FRAMES);
+	close_link(l);
+}
+
+/* Return: whether the frame was kept. */
+static bool on_hello(struct link *l, Mh__Frame *frame)
+{
+	const Mh__Hello *hello = frame->hello;
+
+	if (frame->body_case != MH__FRAME__BODY_HELLO ||
+	    hello->version != MH_LINK_VERSION ||
+	    hello->nonce.len != NONCE_BYTES || !*hello->host ||
+	    !strcmp(hello->host, l->set->conf.host)) {
+		reject(l);
+		return false;
+	}
+	l->hello = frame;
+	l->state = LINK_PROOF;
+	send_proof(l);
+	return true;
+}
+
+static void on_proof(struct link *l, const Mh__Frame *frame)
+{
+	const Mh__Hello *hello = l->hello->hello;
+	uint8_t mac[crypto_auth_hmacsha512256_BYTES];
+
+	make_mac(mac, l->set->conf.key, hello->role, hello->host,
+		 hello->incarnation, hello->nonce.data, l->nonce);
+	if (frame->body_case != MH__FRAME__BODY_PROOF ||
+	    frame->proof->mac.len != sizeof(mac) ||
+	    sodium_memcmp(frame->proof->mac.data, mac, sizeof(mac))) {
+		reject(l);
+		return;
+	}
+	l->state = LINK_UP;
+	if (l->dialled)
+		l->dialled->backoff_ms = BACKOFF_FIRST_MS;
+	l->set->ops->up(l->set->data, l->id, hello);
+}
+
+static void on_frame(struct link *l, const uint8_t *p, size_t len)
+{
+	Mh__Frame *frame = mh__frame__unpack(NULL, len, p);
+	bool kept = false;
+
+	if (!frame) {
+		reject(l);
+		return;
+	}
+	mh_count(l->set->counters, MH_C_FRAMES_IN);
+	if (l->state == LINK_HELLO)
+		kept = on_hello(l, frame);
+	else if (l->state == LINK_PROOF)
+		on_proof(l, frame);
+	else if (frame->body_case != MH__FRAME__BODY__NOT_SET)
+		l->set->ops->frame(l->set->data, l->id, frame);
+	if (!kept)
+		mh__frame__free_unpacked(frame, NULL);
+}
+
+static void parse_in(struct link *l)
+{
+	while (l->state != LINK_CLOSED && l->in.len >= HEADER_BYTES) {
+		uint32_t len;
+
+		memcpy(&len, l->in.p + l->in.start, HEADER_BYTES);
+		len = ntohl(len);
+		if (len > l->set->conf.max_frame_bytes) {
+			reject(l);
+			return;
+		}
+		if (l->in.len < HEADER_BYTES + len)
+			return;
+		on_frame(l, l->in.p + l->in.start + HEADER_BYTES, len);
+		consume(&l->in, HEADER_BYTES + len);
+	}
+}
+
+static void read_in(struct link *l)
+{
+	ssize_t n;
+
+	if (!reserve(&l->in, READ_BYTES)) {
+		close_link(l);
+		return;
+	}
+	n = recv(l->watch.fd, l->in.p + l->in.start + l->in.len, READ_BYTES, 0);
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n <= 0) {
+		close_link(l);
+		return;
+	}
+	mh_count_add(l->set->counters, MH_C_BYTES_IN, (uint64_t)n);
+	l->heard_ns = now_ns();
+	l->in.len += (size_t)n;
+	parse_in(l);
+}
+
+static void finish_connect(struct link *l)
+{
+	socklen_t len = sizeof(int);
+	int err = 0;
+
+	getsockopt(l->watch.fd, SOL_SOCKET, SO_ERROR, &err, &len);
+	if (err) {
+		close_link(l);
+		return;
+	}
+	l->state = LINK_HELLO;
+	send_hello(l);
+	write_out(l);
+}
+
+static void on_ready(void *data, uint32_t events)
+{
+	struct link *l = data;
+
+	if (l->state == LINK_CONNECTING) {
+		finish_connect(l);
+		return;
+	}
+	if (events & (EPOLLIN | EPOLLHUP | EPOLLERR))
+		read_in(l);
+	if (l->state != LINK_CLOSED && (events & EPOLLOUT))
+		write_out(l);
+}
+
+static struct link *new_link(struct mh_links *set, int fd)
+{
+	struct link *l = calloc(1, sizeof(*l));
+	int one = 1;
+
+	if (!l)
+		return NULL;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	l->set = set;
+	l->id = ++set->next_id;
+	l->heard_ns = now_ns();
+	l->watch.fd = fd;
+	l->watch.ready = on_ready;
+	l->watch.data = l;
+	HASH_ADD(hh, set->links, id, sizeof(l->id), l);
+	return l;
+}
+
+static void on_accept(void *data, uint32_t events)
+{
+	struct mh_links *set = data;
+	struct link *l;
+	int fd = accept4(set->listener.fd, NULL, NULL,
+			 SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	(void)events;
+	if (fd < 0)
+		return;
+	l = new_link(set, fd);
+	if (!l || mh_loop_add(set->loop, &l->watch, EPOLLIN)) {
+		close(fd);
+		return;
+	}
+	l->state = LINK_HELLO;
+	send_hello(l);
+}
+
+int mh_links_listen(struct mh_links *set, const char *address)
+{
+	struct sockaddr_in sa;
+	int one = 1, fd;
+
+	if (!to_sockaddr(address, &sa)) {
+		errno = EINVAL;
+		return -1;
+	}
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 ||
+	    listen(fd, LISTEN_BACKLOG) < 0)
+		goto err;
+	set->listener.fd = fd;
+	set->listener.ready = on_accept;
+	set->listener.data = set;
+	if (mh_loop_add(set->loop, &set->listener, EPOLLIN))
+		goto err;
+	return 0;
+err:
+	close(fd);
+	set->listener.fd = -1;
+	return -1;
+}
+
+static void connect_to(struct mh_links *set, struct dialled *d)
+{
+	struct sockaddr_in sa;
+	struct link *l;
+	int fd;
+
+	if (!to_sockaddr(d->address, &sa))
+		return;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0) {
+		schedule_retry(set, d);
+		return;
+	}
+	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		schedule_retry(set, d);
+		return;
+	}
+	l = new_link(set, fd);
+	if (!l) {
+		close(fd);
+		return;
+	}
+	l->state = LINK_CONNECTING;
+	l->dialled = d;
+	d->link = l;
+	if (mh_loop_add(set->loop, &l->watch, EPOLLOUT | EPOLLIN))
+		close_link(l);
+	l->want_write = true;
+}
+
+static struct dialled *find_dialled(struct mh_links *set, const char *address)
+{
+	struct dialled *d;
+
+	DL_FOREACH(set->dialled, d)
+	{
+		if (!strcmp(d->address, address))
+			return d;
+	}
+	return NULL;
+}
+
+void mh_links_dial(struct mh_links *set, const char *address)
+{
+	struct dialled *d = find_dialled(set, address);
+
+	if (d)
+		return;
+	d = calloc(1, sizeof(*d));
+	if (!d)
+		return;
+	d->address = strdup(address);
+	d->backoff_ms = BACKOFF_FIRST_MS;
+	DL_APPEND(set->dialled, d);
+	connect_to(set, d);
+}
+
+static void free_dialled(struct mh_links *set, struct dialled *d)
+{
+	DL_DELETE(set->dialled, d);
+	free(d->address);
+	free(d);
+}
+
+void mh_links_undial(struct mh_links *set, const char *address)
+{
+	struct dialled *d = find_dialled(set, address);
+
+	if (!d)
+		return;
+	/* A link that is up stays until it breaks: it may carry answers. */
+	if (d->link) {
+		d->link->dialled = NULL;
+		if (d->link->state != LINK_UP)
+			close_link(d->link);
+	}
+	free_dialled(set, d);
+}
+
+const char *mh_links_dialled(const struct mh_links *set, size_t i)
+{
+	struct dialled *d;
+
+	DL_FOREACH(set->dialled, d)
+	{
+		if (!i--)
+			return d->address;
+	}
+	return NULL;
+}
+
+static bool silent(const struct link *l, uint64_t now)
+{
+	if (l->state == LINK_UP)
+		return now > l->heard_ns + SILENCE_NS;
+	return now > l->heard_ns + HANDSHAKE_NS;
+}
+
+void mh_links_flush(struct mh_links *set)
+{
+	uint64_t now = now_ns();
+	struct link *l, *tmp;
+	struct dialled *d;
+
+	HASH_ITER(hh, set->links, l, tmp)
+	{
+		if (l->state != LINK_CLOSED && silent(l, now))
+			close_link(l);
+		if (l->state != LINK_CLOSED && l->dirty && !l->want_write)
+			write_out(l);
+		l->dirty = false;
+		if (l->state == LINK_CLOSED)
+			free_link(l);
+	}
+	DL_FOREACH(set->dialled, d)
+	{
+		if (!d->link && now >= d->retry_ns)
+			connect_to(set, d);
+	}
+}
+
+size_t mh_links_unsent(const struct mh_links *set)
+{
+	struct link *l, *tmp;
+	size_t n = 0;
+
+	HASH_ITER(hh, set->links, l, tmp)
+		n += l->out.len;
+	return n;
+}
+
+void mh_links_free(struct mh_links *set)
+{
+	struct dialled *d, *tmp_d;
+	struct link *l, *tmp;
+
+	if (!set)
+		return;
+	HASH_ITER(hh, set->links, l, tmp)
+	{
+		if (l->state != LINK_CLOSED) {
+			mh_loop_remove(set->loop, &l->watch);
+			close(l->watch.fd);
+		}
+		free_link(l);
+	}
+	DL_FOREACH_SAFE(set->dialled, d, tmp_d)
+		free_dialled(set, d);
+	if (set->listener.fd >= 0) {
+		mh_loop_remove(set->loop, &set->listener);
+		close(set->listener.fd);
+	}
+	free(set);
+}
--- /dev/null
+++ b/net/signals.h
@@ -0,0 +1,41 @@
+/*
+ * SIGTERM and SIGINT as events of a loop.
+ */
+#ifndef MH_SIGNALS_H
+#define MH_SIGNALS_H
+
+#include "net/loop.h"
+
+/**
+ * struct mh_signals - watch for the signals that end a daemon
+ * @watch: the signalfd
+ * @seen: called for each signal
+ * @data: first argument of @seen
+ */
+struct mh_signals {
+	struct mh_watch watch;
+	void (*seen)(void *data);
+	void *data;
+};
+
+/**
+ * mh_signals_watch() - block the signals and watch for them
+ * @signals: watch
+ * @loop: loop
+ * @seen: called for each signal
+ * @data: first argument of @seen
+ *
+ * To be called before any thread is started, so that all inherit the mask.
+ *
+ * Return: 0, or -1 with errno set.
+ */
+int mh_signals_watch(struct mh_signals *signals, struct mh_loop *loop,
+		     void (*seen)(void *data), void *data);
+
+/**
+ * mh_signals_release() - close the signalfd
+ * @signals: watch
+ */
+void mh_signals_release(struct mh_signals *signals);
+
+#endif
