Property tests over real cores; shedding asks the other entries first

Cause: the promises had no proof. The driver (tests/world.c) runs the real cores of entries and sides on one seeded clock, with fakes for the network, the log, the host list and the engines, and checks each promise at each step.

Found by it, each with its cause: - An entry spun while the log was down and a claim batch was queued: its next tick was "now". Only requests of the lowest tier may be shed without asking; for any other, the other entries give their word first, and a peer's wish for room is kept until it can be met (core/entry_giveway.c). - A follower of a higher tier was refused along with a leader of a lower tier that shares its key. The leader now takes on the higher tier.

--- a/Makefile
+++ b/Makefile
@@ -72,3 +72,9 @@
 	rm -rf $(BUILD)
 
 .PHONY: all clean
+
+TEST_WORLD = $(BUILD)/tests/world.o $(BUILD)/libmangohead.a
+
+$(BUILD)/bin/test_properties: $(BUILD)/tests/test_properties.o $(TEST_WORLD)
+	@mkdir -p $(@D)
+	$(CXX) $(LDFLAGS) -o $@ $^ -lrapidcheck $(LIBS)
--- a/core/entry.c
+++ b/core/entry.c
@@ -175,7 +175,7 @@
 
 	if (!mh_error_info(error)->retry)
 		return 0;
-	waiting = mh_entry_waiting(e, req->call->pool, req->call->tier);
+	waiting = mh_entry_waiting(e, req->call->pool, req->waiter.tier);
 	return RETRY_BASE_MS +
 	       (uint32_t)(mh_rng_next(&e->rng) % RETRY_SPREAD_MS) *
 		       (1 + waiting / RETRY_WAITING_UNIT);
@@ -454,8 +454,8 @@
 	if (!m || !s->up)
 		return;
 	pool = mh_manifest_pool(m, s->pool);
-	s->config_sent = m->version;
 	msg.as_of = mh_fold_next_offset(e->fold);
+	s->config_sent = msg.as_of;
 	msg.draining = mh_manifest_drained(m, s->host);
 	msg.max_running = pool ? pool->max_running : 0;
 	msg.reserve_percent = pool ? pool->reserve_percent : 0;
@@ -600,6 +600,8 @@
 		s->leaving = msg->leaving;
 		s->want_dirty = true;
 	}
+	if (s && msg->config_offset < s->config_sent)
+		send_side_config(e, s);
 	if (!p)
 		return;
 	p->config_offset = msg->config_offset;
@@ -826,7 +828,7 @@
 	send_pings(e, now);
 	if (req && req->due_ns < next)
 		next = req->due_ns;
-	if (e->n_batch && e->next_append_ns < next)
+	if (e->n_batch && e->log_up && e->next_append_ns < next)
 		next = e->next_append_ns > now ? e->next_append_ns : now;
 	return next;
 }
--- a/core/entry_impl.h
+++ b/core/entry_impl.h
@@ -122,6 +122,18 @@
 	struct mh_ask *prev, *next;
 };
 
+/* A peer's wish for room that could not be met or denied yet. */
+struct mh_debt {
+	uint32_t link;
+	uint64_t ask_id;
+	char *pool;
+	uint8_t tier;
+	uint32_t term_ms;
+	uint32_t count;
+	uint32_t shed;
+	struct mh_debt *prev, *next;
+};
+
 /* Tiers below @tier are kept out of a pool until a time. */
 struct mh_pool_floor {
 	char *pool;
@@ -181,6 +193,7 @@
 	struct mh_server *servers;
 	struct mh_peer *peers;
 	struct mh_ask *asks;
+	struct mh_debt *debts;
 	struct mh_pool_floor *floors;
 	struct mh_suspicion *suspicions;
 	struct mh_host_row *hosts;
@@ -208,9 +221,21 @@
 				 const struct mh_call *call);
 bool mh_entry_claim_is_valid(struct mh_entry *e, const struct mh_req *req);
 
+/* entry_giveway.c */
+void mh_entry_enter_ask(struct mh_entry *e, struct mh_req *req);
+bool mh_entry_kept_out(struct mh_entry *e, const char *pool, uint8_t tier);
+bool mh_entry_try_shed(struct mh_entry *e, const char *pool, uint8_t tier,
+		       uint32_t need);
+void mh_entry_free_asks(struct mh_entry *e);
+
 /* entry_queue.c */
+bool mh_entry_has_room(struct mh_entry *e, const struct mh_req *req);
+void mh_entry_enter_lane(struct mh_entry *e, struct mh_req *req);
+struct mh_waiter *mh_entry_victim(struct mh_entry *e, const char *pool,
+				  uint8_t tier);
 void mh_entry_admit(struct mh_entry *e, struct mh_req *req);
 void mh_entry_leave_lane(struct mh_entry *e, struct mh_req *req, bool served);
+void mh_entry_raise_tier(struct mh_entry *e, struct mh_req *req, uint8_t tier);
 void mh_entry_widen(struct mh_entry *e, struct mh_req *req);
 void mh_entry_leave_ask(struct mh_entry *e, struct mh_req *req);
 void mh_entry_resolve_asks(struct mh_entry *e);
--- a/core/entry_queue.c
+++ b/core/entry_queue.c
@@ -1,20 +1,16 @@
 /*
- * Waiting requests: admission, giving way between entries, demand towards the
- * sides, and the choice of the request that a grant is used for.
+ * Waiting requests: admission, demand towards the sides, and the choice of the
+ * request that a grant is used for.
  */
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "core/entry_impl.h"
 
-#define ASK_RETRY_NS (200 * MH_NS_PER_MS)
 #define WANT_REFRESH_NS (50 * MH_NS_PER_MS)
+#define WANT_REPEAT_NS (1000 * MH_NS_PER_MS)
 #define MAX_SLACK_MS 86400000u
 
-/* An assurance is used for this share of its term, to cover clock rates. */
-#define TERM_USED_PERCENT 80
-
 static struct mh_lane *get_lane(struct mh_entry *e, const char *pool,
 				const char *model)
 {
@@ -75,8 +71,8 @@
 	return n;
 }
 
-static struct mh_waiter *pool_victim(struct mh_entry *e, const char *pool,
-				     uint8_t tier)
+struct mh_waiter *mh_entry_victim(struct mh_entry *e, const char *pool,
+				  uint8_t tier)
 {
 	struct mh_waiter *victim = NULL;
 	size_t i;
@@ -93,53 +89,6 @@
 	return victim;
 }
 
-static bool shed_one(struct mh_entry *e, const char *pool, uint8_t tier)
-{
-	struct mh_waiter *victim = pool_victim(e, pool, tier);
-
-	if (!victim)
-		return false;
-	mh_count(&e->counters, MH_C_GIVE_WAY_SHED);
-	mh_entry_refuse(e, victim->owner, MH_ERR_SHED_FOR_HIGHER_TIER);
-	return true;
-}
-
-static struct mh_pool_floor *get_floor(struct mh_entry *e, const char *pool)
-{
-	struct mh_pool_floor *f;
-
-	DL_FOREACH(e->floors, f)
-	{
-		if (!strcmp(f->pool, pool))
-			return f;
-	}
-	f = calloc(1, sizeof(*f));
-	if (!f)
-		return NULL;
-	f->pool = strdup(pool);
-	DL_APPEND(e->floors, f);
-	return f;
-}
-
-/* Whether a peer was promised that this tier stays out for now. */
-static bool kept_out(struct mh_entry *e, const char *pool, uint8_t tier)
-{
-	uint64_t now = mh_entry_now(e);
-	struct mh_pool_floor *f;
-	uint8_t i;
-
-	DL_FOREACH(e->floors, f)
-	{
-		if (strcmp(f->pool, pool))
-			continue;
-		for (i = 0; i < tier; i++) {
-			if (f->until_ns[i] > now)
-				return true;
-		}
-	}
-	return false;
-}
-
 static uint32_t pool_limit(const struct mh_entry *e, const char *pool)
 {
 	const struct mh_pool *p = mh_manifest_pool(mh_entry_manifest(e), pool);
@@ -147,7 +96,7 @@
 	return p ? p->max_waiting : 0;
 }
 
-static bool has_room(struct mh_entry *e, const struct mh_req *req)
+bool mh_entry_has_room(struct mh_entry *e, const struct mh_req *req)
 {
 	return pool_waiting(e, req->call->pool) <
 	       pool_limit(e, req->call->pool);
@@ -237,7 +186,7 @@
 	mh_entry_set_due(e, req, req->call->deadline_ns);
 }
 
-static void enter_lane(struct mh_entry *e, struct mh_req *req)
+void mh_entry_enter_lane(struct mh_entry *e, struct mh_req *req)
 {
 	const struct mh_manifest *m = mh_entry_manifest(e);
 	struct mh_server *near, *idle;
@@ -278,54 +227,6 @@
 	mark_lane(e, req->lane);
 }
 
-static struct mh_ask *get_ask(struct mh_entry *e, const char *pool,
-			      uint8_t tier)
-{
-	struct mh_ask *ask;
-
-	DL_FOREACH(e->asks, ask)
-	{
-		if (ask->tier == tier && !strcmp(ask->pool, pool))
-			return ask;
-	}
-	ask = calloc(1, sizeof(*ask));
-	if (!ask)
-		return NULL;
-	ask->pool = strdup(pool);
-	ask->tier = tier;
-	DL_APPEND(e->asks, ask);
-	return ask;
-}
-
-static void enter_ask(struct mh_entry *e, struct mh_req *req)
-{
-	struct mh_ask *ask = get_ask(e, req->call->pool, req->call->tier);
-
-	if (!ask) {
-		mh_entry_refuse(e, req, MH_ERR_OVERLOADED);
-		return;
-	}
-	req->state = MH_REQ_ADMIT;
-	DL_APPEND(ask->reqs, req);
-	ask->n_reqs++;
-	mh_entry_set_due(e, req, req->call->deadline_ns);
-}
-
-void mh_entry_leave_ask(struct mh_entry *e, struct mh_req *req)
-{
-	struct mh_ask *ask = get_ask(e, req->call->pool, req->call->tier);
-
-	if (!ask)
-		return;
-	DL_DELETE(ask->reqs, req);
-	ask->n_reqs--;
-}
-
-static bool is_lowest_tier(const struct mh_entry *e, uint8_t tier)
-{
-	return tier + 1 >= mh_entry_manifest(e)->n_tiers;
-}
-
 /*
  * Lets a request wait if there is room, sheds a lower tier for it if there is
  * not, and asks the other entries before a tier above the lowest is refused.
@@ -333,204 +234,31 @@
 void mh_entry_admit(struct mh_entry *e, struct mh_req *req)
 {
 	const char *pool = req->call->pool;
-	uint8_t tier = req->call->tier;
-	bool out = kept_out(e, pool, tier);
+	uint8_t tier = req->waiter.tier;
 
-	if (!out && (has_room(e, req) || shed_one(e, pool, tier))) {
-		enter_lane(e, req);
-		return;
-	}
-	if (is_lowest_tier(e, tier)) {
-		mh_entry_refuse(e, req, MH_ERR_OVERLOADED);
-		return;
-	}
-	enter_ask(e, req);
-}
-
-static struct mh_assurance *get_assurance(struct mh_ask *ask,
-					  struct mh_peer *peer)
-{
-	struct mh_assurance *a;
-
-	DL_FOREACH(ask->assurances, a)
-	{
-		if (a->peer == peer)
-			return a;
-	}
-	a = calloc(1, sizeof(*a));
-	if (!a)
-		return NULL;
-	a->peer = peer;
-	DL_APPEND(ask->assurances, a);
-	return a;
-}
-
-static void send_give_way(struct mh_entry *e, const struct mh_ask *ask,
-			  struct mh_assurance *a, uint32_t count)
-{
-	Mh__GiveWay msg = MH__GIVE_WAY__INIT;
-	Mh__Frame frame = MH__FRAME__INIT;
-
-	a->ask_id = ++e->next_ask_id;
-	a->sent_ns = mh_entry_now(e);
-	a->outstanding = true;
-	a->term_ms = mh_entry_manifest(e)->policy.give_way_term_ms;
-	msg.ask_id = a->ask_id;
-	msg.pool = ask->pool;
-	msg.tier = ask->tier;
-	msg.term_ms = a->term_ms;
-	msg.count = count;
-	frame.body_case = MH__FRAME__BODY_GIVE_WAY;
-	frame.give_way = &msg;
-	mh_count(&e->counters, MH_C_GIVE_WAY_SENT);
-	mh_entry_send(e, a->peer->link, &frame);
-}
-
-static uint32_t count_up_peers(const struct mh_entry *e)
-{
-	const struct mh_peer *p;
-	uint32_t n = 0;
-
-	DL_FOREACH(e->peers, p)
-		n += p->up;
-	return n;
-}
-
-/* Whether every other entry has said that nothing lower waits there. */
-static bool all_assured(struct mh_entry *e, struct mh_ask *ask)
-{
-	uint64_t now = mh_entry_now(e);
-	uint32_t n_up = count_up_peers(e), turn;
-	struct mh_peer *p;
-	bool all = true;
-
-	/* The peers share the number of requests that need room. */
-	turn = n_up ? (uint32_t)(mh_rng_next(&e->rng) % n_up) : 0;
-
-	DL_FOREACH(e->peers, p)
-	{
-		struct mh_assurance *a;
-
-		if (!p->up && !p->listed)
-			continue;
-		a = get_assurance(ask, p);
-		if (a && a->none_until_ns > now)
-			continue;
-		all = false;
-		if (!a || !p->up)
-			continue;
-		turn = (turn + 1) % n_up;
-		if (!a->outstanding || now > a->sent_ns + ASK_RETRY_NS)
-			send_give_way(e, ask, a,
-				      (ask->n_reqs + turn) / n_up);
-	}
-	return all;
-}
-
-static void admit_from_ask(struct mh_entry *e, struct mh_req *req)
-{
-	mh_entry_leave_ask(e, req);
-	enter_lane(e, req);
-}
-
-static void resolve_ask(struct mh_entry *e, struct mh_ask *ask)
-{
-	bool out = kept_out(e, ask->pool, ask->tier);
-
-	while (ask->reqs && !out &&
-	       (has_room(e, ask->reqs) || shed_one(e, ask->pool, ask->tier)))
-		admit_from_ask(e, ask->reqs);
-	if (!ask->reqs || !all_assured(e, ask))
-		return;
-	/* Kept out here while lower ones wait: those go first. */
-	while (shed_one(e, ask->pool, ask->tier))
-		;
-	while (ask->reqs)
-		mh_entry_refuse(e, ask->reqs, MH_ERR_OVERLOADED);
-}
-
-void mh_entry_resolve_asks(struct mh_entry *e)
-{
-	struct mh_ask *ask;
-
-	DL_FOREACH(e->asks, ask)
-	{
-		if (ask->reqs)
-			resolve_ask(e, ask);
-	}
+	if (!mh_entry_kept_out(e, pool, tier) &&
+	    (mh_entry_has_room(e, req) || mh_entry_try_shed(e, pool, tier, 1)))
+		mh_entry_enter_lane(e, req);
+	else
+		mh_entry_enter_ask(e, req);
 }
 
-void mh_entry_on_give_way(struct mh_entry *e, uint32_t link,
-			  const Mh__GiveWay *msg)
+/* A request that somebody of a higher tier waits for takes on that tier. */
+void mh_entry_raise_tier(struct mh_entry *e, struct mh_req *req, uint8_t tier)
 {
-	struct mh_pool_floor *floor;
-	Mh__Gave reply = MH__GAVE__INIT;
-	Mh__Frame frame = MH__FRAME__INIT;
-	uint8_t tier = (uint8_t)msg->tier;
+	enum mh_req_state state = req->state;
 
-	if (msg->tier >= MH_MAX_TIERS)
+	if (tier >= req->waiter.tier)
 		return;
-	while (reply.shed < msg->count && shed_one(e, msg->pool, tier))
-		reply.shed++;
-	floor = get_floor(e, msg->pool);
-	if (floor && !pool_victim(e, msg->pool, tier)) {
-		uint64_t until = mh_entry_now(e) + msg->term_ms * MH_NS_PER_MS;
-
-		if (floor->until_ns[tier] < until)
-			floor->until_ns[tier] = until;
-		reply.none_left = true;
-	}
-	reply.ask_id = msg->ask_id;
-	frame.body_case = MH__FRAME__BODY_GAVE;
-	frame.gave = &reply;
-	mh_entry_send(e, link, &frame);
-}
-
-static void apply_gave(struct mh_entry *e, struct mh_ask *ask,
-		       struct mh_assurance *a, const Mh__Gave *msg)
-{
-	uint32_t room = msg->shed;
-
-	a->outstanding = false;
-	if (msg->none_left)
-		a->none_until_ns = a->sent_ns + a->term_ms * MH_NS_PER_MS *
-							TERM_USED_PERCENT / 100;
-	/* Room given up by a peer may be used here, over this entry's limit. */
-	while (room-- && ask->reqs && !kept_out(e, ask->pool, ask->tier))
-		admit_from_ask(e, ask->reqs);
-}
-
-void mh_entry_on_gave(struct mh_entry *e, const Mh__Gave *msg)
-{
-	struct mh_assurance *a;
-	struct mh_ask *ask;
-
-	DL_FOREACH(e->asks, ask)
-	{
-		DL_FOREACH(ask->assurances, a)
-		{
-			if (!a->outstanding || a->ask_id != msg->ask_id)
-				continue;
-			apply_gave(e, ask, a, msg);
-			return;
-		}
-	}
-	mh_count(&e->counters, MH_C_LATE_FRAMES);
-}
-
-void mh_entry_peer_gone(struct mh_entry *e, struct mh_peer *peer)
-{
-	struct mh_assurance *a;
-	struct mh_ask *ask;
-
-	DL_FOREACH(e->asks, ask)
-	{
-		DL_FOREACH(ask->assurances, a)
-		{
-			if (a->peer == peer)
-				a->outstanding = false;
-		}
-	}
+	if (state == MH_REQ_WAIT)
+		mh_entry_leave_lane(e, req, false);
+	if (state == MH_REQ_ADMIT)
+		mh_entry_leave_ask(e, req);
+	req->waiter.tier = tier;
+	if (state == MH_REQ_WAIT)
+		mh_entry_enter_lane(e, req);
+	if (state == MH_REQ_ADMIT)
+		mh_entry_admit(e, req);
 }
 
 struct mh_req *mh_entry_best(struct mh_entry *e, const struct mh_server *s,
@@ -638,6 +366,17 @@
 	s->want_sent_ns = mh_entry_now(e);
 }
 
+static bool wants_any(const struct mh_server *s)
+{
+	size_t t;
+
+	for (t = 0; t < MH_MAX_TIERS; t++) {
+		if (s->want_sent[t])
+			return true;
+	}
+	return false;
+}
+
 void mh_entry_flush_wants(struct mh_entry *e)
 {
 	static const uint32_t nothing[MH_MAX_TIERS];
@@ -648,6 +387,11 @@
 	{
 		uint32_t want[MH_MAX_TIERS];
 
+		/* Demand is soft state: it is stated again while it lasts. */
+		if (s->want_known && now > s->want_sent_ns + WANT_REPEAT_NS) {
+			s->want_dirty = true;
+			s->want_known = !wants_any(s);
+		}
 		if (!s->up || !s->want_dirty)
 			continue;
 		if (mh_server_takes_work(e, s))
@@ -665,29 +409,11 @@
 	}
 }
 
-static void free_ask(struct mh_ask *ask)
-{
-	struct mh_assurance *a, *tmp;
-
-	DL_FOREACH_SAFE(ask->assurances, a, tmp)
-		free(a);
-	free(ask->pool);
-	free(ask);
-}
-
 void mh_entry_free_queues(struct mh_entry *e)
 {
-	struct mh_pool_floor *f, *tmp_f;
-	struct mh_ask *ask, *tmp;
 	size_t i;
 
-	DL_FOREACH_SAFE(e->asks, ask, tmp)
-		free_ask(ask);
-	DL_FOREACH_SAFE(e->floors, f, tmp_f)
-	{
-		free(f->pool);
-		free(f);
-	}
+	mh_entry_free_asks(e);
 	for (i = 0; i < e->n_lanes; i++)
 		mh_lane_free(e->lanes[i]);
 	free(e->lanes);
--- a/core/entry_run.c
+++ b/core/entry_run.c
@@ -132,7 +132,7 @@
 	bind_server(e, req, s);
 	msg.grant_id = grant_id;
 	fill_id(&msg.run_id, &req->ref);
-	msg.tier = call->tier;
+	msg.tier = req->waiter.tier;
 	msg.deadline_in_ms = deadline_in_ms(e, req);
 	msg.account = (char *)call->account;
 	msg.model = (char *)call->model;
@@ -285,6 +285,8 @@
 	req->state = MH_REQ_FOLLOW;
 	if (leader->state != MH_REQ_SENT || !leader->server) {
 		mh_entry_set_due(e, req, req->call->deadline_ns);
+		/* May refuse both, so nothing follows. */
+		mh_entry_raise_tier(e, leader, req->waiter.tier);
 		return;
 	}
 	set_ref(e, req);
