Claims appended by few entries for all, links to a subset, fuzzed decoders

Ways weighed for claims: each entry its own stream (the log's rate is shared, so nothing is won), the side as the place of the claim (a caller may come back through another server), few appenders chosen by rendezvous hashing (taken: no election, since a second append of the same claim has no effect). An owner whose claim is not back after a second appends itself.

--- a/Makefile
+++ b/Makefile
@@ -85,7 +85,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ -lcmocka $(LIBS)
 
-SOURCES = $(shell git ls-files '*.c' '*.h' '*.cc' | grep -v pb-c)
+SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cc' | grep -v pb-c)
 SEED ?= 1
 CASES ?= 300
 
--- a/core/claims.c
+++ b/core/claims.c
@@ -188,6 +188,22 @@
 	return true;
 }
 
+bool mh_claims_each(const uint8_t *rec, size_t len,
+		    void (*each)(void *data, const struct mh_claim *claim),
+		    void *data)
+{
+	struct mh_claim claim;
+	size_t i;
+
+	if (!well_formed(rec, len))
+		return false;
+	for (i = 0; i < len; i += MH_CLAIM_RECORD_BYTES) {
+		decode(rec + i, &claim);
+		each(data, &claim);
+	}
+	return true;
+}
+
 bool mh_claims_fold(struct mh_claims *c, const uint8_t *rec, size_t len,
 		    uint64_t log_time_ms,
 		    void (*decided)(void *data, const struct mh_claim *claim,
--- a/core/claims.h
+++ b/core/claims.h
@@ -62,6 +62,19 @@
  */
 size_t mh_claims_encode(const struct mh_claim *claims, size_t n, uint8_t *buf);
 
+/**
+ * mh_claims_each() - walk the claims of a record
+ * @rec: record
+ * @len: length of @rec
+ * @each: called for each claim
+ * @data: passed to @each
+ *
+ * Return: false when the record is malformed; @each is not called then.
+ */
+bool mh_claims_each(const uint8_t *rec, size_t len,
+		    void (*each)(void *data, const struct mh_claim *claim),
+		    void *data);
+
 /**
  * mh_claims_fold() - apply one log record
  * @c: table
--- a/core/counter_names.h
+++ b/core/counter_names.h
@@ -20,6 +20,8 @@
 	X(CLAIMS, claims, "claims queued for the log")                         \
 	X(CLAIMS_LOST, claims_lost, "claims that another request won")         \
 	X(CLAIMS_RELEASED, claims_released, "claims released")                 \
+	X(CLAIMS_FORWARDED, claims_forwarded,                                  \
+	  "claim batches given to an appender")                                \
 	X(APPENDS, appends, "records appended to the log")                     \
 	X(GIVE_WAY_SENT, give_way_sent, "peers asked to give way")             \
 	X(GIVE_WAY_SHED, give_way_shed, "requests shed for a higher tier")     \
--- a/core/entry.c
+++ b/core/entry.c
@@ -649,6 +649,9 @@
 	case MH__FRAME__BODY_GAVE:
 		mh_entry_on_gave(e, frame->gave);
 		break;
+	case MH__FRAME__BODY_CLAIMS:
+		mh_entry_on_claims(e, frame->claims);
+		break;
 	case MH__FRAME__BODY_CONFIG_PULL:
 		send_state(e, p->link);
 		break;
@@ -787,9 +790,12 @@
 		}
 		break;
 	case MH_REQ_CLAIM:
-		if (e->log_up)
+		if (e->log_up && now >= req->call->deadline_ns)
 			break;
-		mh_entry_refuse(e, req, MH_ERR_LOG_UNAVAILABLE);
+		if (e->log_up)
+			mh_entry_repeat_claim(e, req);
+		else
+			mh_entry_refuse(e, req, MH_ERR_LOG_UNAVAILABLE);
 		return;
 	case MH_REQ_ADMIT:
 		break;
--- a/core/entry_claim.c
+++ b/core/entry_claim.c
@@ -5,6 +5,15 @@
 #include <string.h>
 
 #include "core/entry_impl.h"
+#include "core/rendezvous.h"
+
+/* A claim handed to another entry is appended here if it takes longer. */
+#define FORWARD_TERM_NS (1000 * MH_NS_PER_MS)
+
+/* How long claims are then appended here at once. */
+#define APPEND_SELF_NS (10000 * MH_NS_PER_MS)
+
+#define APPENDERS_KEY "claim appenders"
 
 #define FUTURE_SKEW_MS (60 * MH_MS_PER_S)
 #define START_SKEW_MS (60 * MH_MS_PER_S)
@@ -60,6 +69,15 @@
 	mh_entry_find(e, req);
 }
 
+static void set_claim_due(struct mh_entry *e, struct mh_req *req)
+{
+	uint64_t due = mh_entry_now(e) + FORWARD_TERM_NS;
+
+	if (req->claim_repeated || due > req->call->deadline_ns)
+		due = req->call->deadline_ns;
+	mh_entry_set_due(e, req, due);
+}
+
 void mh_entry_claim(struct mh_entry *e, struct mh_req *req)
 {
 	req->claim_owner = mh_rng_next(&e->rng) | 1;
@@ -70,7 +88,7 @@
 		return;
 	}
 	req->state = MH_REQ_CLAIM;
-	mh_entry_set_due(e, req, req->call->deadline_ns);
+	set_claim_due(e, req);
 	if (!queue_claim(e, MH_CLAIM_TAKE, req)) {
 		/* Nothing was written that would need a release. */
 		req->claim_lost = true;
@@ -93,29 +111,130 @@
 		mh_count(&e->counters, MH_C_CLAIMS_RELEASED);
 }
 
+/* Lists the entry hosts, this one too. Return: number of names. */
+static size_t list_entries(struct mh_entry *e, const char **names, size_t max)
+{
+	struct mh_host_row *row, *tmp;
+	size_t n = 0;
+
+	HASH_ITER(hh, e->hosts, row, tmp) {
+		if (row->is_entry && row->state == MH_HOST_LIVE && n < max)
+			names[n++] = row->name;
+	}
+	return n;
+}
+
+static bool is_appender(const char *host, const char *const *names, size_t n,
+			uint32_t want)
+{
+	return mh_rendezvous_chosen(APPENDERS_KEY, host, names, n, want);
+}
+
+/*
+ * The entry that appends this one's claims: NULL for itself. With many entries
+ * each append has to carry the claims of several, since the log takes a few
+ * hundred a second in all.
+ */
+static struct mh_peer *pick_appender(struct mh_entry *e)
+{
+	const struct mh_manifest *m = mh_entry_manifest(e);
+	uint32_t want = m ? m->policy.claim_appenders : 0;
+	const char *names[MH_MAX_ENTRIES];
+	size_t n = list_entries(e, names, MH_MAX_ENTRIES);
+	struct mh_peer *p, *best = NULL;
+	uint64_t best_score = 0;
+
+	if (!want || mh_entry_now(e) < e->append_self_until_ns ||
+	    is_appender(e->host, names, n, want))
+		return NULL;
+	DL_FOREACH(e->peers, p) {
+		uint64_t score = mh_rendezvous_score(e->host, p->host);
+
+		if (!p->up || !p->listed || (best && score <= best_score) ||
+		    !is_appender(p->host, names, n, want))
+			continue;
+		best = p;
+		best_score = score;
+	}
+	return best;
+}
+
 static uint64_t append_interval_ns(const struct mh_entry *e)
 {
 	const struct mh_manifest *m = mh_entry_manifest(e);
-	uint32_t entries = e->n_entries ? e->n_entries : 1;
+	uint32_t appenders = e->n_entries ? e->n_entries : 1;
+
+	if (!m)
+		return NS_PER_S;
+	if (m->policy.claim_appenders && m->policy.claim_appenders < appenders)
+		appenders = m->policy.claim_appenders;
+	return NS_PER_S * appenders / m->policy.appends_per_s;
+}
 
-	return NS_PER_S * entries / (m ? m->policy.appends_per_s : 1);
+static void forward_claims(struct mh_entry *e, const struct mh_peer *p,
+			   uint8_t *records, size_t len)
+{
+	Mh__Claims msg = MH__CLAIMS__INIT;
+	Mh__Frame frame = MH__FRAME__INIT;
+
+	msg.records.data = records;
+	msg.records.len = len;
+	frame.body_case = MH__FRAME__BODY_CLAIMS;
+	frame.claims = &msg;
+	mh_count(&e->counters, MH_C_CLAIMS_FORWARDED);
+	mh_entry_send(e, p->link, &frame);
 }
 
 void mh_entry_flush_claims(struct mh_entry *e)
 {
 	uint8_t buf[MH_CLAIM_BATCH_MAX * MH_CLAIM_RECORD_BYTES];
 	uint64_t now = mh_entry_now(e);
+	struct mh_peer *appender;
 	size_t len;
 
-	if (!e->n_batch || !e->log_up || now < e->next_append_ns)
+	if (!e->n_batch || !e->log_up)
+		return;
+	appender = pick_appender(e);
+	if (!appender && now < e->next_append_ns)
 		return;
-	e->next_append_ns = now + append_interval_ns(e);
 	len = mh_claims_encode(e->batch, e->n_batch, buf);
 	e->n_batch = 0;
+	if (appender) {
+		forward_claims(e, appender, buf, len);
+		return;
+	}
+	e->next_append_ns = now + append_interval_ns(e);
 	mh_count(&e->counters, MH_C_APPENDS);
 	e->ops->append_claims(e->data, buf, len);
 }
 
+/* What was handed to another entry has not come back through the log. */
+void mh_entry_repeat_claim(struct mh_entry *e, struct mh_req *req)
+{
+	e->append_self_until_ns = mh_entry_now(e) + APPEND_SELF_NS;
+	req->claim_repeated = true;
+	set_claim_due(e, req);
+	queue_claim(e, MH_CLAIM_TAKE, req);
+}
+
+static void add_forwarded(void *data, const struct mh_claim *claim)
+{
+	struct mh_entry *e = data;
+
+	if (e->n_batch == MH_CLAIM_BATCH_MAX)
+		mh_entry_flush_claims(e);
+	/* If there is no room, its owner appends it itself in a while. */
+	if (e->n_batch < MH_CLAIM_BATCH_MAX)
+		e->batch[e->n_batch++] = *claim;
+}
+
+void mh_entry_on_claims(struct mh_entry *e, const Mh__Claims *msg)
+{
+	if (!mh_claims_each(msg->records.data, msg->records.len, add_forwarded,
+			    e))
+		mh_count(&e->counters, MH_C_BAD_FRAMES);
+}
+
 static void on_decided(void *data, const struct mh_claim *claim,
 		       uint64_t holder)
 {
--- a/core/entry_impl.h
+++ b/core/entry_impl.h
@@ -17,6 +17,7 @@
 
 #define MH_HOST_NAME_BYTES 64
 #define MH_MAX_NARROW 2
+#define MH_MAX_ENTRIES 512
 
 enum mh_req_state {
 	MH_REQ_FOLLOW, /* waits for a local request of the same key */
@@ -60,6 +61,7 @@
 	uint64_t claim_owner;
 	bool claim_held;
 	bool claim_lost;
+	bool claim_repeated;
 	bool asks_give_way;
 
 	uint64_t due_ns;
@@ -185,6 +187,7 @@
 	struct mh_claim batch[MH_CLAIM_BATCH_MAX];
 	size_t n_batch;
 	uint64_t next_append_ns;
+	uint64_t append_self_until_ns;
 	uint64_t next_snapshot_ms;
 
 	struct mh_req *by_call;
@@ -221,6 +224,8 @@
 void mh_entry_claim(struct mh_entry *e, struct mh_req *req);
 void mh_entry_release_claim(struct mh_entry *e, struct mh_req *req);
 void mh_entry_flush_claims(struct mh_entry *e);
+void mh_entry_repeat_claim(struct mh_entry *e, struct mh_req *req);
+void mh_entry_on_claims(struct mh_entry *e, const Mh__Claims *msg);
 enum mh_error mh_entry_check_key(struct mh_entry *e,
 				 const struct mh_call *call);
 bool mh_entry_claim_is_valid(struct mh_entry *e, const struct mh_req *req);
--- a/core/manifest.c
+++ b/core/manifest.c
@@ -63,6 +63,8 @@
 	      .def_u32 = 60000),
 	FIELD(mh_policy, key_window_s, MH_FIELD_U32, .min = 10, .max = 86400,
 	      .def_u32 = 3600),
+	FIELD(mh_policy, claim_appenders, MH_FIELD_U32, .min = 0, .max = MANY),
+	FIELD(mh_policy, links_per_server, MH_FIELD_U32, .min = 0, .max = MANY),
 	FIELD(mh_policy, appends_per_s, MH_FIELD_U32, .min = 1, .max = 100000,
 	      .def_u32 = 200),
 };
--- a/core/manifest.h
+++ b/core/manifest.h
@@ -84,6 +84,8 @@
  * @keep_ms: how long a side keeps a finished answer for a resend
  * @key_window_s: how long an idempotency key is remembered
  * @appends_per_s: appends that all entries together may make
+ * @claim_appenders: entries that append claims, for the others too; 0 for all
+ * @links_per_server: entries that link to a backend server; 0 for all
  */
 struct mh_policy {
 	uint32_t grant_term_ms;
@@ -92,6 +94,8 @@
 	uint32_t keep_ms;
 	uint32_t key_window_s;
 	uint32_t appends_per_s;
+	uint32_t claim_appenders;
+	uint32_t links_per_server;
 };
 
 struct mh_key_ref {
--- /dev/null
+++ b/core/rendezvous.h
@@ -0,0 +1,31 @@
+/*
+ * Rendezvous hashing: every process that knows the same hosts picks the same
+ * ones for a purpose, and a host that comes or goes moves few of the choices.
+ */
+#ifndef MH_RENDEZVOUS_H
+#define MH_RENDEZVOUS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/**
+ * mh_rendezvous_score() - score of a candidate for a key
+ * @key: what is to be placed
+ * @candidate: name of a host
+ */
+uint64_t mh_rendezvous_score(const char *key, const char *candidate);
+
+/**
+ * mh_rendezvous_chosen() - whether a candidate is among the best for a key
+ * @key: what is to be placed
+ * @self: candidate asked about
+ * @candidates: names of all candidates; @self counts even if it isn't listed
+ * @n: number of @candidates
+ * @want: number of candidates to choose; 0 chooses all
+ */
+bool mh_rendezvous_chosen(const char *key, const char *self,
+			  const char *const *candidates, size_t n,
+			  uint32_t want);
+
+#endif
--- a/entry/app.c
+++ b/entry/app.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "config/logging.h"
+#include "core/rendezvous.h"
 
 #define LOG_CONFIG_READ (1u << 0)
 #define LOG_CLAIMS_READ (1u << 1)
@@ -196,9 +197,39 @@
 };
 
 /* Between two entries, the one whose name sorts first makes the link. */
-static bool dials(const struct mh_app *app, const struct mh_host_entry *host)
+static bool dials_entry(const struct mh_app *app, const char *name)
 {
-	return !host->is_entry || strcmp(app->settings.host, host->name) < 0;
+	return strcmp(app->settings.host, name) < 0;
+}
+
+/* Each backend server is linked to a few entries only, if there are many. */
+static bool dials_server(const struct mh_app *app,
+			 const struct mh_host_snapshot *hosts, const char *name)
+{
+	const struct mh_manifest *m =
+		mh_fold_manifest(mh_entry_fold(app->core));
+	const char **entries = calloc(hosts->n + 1, sizeof(*entries));
+	bool chosen = true;
+	size_t i, n = 0;
+
+	for (i = 0; entries && i < hosts->n; i++) {
+		if (hosts->v[i].is_entry && !hosts->v[i].leaving)
+			entries[n++] = hosts->v[i].name;
+	}
+	if (m && entries)
+		chosen = mh_rendezvous_chosen(name, app->settings.host, entries,
+					      n, m->policy.links_per_server);
+	free(entries);
+	return chosen;
+}
+
+static bool dials(const struct mh_app *app,
+		  const struct mh_host_snapshot *hosts,
+		  const struct mh_host_entry *host)
+{
+	if (host->is_entry)
+		return dials_entry(app, host->name);
+	return dials_server(app, hosts, host->name);
 }
 
 static bool still_dialled(const struct mh_app *app,
@@ -209,7 +240,7 @@
 
 	for (i = 0; i < hosts->n; i++) {
 		if (!strcmp(hosts->v[i].address, address))
-			return dials(app, &hosts->v[i]);
+			return dials(app, hosts, &hosts->v[i]);
 	}
 	return false;
 }
@@ -222,7 +253,7 @@
 
 	for (i = 0; i < hosts->n; i++) {
 		if (strcmp(hosts->v[i].name, app->settings.host) &&
-		    dials(app, &hosts->v[i]))
+		    dials(app, hosts, &hosts->v[i]))
 			mh_links_dial(app->links, hosts->v[i].address);
 	}
 	for (i = 0; (address = mh_links_dialled(app->links, i));) {
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -817,6 +817,51 @@
   assert(message->base.descriptor == &mh__suspect__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mh__claims__init
+                     (Mh__Claims         *message)
+{
+  static const Mh__Claims init_value = MH__CLAIMS__INIT;
+  *message = init_value;
+}
+size_t mh__claims__get_packed_size
+                     (const Mh__Claims *message)
+{
+  assert(message->base.descriptor == &mh__claims__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__claims__pack
+                     (const Mh__Claims *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__claims__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__claims__pack_to_buffer
+                     (const Mh__Claims *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__claims__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__Claims *
+       mh__claims__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__Claims *)
+     protobuf_c_message_unpack (&mh__claims__descriptor,
+                                allocator, len, data);
+}
+void   mh__claims__free_unpacked
+                     (Mh__Claims *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__claims__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mh__side_config__init
                      (Mh__SideConfig         *message)
 {
@@ -2254,6 +2299,44 @@
   (ProtobufCMessageInit) mh__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mh__claims__field_descriptors[1] =
+{
+  {
+    "records",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Claims, records),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__claims__field_indices_by_name[] = {
+  0,   /* field[0] = records */
+};
+static const ProtobufCIntRange mh__claims__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor mh__claims__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.Claims",
+  "Claims",
+  "Mh__Claims",
+  "mh",
+  sizeof(Mh__Claims),
+  1,
+  mh__claims__field_descriptors,
+  mh__claims__field_indices_by_name,
+  1,  mh__claims__number_ranges,
+  (ProtobufCMessageInit) mh__claims__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mh__side_config__field_descriptors[5] =
 {
   {
@@ -2344,7 +2427,7 @@
   (ProtobufCMessageInit) mh__side_config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__frame__field_descriptors[19] =
+static const ProtobufCFieldDescriptor mh__frame__field_descriptors[20] =
 {
   {
     "hello",
@@ -2574,10 +2657,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "claims",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, claims),
+    &mh__claims__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__frame__field_indices_by_name[] = {
   7,   /* field[7] = attach */
   12,   /* field[12] = cancel */
+  19,   /* field[19] = claims */
   15,   /* field[15] = config_pull */
   16,   /* field[16] = config_state */
   10,   /* field[10] = data */
@@ -2599,7 +2695,7 @@
 static const ProtobufCIntRange mh__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor mh__frame__descriptor =
 {
@@ -2609,7 +2705,7 @@
   "Mh__Frame",
   "mh",
   sizeof(Mh__Frame),
-  19,
+  20,
   mh__frame__field_descriptors,
   mh__frame__field_indices_by_name,
   1,  mh__frame__number_ranges,
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -33,6 +33,7 @@
 typedef struct Mh__ConfigPull Mh__ConfigPull;
 typedef struct Mh__ConfigState Mh__ConfigState;
 typedef struct Mh__Suspect Mh__Suspect;
+typedef struct Mh__Claims Mh__Claims;
 typedef struct Mh__SideConfig Mh__SideConfig;
 typedef struct Mh__Frame Mh__Frame;
 
@@ -349,6 +350,19 @@
     , 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * Claims that another entry is asked to append along with its own.
+ */
+struct  Mh__Claims
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData records;
+};
+#define MH__CLAIMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__claims__descriptor) \
+    , {0,NULL} }
+
+
 /*
  * What a side needs of the configuration.
  */
@@ -386,7 +400,8 @@
   MH__FRAME__BODY_CONFIG_PULL = 16,
   MH__FRAME__BODY_CONFIG_STATE = 17,
   MH__FRAME__BODY_SUSPECT = 18,
-  MH__FRAME__BODY_SIDE_CONFIG = 19
+  MH__FRAME__BODY_SIDE_CONFIG = 19,
+  MH__FRAME__BODY_CLAIMS = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MH__FRAME__BODY__CASE)
 } Mh__Frame__BodyCase;
 
@@ -414,6 +429,7 @@
     Mh__ConfigState *config_state;
     Mh__Suspect *suspect;
     Mh__SideConfig *side_config;
+    Mh__Claims *claims;
   };
 };
 #define MH__FRAME__INIT \
@@ -763,6 +779,25 @@
 void   mh__suspect__free_unpacked
                      (Mh__Suspect *message,
                       ProtobufCAllocator *allocator);
+/* Mh__Claims methods */
+void   mh__claims__init
+                     (Mh__Claims         *message);
+size_t mh__claims__get_packed_size
+                     (const Mh__Claims   *message);
+size_t mh__claims__pack
+                     (const Mh__Claims   *message,
+                      uint8_t             *out);
+size_t mh__claims__pack_to_buffer
+                     (const Mh__Claims   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__Claims *
+       mh__claims__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__claims__free_unpacked
+                     (Mh__Claims *message,
+                      ProtobufCAllocator *allocator);
 /* Mh__SideConfig methods */
 void   mh__side_config__init
                      (Mh__SideConfig         *message);
@@ -857,6 +892,9 @@
 typedef void (*Mh__Suspect_Closure)
                  (const Mh__Suspect *message,
                   void *closure_data);
+typedef void (*Mh__Claims_Closure)
+                 (const Mh__Claims *message,
+                  void *closure_data);
 typedef void (*Mh__SideConfig_Closure)
                  (const Mh__SideConfig *message,
                   void *closure_data);
@@ -887,6 +925,7 @@
 extern const ProtobufCMessageDescriptor mh__config_pull__descriptor;
 extern const ProtobufCMessageDescriptor mh__config_state__descriptor;
 extern const ProtobufCMessageDescriptor mh__suspect__descriptor;
+extern const ProtobufCMessageDescriptor mh__claims__descriptor;
 extern const ProtobufCMessageDescriptor mh__side_config__descriptor;
 extern const ProtobufCMessageDescriptor mh__frame__descriptor;
 
--- a/tests/bench.c
+++ b/tests/bench.c
@@ -23,8 +23,8 @@
  * the scenario "saturation". Offered load is stated as a share of it. */
 struct scenario {
 	const char *name;
-	double load;          /* share of the capacity, all tiers */
-	double burst;         /* factor on tier 0 from second 5 to 8 */
+	double load;  /* share of the capacity, all tiers */
+	double burst; /* factor on tier 0 from second 5 to 8 */
 	int resends;
 	uint32_t patience_ms; /* of callers, 0 for none */
 	int flood_account;    /* account that sends half of all, -1 for none */
@@ -73,7 +73,7 @@
 	int tier;
 	uint32_t prompt, output; /* mean sizes */
 	uint32_t deadline_ms;
-	double share;            /* of the offered work */
+	double share; /* of the offered work */
 };
 
 /* Price queries, reports, auction sheets, drafts: sizes a hundredfold apart. */
@@ -226,8 +226,8 @@
 
 struct result {
 	double goodput[3]; /* share of the offered calls */
-	double useful;     /* share of the capacity */
-	double wasted;     /* share of the prompt tokens read */
+	double useful;	   /* share of the capacity */
+	double wasted;	   /* share of the prompt tokens read */
 	double first_ms[3], gap_ms[3];
 	double refusal_ms;
 	double starts_per_call;
@@ -294,9 +294,8 @@
 	world_run(w, 90000 + (uint64_t)step_us * 20);
 	for (i = 0; i < 3; i++) {
 		world_tier(w, i, &t);
-		r->goodput[i] = t.offered ?
-					(double)t.in_time / (double)t.offered :
-					0;
+		r->goodput[i] =
+			t.offered ? (double)t.in_time / (double)t.offered : 0;
 		offered += (double)t.offered;
 	}
 	r->wasted = world_prefilled(w) ? (double)world_wasted_prefill(w) /
--- a/tests/test_properties.cc
+++ b/tests/test_properties.cc
@@ -154,6 +154,7 @@
 	o.batch_percent = 4;
 	o.prefill_tokens = 64;
 	o.delay_us = 1000;
+	o.appenders = static_cast<uint32_t>(s.seed / 16 % 3);
 	o.drop_permille = static_cast<uint32_t>(s.drop);
 	o.dup_permille = static_cast<uint32_t>(s.dup);
 	o.late_permille = static_cast<uint32_t>(s.late);
@@ -168,7 +169,7 @@
 /* What the cases of a property went through, to show that they bite. */
 struct Totals {
 	uint64_t cases, starts, whole, refused, unknown, joined, requeued;
-	uint64_t fenced, duplicates, gaps, claims_lost, shed, lost, adopted;
+	uint64_t fenced, duplicates, gaps, claims_lost, shed, lost, forwarded;
 };
 
 Totals totals;
@@ -193,17 +194,19 @@
 	totals.claims_lost += world_counter(w, MH_C_CLAIMS_LOST);
 	totals.shed += world_counter(w, MH_C_GIVE_WAY_SHED);
 	totals.lost += world_counter(w, MH_C_LINK_LOST);
+	totals.forwarded += world_counter(w, MH_C_CLAIMS_FORWARDED);
 }
 
 void print_totals()
 {
 	printf("  %lu cases: %lu runs, %lu whole, %lu refused, %lu unknown, "
 	       "%lu joined, %lu requeued, %lu fenced, %lu duplicate frames, "
-	       "%lu gaps, %lu claims lost, %lu shed, %lu links lost\n",
+	       "%lu gaps, %lu claims lost, %lu shed, %lu links lost, "
+	       "%lu claim batches forwarded\n",
 	       totals.cases, totals.starts, totals.whole, totals.refused,
 	       totals.unknown, totals.joined, totals.requeued, totals.fenced,
 	       totals.duplicates, totals.gaps, totals.claims_lost, totals.shed,
-	       totals.lost);
+	       totals.lost, totals.forwarded);
 	totals = Totals();
 }
 
--- a/tests/test_unit.c
+++ b/tests/test_unit.c
@@ -18,6 +18,7 @@
 #include "core/fold.h"
 #include "core/heap.h"
 #include "core/lane.h"
+#include "core/rendezvous.h"
 #include "core/side.h"
 #include "entry/parse.h"
 #include "platform/host_list.h"
@@ -816,6 +817,165 @@
 	mh_side_settings_release(&side);
 }
 
+/* ---- placement ---- */
+
+#define N_NAMES 60
+
+static void test_rendezvous_spreads(void **state)
+{
+	static char names[N_NAMES][16];
+	const char *list[N_NAMES];
+	int per_entry[N_NAMES] = { 0 }, moved = 0, i, s;
+
+	(void)state;
+	for (i = 0; i < N_NAMES; i++) {
+		snprintf(names[i], sizeof(names[i]), "entry-%d", i);
+		list[i] = names[i];
+	}
+	for (s = 0; s < 867; s++) {
+		char server[16];
+		int chosen = 0;
+
+		snprintf(server, sizeof(server), "server-%d", s);
+		for (i = 0; i < N_NAMES; i++) {
+			bool now = mh_rendezvous_chosen(server, names[i], list,
+							N_NAMES, 6);
+			/* The same without the last host. */
+			bool then = mh_rendezvous_chosen(server, names[i], list,
+							 N_NAMES - 1, 6);
+
+			chosen += now;
+			per_entry[i] += now;
+			moved += i < N_NAMES - 1 && now != then;
+		}
+		assert_int_equal(chosen, 6);
+	}
+	for (i = 0; i < N_NAMES; i++)
+		assert_in_range(per_entry[i], 50, 130);
+	/* Only what the lost host had moves: one of sixty, and some spread. */
+	assert_in_range(moved, 1, 867 * 6 * 3 / 60);
+}
+
+/* ---- hostile input ---- */
+
+#define FUZZ_ROUNDS 100000
+
+static void ignore_send(void *data, uint32_t link, const Mh__Frame *frame)
+{
+	(void)data;
+	(void)link;
+	(void)frame;
+}
+
+static void ignore_config(void *data, struct mh_manifest *old,
+			  const struct mh_manifest *now)
+{
+	(void)data;
+	(void)now;
+	mh_manifest_free(old);
+}
+
+static const struct mh_entry_ops ignore_ops = {
+	.send = ignore_send,
+	.config_changed = ignore_config,
+};
+
+static size_t random_field(struct mh_rng *rng, uint8_t *buf)
+{
+	size_t i = 0,
+	       len = mh_rng_next(rng) % 2 ? MH_ID_BYTES : mh_rng_next(rng) % 20;
+	uint8_t number = (uint8_t)(1 + mh_rng_next(rng) % 15);
+
+	if (mh_rng_next(rng) % 2) {
+		buf[i++] = (uint8_t)(number << 3);
+		buf[i++] = (uint8_t)(mh_rng_next(rng) % 128);
+		return i;
+	}
+	buf[i++] = (uint8_t)(number << 3 | 2);
+	buf[i++] = (uint8_t)len;
+	while (len--)
+		buf[i++] = (uint8_t)(mh_rng_next(rng) % 128);
+	return i;
+}
+
+/* A frame of any kind with any fields, as a hostile peer may make it. */
+static size_t random_frame(struct mh_rng *rng, uint8_t *buf)
+{
+	unsigned int kind = 1 + (unsigned int)(mh_rng_next(rng) % 20);
+	size_t n = mh_rng_next(rng) % 5, i = 0, length_at;
+
+	buf[i++] = (uint8_t)((kind << 3 | 2) & 0x7f) | (kind > 15 ? 0x80 : 0);
+	if (kind > 15)
+		buf[i++] = 1;
+	length_at = i++;
+	while (n--)
+		i += random_field(rng, buf + i);
+	buf[length_at] = (uint8_t)(i - length_at - 1);
+	return i;
+}
+
+static void test_fuzz_frames(void **state)
+{
+	struct mh_rng rng = { 42 };
+	struct side_fixture fx;
+	struct mh_clock clock = { fixture_mono, fixture_wall, &fx };
+	struct mh_remote peer = { .host = "e", .incarnation = 1, .pool = "" };
+	struct mh_remote server = {
+		.host = "s", .incarnation = 1, .is_side = true, .pool = "p"
+	};
+	struct mh_entry *e;
+	int i, understood = 0;
+
+	(void)state;
+	open_side(&fx);
+	e = mh_entry_new("me", &clock, 1, &ignore_ops, NULL);
+	mh_entry_link_up(e, 1, &peer);
+	mh_entry_link_up(e, 2, &server);
+	for (i = 0; i < FUZZ_ROUNDS; i++) {
+		uint8_t buf[300];
+		size_t len = random_frame(&rng, buf);
+		Mh__Frame *frame = mh__frame__unpack(NULL, len, buf);
+
+		if (!frame)
+			continue;
+		understood++;
+		mh_side_recv(fx.side, 1, frame);
+		mh_entry_recv(e, 1 + (uint32_t)(i % 2), frame);
+		mh__frame__free_unpacked(frame, NULL);
+		fx.now += MS;
+		mh_side_tick(fx.side);
+		mh_entry_tick(e);
+	}
+	assert_true(understood > 1000);
+	mh_entry_free(e);
+	mh_side_free(fx.side);
+}
+
+static void test_fuzz_documents(void **state)
+{
+	struct mh_rng rng = { 43 };
+	size_t len = strlen(good_manifest);
+	char *copy = malloc(len + 1), errors[4096];
+	int i, valid = 0;
+
+	(void)state;
+	for (i = 0; i < 3000; i++) {
+		struct mh_manifest *m;
+
+		memcpy(copy, good_manifest, len + 1);
+		copy[mh_rng_next(&rng) % len] =
+			(char)(32 + mh_rng_next(&rng) % 95);
+		if (i % 2)
+			copy[mh_rng_next(&rng) % len] = '\0';
+		m = read_manifest(copy, errors, sizeof(errors));
+		assert_true(m || *errors);
+		valid += m != NULL;
+		mh_manifest_free(m);
+	}
+	assert_true(valid > 100);
+	free(copy);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -842,6 +1002,9 @@
 		cmocka_unit_test(test_host_list),
 		cmocka_unit_test(test_settings_errors),
 		cmocka_unit_test(test_examples),
+		cmocka_unit_test(test_rendezvous_spreads),
+		cmocka_unit_test(test_fuzz_frames),
+		cmocka_unit_test(test_fuzz_documents),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/world.c
+++ b/tests/world.c
@@ -1094,15 +1094,16 @@
 				  "keys_sha256", hash, "tier", "high", "share",
 				  i < 2 ? 300 : 100, "max_waiting", 100000));
 	}
-	rec = json_pack("{s:s, s:I, s:s, s:s, s:{s:i, s:[{s:s}, {s:s}, {s:s}], "
-			"s:[{s:s, s:s, s:[s], s:i, s:i}], s:o, s:{s:i, s:i}}}",
-			"kind", "manifest", "base", (json_int_t)base, "who",
-			"test", "nonce", "n", "doc", "schema", 1, "tier",
-			"name", "high", "name", "middle", "name", "low", "pool",
-			"name", "llm", "kind", "engine", "models", "m",
-			"max_waiting", (int)w->o.max_waiting, "max_running",
-			(int)w->o.slots, "account", accounts, "policy",
-			"keep_ms", (int)keep_ms, "appends_per_s", 300);
+	rec = json_pack(
+		"{s:s, s:I, s:s, s:s, s:{s:i, s:[{s:s}, {s:s}, {s:s}], "
+		"s:[{s:s, s:s, s:[s], s:i, s:i}], s:o, s:{s:i, s:i, s:i}}}",
+		"kind", "manifest", "base", (json_int_t)base, "who", "test",
+		"nonce", "n", "doc", "schema", 1, "tier", "name", "high",
+		"name", "middle", "name", "low", "pool", "name", "llm", "kind",
+		"engine", "models", "m", "max_waiting", (int)w->o.max_waiting,
+		"max_running", (int)w->o.slots, "account", accounts, "policy",
+		"keep_ms", (int)keep_ms, "appends_per_s", 300,
+		"claim_appenders", (int)w->o.appenders);
 	text = json_dumps(rec, JSON_COMPACT);
 	json_decref(rec);
 	return text;
--- a/tests/world.h
+++ b/tests/world.h
@@ -44,6 +44,7 @@
  * @late_permille: frames that come late and out of order
  * @baseline: what stands in for mangohead, for comparison
  * @load_lag_ms: age of the load that a baseline goes by
+ * @appenders: entries that append claims, 0 for all
  * @policy: number of the entries' policy variant
  * @speed_percent: speed of each backend server, 0 means 100
  */
@@ -62,6 +63,7 @@
 	uint32_t late_permille;
 	enum world_baseline baseline;
 	uint32_t load_lag_ms;
+	uint32_t appenders;
 	unsigned int policy;
 	uint32_t speed_percent[WORLD_MAX_NODES];
 };
