--- a/Makefile
+++ b/Makefile
@@ -146,3 +146,12 @@
 	$(BUILD)/bin/bench --step-ms=30
 
 .PHONY: bench
+
+$(BUILD)/bin/capacity: $(BUILD)/tests/capacity.o $(BUILD)/libmangohead.a
+	$(LINK) -lm
+
+capacity: tests $(BUILD)/bin/capacity
+	$(BUILD)/bin/capacity
+	tools/capacity.sh
+
+.PHONY: capacity
--- a/config/reader.c
+++ b/config/reader.c
@@ -43,39 +43,51 @@
 	rep->count = 0;
 }
 
-static void join_path(char *buf, const char *path, const char *key)
+/* Where a value stands; spelled out only if there is an error to report. */
+struct place {
+	const char *path;
+	const char *key;
+	int line;
+};
+
+static void report_at(struct mh_report *rep, const struct place *at,
+		      const json_t *value, const char *what)
 {
-	snprintf(buf, PATH_BYTES, "%s%s%s", path, *path ? "." : "", key);
+	char full[PATH_BYTES];
+
+	snprintf(full, sizeof(full), "%s%s%s", at->path, *at->path ? "." : "",
+		 at->key);
+	mh_report_add(rep, at->line, full, value, what);
 }
 
-static void read_u32(const struct mh_field *f, const json_t *value, int line,
-		     const char *path, void *member, struct mh_report *rep)
+static void read_u32(const struct mh_field *f, const json_t *value,
+		     const struct place *at, void *member,
+		     struct mh_report *rep)
 {
 	char what[96];
 	json_int_t n;
 
 	if (!json_is_integer(value)) {
-		mh_report_add(rep, line, path, value, "must be an integer");
+		report_at(rep, at, value, "must be an integer");
 		return;
 	}
 	n = json_integer_value(value);
 	if (n < (json_int_t)f->min || n > (json_int_t)f->max) {
 		snprintf(what, sizeof(what), "must be from %u to %u", f->min,
 			 f->max);
-		mh_report_add(rep, line, path, value, what);
+		report_at(rep, at, value, what);
 		return;
 	}
 	*(uint32_t *)member = (uint32_t)n;
 }
 
-static void read_strings(const json_t *value, int line, const char *path,
+static void read_strings(const json_t *value, const struct place *at,
 			 struct mh_strings *dst, struct mh_report *rep)
 {
 	size_t i, n = json_array_size(value);
 
 	if (!json_is_array(value)) {
-		mh_report_add(rep, line, path, value,
-			      "must be an array of strings");
+		report_at(rep, at, value, "must be an array of strings");
 		return;
 	}
 	dst->v = calloc(n ? n : 1, sizeof(*dst->v));
@@ -85,39 +97,38 @@
 		const json_t *item = json_array_get(value, i);
 
 		if (!json_is_string(item)) {
-			mh_report_add(rep, line, path, item,
-				      "must be a string");
+			report_at(rep, at, item, "must be a string");
 			continue;
 		}
 		dst->v[dst->n++] = strdup(json_string_value(item));
 	}
 }
 
-static void read_field(const struct mh_field *f, const json_t *value, int line,
-		       const char *path, void *member, struct mh_report *rep)
+static void read_field(const struct mh_field *f, const json_t *value,
+		       const struct place *at, void *member,
+		       struct mh_report *rep)
 {
 	switch (f->type) {
 	case MH_FIELD_STRING:
 		if (!json_is_string(value) || !*json_string_value(value)) {
-			mh_report_add(rep, line, path, value,
-				      "must be a string that is not empty");
+			report_at(rep, at, value,
+				  "must be a string that is not empty");
 			return;
 		}
 		*(char **)member = strdup(json_string_value(value));
 		return;
 	case MH_FIELD_U32:
-		read_u32(f, value, line, path, member, rep);
+		read_u32(f, value, at, member, rep);
 		return;
 	case MH_FIELD_BOOL:
 		if (!json_is_boolean(value)) {
-			mh_report_add(rep, line, path, value,
-				      "must be true or false");
+			report_at(rep, at, value, "must be true or false");
 			return;
 		}
 		*(bool *)member = json_is_true(value);
 		return;
 	case MH_FIELD_STRINGS:
-		read_strings(value, line, path, member, rep);
+		read_strings(value, at, member, rep);
 		return;
 	}
 }
@@ -162,7 +173,6 @@
 		     const struct mh_field *fields, size_t n_fields,
 		     const char *const *known, void *dst, struct mh_report *rep)
 {
-	char full[PATH_BYTES];
 	const char *key;
 	json_t *value;
 	size_t i;
@@ -173,29 +183,23 @@
 	}
 	for (i = 0; i < n_fields; i++) {
 		const struct mh_field *f = &fields[i];
+		struct place at = { path, f->key, mh_toml_line(table, f->key) };
 		void *member = (char *)dst + f->offset;
 
-		join_path(full, path, f->key);
 		value = json_object_get(table, f->key);
-		set_default(f, member);
-		if (!value) {
-			if (f->required)
-				mh_report_add(rep, 0, full, NULL, "is missing");
+		if (value) {
+			read_field(f, value, &at, member, rep);
 			continue;
 		}
-		if (f->type == MH_FIELD_STRING) {
-			free(*(char **)member);
-			*(char **)member = NULL;
-		}
-		read_field(f, value, mh_toml_line(table, f->key), full, member,
-			   rep);
+		set_default(f, member);
+		if (f->required)
+			report_at(rep, &at, NULL, "is missing");
 	}
 	json_object_foreach((json_t *)table, key, value) {
-		if (key_known(fields, n_fields, known, key))
-			continue;
-		join_path(full, path, key);
-		mh_report_add(rep, mh_toml_line(table, key), full, value,
-			      "is not a known key");
+		struct place at = { path, key, mh_toml_line(table, key) };
+
+		if (!key_known(fields, n_fields, known, key))
+			report_at(rep, &at, value, "is not a known key");
 	}
 }
 
--- a/core/entry.c
+++ b/core/entry.c
@@ -6,7 +6,7 @@
 
 #include "core/entry_impl.h"
 
-#define PING_INTERVAL_NS (500 * MH_NS_PER_MS)
+#define PING_INTERVAL_NS (1000 * MH_NS_PER_MS)
 #define TICK_NS (50 * MH_NS_PER_MS)
 #define RETRY_BASE_MS 500
 #define RETRY_SPREAD_MS 2000
@@ -505,7 +505,7 @@
 	s->up = true;
 	s->leaving = false;
 	s->want_known = false;
-	s->want_dirty = true;
+	mh_server_want_changed(e, s);
 	send_ping(e, link, s->host);
 	send_side_config(e, s);
 	mh_entry_server_up(e, s);
@@ -587,7 +587,7 @@
 	mh_count(&e->counters, MH_C_CONFIG_CHANGES);
 	e->ops->config_changed(e->data, old, now);
 	DL_FOREACH(e->servers, s) {
-		s->want_dirty = true;
+		mh_server_want_changed(e, s);
 		send_side_config(e, s);
 	}
 }
@@ -604,7 +604,7 @@
 {
 	if (s && s->leaving != (bool)msg->leaving) {
 		s->leaving = msg->leaving;
-		s->want_dirty = true;
+		mh_server_want_changed(e, s);
 	}
 	if (s && msg->config_offset < s->config_sent)
 		send_side_config(e, s);
@@ -731,7 +731,7 @@
 	}
 	mark_peers(e);
 	DL_FOREACH(e->servers, s)
-		s->want_dirty = true;
+		mh_server_want_changed(e, s);
 }
 
 void mh_entry_config_start(struct mh_entry *e, uint64_t first_offset)
--- a/core/entry_impl.h
+++ b/core/entry_impl.h
@@ -198,6 +198,8 @@
 	struct mh_lane **lanes;
 	size_t n_lanes;
 	struct mh_server *servers;
+	bool wants_dirty;
+	uint64_t next_want_scan_ns;
 	struct mh_peer *peers;
 	struct mh_ask *asks;
 	struct mh_debt *debts;
@@ -218,6 +220,7 @@
 void mh_entry_finish(struct mh_entry *e, struct mh_req *req);
 void mh_entry_send(struct mh_entry *e, uint32_t link, const Mh__Frame *frame);
 const struct mh_manifest *mh_entry_manifest(const struct mh_entry *e);
+void mh_server_want_changed(struct mh_entry *e, struct mh_server *s);
 bool mh_server_takes_work(const struct mh_entry *e, const struct mh_server *s);
 
 /* entry_claim.c */
--- a/core/entry_queue.c
+++ b/core/entry_queue.c
@@ -132,7 +132,14 @@
 	return best;
 }
 
-static void ask_server(struct mh_req *req, struct mh_server *s)
+void mh_server_want_changed(struct mh_entry *e, struct mh_server *s)
+{
+	s->want_dirty = true;
+	e->wants_dirty = true;
+}
+
+static void ask_server(struct mh_entry *e, struct mh_req *req,
+		       struct mh_server *s)
 {
 	int i;
 
@@ -143,7 +150,7 @@
 			continue;
 		req->asked[i] = s;
 		s->narrow[req->waiter.tier]++;
-		s->want_dirty = true;
+		mh_server_want_changed(e, s);
 		return;
 	}
 }
@@ -154,11 +161,11 @@
 
 	DL_FOREACH(e->servers, s) {
 		if (s->up && mh_server_serves(s, lane->pool, lane->model))
-			s->want_dirty = true;
+			mh_server_want_changed(e, s);
 	}
 }
 
-static void forget_asked(struct mh_req *req)
+static void forget_asked(struct mh_entry *e, struct mh_req *req)
 {
 	int i;
 
@@ -168,7 +175,7 @@
 		if (!s)
 			continue;
 		s->narrow[req->waiter.tier]--;
-		s->want_dirty = true;
+		mh_server_want_changed(e, s);
 		req->asked[i] = NULL;
 	}
 }
@@ -178,7 +185,7 @@
 	mh_entry_set_due(e, req, e->policy->expiry_ns(e, req));
 	if (req->wide)
 		return;
-	forget_asked(req);
+	forget_asked(e, req);
 	req->wide = true;
 	req->lane->wide[req->waiter.tier]++;
 	mark_lane(e, req->lane);
@@ -203,7 +210,7 @@
 		mh_entry_widen(e, req);
 		return;
 	}
-	ask_server(req, near);
+	ask_server(e, req, near);
 	widen_ns = mh_entry_now(e) + m->policy.widen_ms * MH_NS_PER_MS;
 	expiry_ns = e->policy->expiry_ns(e, req);
 	mh_entry_set_due(e, req, widen_ns < expiry_ns ? widen_ns : expiry_ns);
@@ -215,7 +222,7 @@
 		mh_lane_serve(req->lane, &req->waiter);
 	else
 		mh_lane_remove(req->lane, &req->waiter);
-	forget_asked(req);
+	forget_asked(e, req);
 	if (!req->wide)
 		return;
 	req->wide = false;
@@ -379,6 +386,10 @@
 	uint64_t now = mh_entry_now(e);
 	struct mh_server *s;
 
+	if (!e->wants_dirty && now < e->next_want_scan_ns)
+		return;
+	e->wants_dirty = false;
+	e->next_want_scan_ns = now + WANT_REFRESH_NS;
 	DL_FOREACH(e->servers, s) {
 		uint32_t want[MH_MAX_TIERS];
 
--- a/core/entry_run.c
+++ b/core/entry_run.c
@@ -202,7 +202,7 @@
 	if (!req) {
 		/* The side's picture of the demand is old; renew it. */
 		s->want_known = false;
-		s->want_dirty = true;
+		mh_server_want_changed(e, s);
 		send_return(e, s, msg->grant_id);
 		return;
 	}
--- a/core/manifest.c
+++ b/core/manifest.c
@@ -332,9 +332,10 @@
 	return json_array_size(array);
 }
 
+/* Entries that don't change are shared with the former document. */
 static void merge_named(json_t *array, json_t *changes)
 {
-	json_t *entry;
+	json_t *entry, *merged;
 	size_t i;
 
 	json_array_foreach(changes, i, entry) {
@@ -342,13 +343,25 @@
 		size_t at =
 			name ? find_named(array, name) : json_array_size(array);
 
-		if (at < json_array_size(array) && json_is_object(entry))
-			json_object_update(json_array_get(array, at), entry);
-		else
+		if (at == json_array_size(array) || !json_is_object(entry)) {
 			json_array_append(array, entry);
+			continue;
+		}
+		merged = json_copy(json_array_get(array, at));
+		json_object_update(merged, entry);
+		json_array_set_new(array, at, merged);
 	}
 }
 
+/* A section of @doc that may be changed without changing its origin. */
+static json_t *own_section(json_t *doc, const char *name)
+{
+	json_t *copy = json_copy(json_object_get(doc, name));
+
+	json_object_set_new(doc, name, copy);
+	return copy;
+}
+
 static void remove_named(json_t *doc, const char *ref)
 {
 	const char *colon = strchr(ref, ':');
@@ -359,13 +372,15 @@
 		return;
 	memcpy(section_name, ref, (size_t)(colon - ref));
 	section_name[colon - ref] = '\0';
-	array = json_object_get(doc, section_name);
+	if (!json_is_array(json_object_get(doc, section_name)))
+		return;
+	array = own_section(doc, section_name);
 	json_array_remove(array, find_named(array, colon + 1));
 }
 
 json_t *mh_manifest_merge(const json_t *doc, const json_t *delta)
 {
-	json_t *merged = json_deep_copy(doc), *value;
+	json_t *merged = json_copy((json_t *)doc), *value;
 	const char *key;
 	size_t i;
 
@@ -382,9 +397,9 @@
 			continue;
 		if (json_is_array(old) && json_is_array(value) &&
 		    json_is_object(json_array_get(value, 0)))
-			merge_named(old, value);
+			merge_named(own_section(merged, key), value);
 		else if (json_is_object(old) && json_is_object(value))
-			json_object_update(old, value);
+			json_object_update(own_section(merged, key), value);
 		else
 			json_object_set(merged, key, value);
 	}
--- a/core/side.c
+++ b/core/side.c
@@ -6,7 +6,7 @@
 
 #include "core/side_impl.h"
 
-#define PING_INTERVAL_NS (500 * MH_NS_PER_MS)
+#define PING_INTERVAL_NS (1000 * MH_NS_PER_MS)
 #define TICK_NS (50 * MH_NS_PER_MS)
 #define SWEEP_NS (500 * MH_NS_PER_MS)
 
--- a/net/link.c
+++ b/net/link.c
@@ -18,6 +18,8 @@
 #define READ_BYTES 65536
 #define HANDSHAKE_NS (3000 * MH_NS_PER_MS)
 #define SILENCE_NS (3000 * MH_NS_PER_MS)
+/* Time between two looks for silent links and for those to reconnect. */
+#define SCAN_NS (50 * MH_NS_PER_MS)
 #define BACKOFF_FIRST_MS 50
 #define BACKOFF_MAX_MS 2000
 #define LISTEN_BACKLOG 128
@@ -46,6 +48,7 @@
 	struct mh_watch watch;
 	struct buffer in;
 	struct buffer out;
+	struct link *next_dirty;
 	bool dirty;
 	bool want_write;
 	uint8_t nonce[NONCE_BYTES];
@@ -72,6 +75,8 @@
 	struct mh_rng rng;
 	struct mh_watch listener;
 	struct link *links;
+	struct link *dirty; /* have something to write, or are to be freed */
+	uint64_t next_scan_ns;
 	struct dialled *dialled;
 	uint32_t next_id;
 };
@@ -182,6 +187,15 @@
 		d->backoff_ms = BACKOFF_MAX_MS;
 }
 
+static void mark_dirty(struct link *l)
+{
+	if (l->dirty)
+		return;
+	l->dirty = true;
+	l->next_dirty = l->set->dirty;
+	l->set->dirty = l;
+}
+
 /* The link is freed by the next flush, since its caller may still use it. */
 static void close_link(struct link *l)
 {
@@ -190,6 +204,7 @@
 	if (l->state == LINK_CLOSED)
 		return;
 	l->state = LINK_CLOSED;
+	mark_dirty(l);
 	mh_loop_remove(l->set->loop, &l->watch);
 	close(l->watch.fd);
 	if (l->dialled)
@@ -261,7 +276,7 @@
 	memcpy(p, &header, HEADER_BYTES);
 	mh__frame__pack(frame, p + HEADER_BYTES);
 	l->out.len += HEADER_BYTES + len;
-	l->dirty = true;
+	mark_dirty(l);
 	mh_count(set->counters, MH_C_FRAMES_OUT);
 	if (!is_payload(frame))
 		mh_count_add(set->counters, MH_C_CONTROL_BYTES_OUT,
@@ -629,20 +644,29 @@
 	return now > l->heard_ns + HANDSHAKE_NS;
 }
 
-void mh_links_flush(struct mh_links *set)
+static void write_dirty(struct mh_links *set)
+{
+	struct link *l;
+
+	while ((l = set->dirty)) {
+		set->dirty = l->next_dirty;
+		l->dirty = false;
+		if (l->state != LINK_CLOSED && !l->want_write)
+			write_out(l);
+		/* A link that broke just now is on the list again. */
+		if (l->state == LINK_CLOSED && !l->dirty)
+			free_link(l);
+	}
+}
+
+static void scan(struct mh_links *set, uint64_t now)
 {
-	uint64_t now = now_ns();
 	struct link *l, *tmp;
 	struct dialled *d;
 
 	HASH_ITER(hh, set->links, l, tmp) {
 		if (l->state != LINK_CLOSED && silent(l, now))
 			close_link(l);
-		if (l->state != LINK_CLOSED && l->dirty && !l->want_write)
-			write_out(l);
-		l->dirty = false;
-		if (l->state == LINK_CLOSED)
-			free_link(l);
 	}
 	DL_FOREACH(set->dialled, d) {
 		if (!d->link && now >= d->retry_ns)
@@ -650,6 +674,17 @@
 	}
 }
 
+void mh_links_flush(struct mh_links *set)
+{
+	uint64_t now = now_ns();
+
+	if (now >= set->next_scan_ns) {
+		set->next_scan_ns = now + SCAN_NS;
+		scan(set, now);
+	}
+	write_dirty(set);
+}
+
 size_t mh_links_unsent(const struct mh_links *set)
 {
 	struct link *l, *tmp;
