--- /dev/null
+++ b/completions/mangohead.bash
@@ -0,0 +1,21 @@
+# Completion for bash: source it, or install it in bash-completion's folder.
+_mangohead_daemon() {
+	local cur=${COMP_WORDS[COMP_CWORD]} prev=${COMP_WORDS[COMP_CWORD - 1]}
+	if [ "$prev" = --config ] || [ "$prev" = -c ]; then
+		COMPREPLY=($(compgen -f -- "$cur"))
+	else
+		COMPREPLY=($(compgen -W "--config --check --help --version" \
+			-- "$cur"))
+	fi
+}
+_mangoctl() {
+	local cur=${COMP_WORDS[COMP_CWORD]} prev=${COMP_WORDS[COMP_CWORD - 1]}
+	case $prev in
+	check | publish) COMPREPLY=($(compgen -f -- "$cur")) ;;
+	*) COMPREPLY=($(compgen -W "check publish manifest status audit drain
+		undrain explain --server --token --base --note --delta --json
+		--help --version" -- "$cur")) ;;
+	esac
+}
+complete -F _mangohead_daemon mangohead-entry mangohead-side
+complete -F _mangoctl mangoctl
--- a/core/claims.c
+++ b/core/claims.c
@@ -40,6 +40,11 @@
 	return c;
 }
 
+void mh_claims_set_window(struct mh_claims *c, uint32_t window_s)
+{
+	c->window_ms = window_s * MH_MS_PER_S;
+}
+
 void mh_claims_free(struct mh_claims *c)
 {
 	int i;
--- a/core/claims.h
+++ b/core/claims.h
@@ -39,6 +39,13 @@
  */
 struct mh_claims *mh_claims_new(uint32_t window_s);
 
+/**
+ * mh_claims_set_window() - change how long claims are kept at least
+ * @c: table
+ * @window_s: new window; claims that are gone already stay gone
+ */
+void mh_claims_set_window(struct mh_claims *c, uint32_t window_s);
+
 /**
  * mh_claims_free() - free a table
  * @c: table or NULL
--- a/core/entry.c
+++ b/core/entry.c
@@ -53,6 +53,7 @@
 	e->data = data;
 	e->policy = &mh_policy_default;
 	e->fold = mh_fold_new();
+	e->key_window_s = DEFAULT_KEY_WINDOW_S;
 	e->claims = mh_claims_new(DEFAULT_KEY_WINDOW_S);
 	mh_heap_init(&e->due, due_earlier, offsetof(struct mh_req, due_index));
 	if (!e->fold || !e->claims) {
@@ -467,6 +468,7 @@
 	msg.max_running = pool ? pool->max_running : 0;
 	msg.reserve_percent = pool ? pool->reserve_percent : 0;
 	msg.keep_ms = m->policy.keep_ms;
+	msg.grant_term_ms = m->policy.grant_term_ms;
 	frame.body_case = MH__FRAME__BODY_SIDE_CONFIG;
 	frame.side_config = &msg;
 	mh_entry_send(e, s->link, &frame);
@@ -585,6 +587,7 @@
 	if (!now)
 		return;
 	mh_count(&e->counters, MH_C_CONFIG_CHANGES);
+	mh_entry_set_key_window(e, now->policy.key_window_s);
 	e->ops->config_changed(e->data, old, now);
 	DL_FOREACH(e->servers, s) {
 		mh_server_want_changed(e, s);
--- a/core/entry_claim.c
+++ b/core/entry_claim.c
@@ -35,6 +35,26 @@
 	       key_ms > e->claims_first_ms + START_SKEW_MS;
 }
 
+/* Only keys younger than this are known in full. */
+static void trust_from(struct mh_entry *e, uint64_t from_ms)
+{
+	if (e->claims_truncated && e->claims_first_ms >= from_ms)
+		return;
+	e->claims_truncated = true;
+	e->claims_first_ms = from_ms;
+}
+
+void mh_entry_set_key_window(struct mh_entry *e, uint32_t window_s)
+{
+	uint64_t now_ms = mh_clock_wall_ms(&e->clock);
+
+	/* Claims that a shorter window let go of are not known any more. */
+	if (window_s > e->key_window_s)
+		trust_from(e, now_ms - e->key_window_s * MH_MS_PER_S);
+	e->key_window_s = window_s;
+	mh_claims_set_window(e->claims, window_s);
+}
+
 enum mh_error mh_entry_check_key(struct mh_entry *e, const struct mh_call *call)
 {
 	if (!call->has_key)
@@ -262,8 +282,8 @@
 		return;
 	/* Records between what was read and the start are lost to us. */
 	e->claims_started = true;
-	e->claims_truncated = first_offset > 0;
-	e->claims_first_ms = first_ms;
+	if (first_offset > 0)
+		trust_from(e, first_ms);
 	e->claims_next = first_offset;
 }
 
--- a/core/entry_impl.h
+++ b/core/entry_impl.h
@@ -182,6 +182,7 @@
 	uint64_t claims_next;
 	uint64_t claims_first_ms;
 	bool claims_truncated;
+	uint32_t key_window_s;
 	bool claims_started;
 	bool log_up;
 	struct mh_claim batch[MH_CLAIM_BATCH_MAX];
@@ -226,6 +227,7 @@
 /* entry_claim.c */
 void mh_entry_claim(struct mh_entry *e, struct mh_req *req);
 void mh_entry_release_claim(struct mh_entry *e, struct mh_req *req);
+void mh_entry_set_key_window(struct mh_entry *e, uint32_t window_s);
 void mh_entry_flush_claims(struct mh_entry *e);
 void mh_entry_repeat_claim(struct mh_entry *e, struct mh_req *req);
 void mh_entry_on_claims(struct mh_entry *e, const Mh__Claims *msg);
--- a/core/side.c
+++ b/core/side.c
@@ -17,6 +17,7 @@
 #define CRASH_WINDOW_NS (100 * MH_NS_PER_MS)
 
 #define DEFAULT_KEEP_MS 60000
+#define DEFAULT_GRANT_TERM_MS 250
 
 uint64_t mh_side_now(struct mh_side *s)
 {
@@ -40,6 +41,7 @@
 	s->max_running = slots;
 	s->limit = slots;
 	s->keep_ms = DEFAULT_KEEP_MS;
+	s->grant_term_ms = DEFAULT_GRANT_TERM_MS;
 	return s;
 }
 
@@ -157,6 +159,8 @@
 	s->config_draining = msg->draining;
 	s->reserve_percent = msg->reserve_percent;
 	s->keep_ms = msg->keep_ms;
+	if (msg->grant_term_ms)
+		s->grant_term_ms = msg->grant_term_ms;
 	if (!msg->max_running || msg->max_running == s->max_running)
 		return;
 	s->max_running = msg->max_running;
--- a/core/side_grant.c
+++ b/core/side_grant.c
@@ -6,7 +6,6 @@
 
 #include "core/side_impl.h"
 
-#define GRANT_TERM_NS (250 * MH_NS_PER_MS)
 #define ADJUST_NS (200 * MH_NS_PER_MS)
 
 /* The backend is too full when pieces take this much longer than at best. */
@@ -177,12 +176,12 @@
 		return;
 	g->id = mh_rng_next(&s->rng);
 	g->link = l->link;
-	g->expiry_ns = mh_side_now(s) + GRANT_TERM_NS;
+	g->expiry_ns = mh_side_now(s) + s->grant_term_ms * MH_NS_PER_MS;
 	DL_APPEND(s->grants, g);
 	s->n_grants++;
 	l->outstanding++;
 	msg.grant_id = g->id;
-	msg.term_ms = GRANT_TERM_NS / MH_NS_PER_MS;
+	msg.term_ms = s->grant_term_ms;
 	msg.lowest_tier = (uint32_t)lowest;
 	frame.body_case = MH__FRAME__BODY_GRANT;
 	frame.grant = &msg;
--- a/core/side_impl.h
+++ b/core/side_impl.h
@@ -106,6 +106,7 @@
 	uint32_t max_running;
 	uint32_t reserve_percent;
 	uint32_t keep_ms;
+	uint32_t grant_term_ms;
 
 	uint32_t limit;
 	uint64_t next_adjust_ns;
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -2337,7 +2337,7 @@
   (ProtobufCMessageInit) mh__claims__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__side_config__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mh__side_config__field_descriptors[6] =
 {
   {
     "as_of",
@@ -2399,10 +2399,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "grant_term_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__SideConfig, grant_term_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__side_config__field_indices_by_name[] = {
   0,   /* field[0] = as_of */
   1,   /* field[1] = draining */
+  5,   /* field[5] = grant_term_ms */
   4,   /* field[4] = keep_ms */
   2,   /* field[2] = max_running */
   3,   /* field[3] = reserve_percent */
@@ -2410,7 +2423,7 @@
 static const ProtobufCIntRange mh__side_config__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mh__side_config__descriptor =
 {
@@ -2420,7 +2433,7 @@
   "Mh__SideConfig",
   "mh",
   sizeof(Mh__SideConfig),
-  5,
+  6,
   mh__side_config__field_descriptors,
   mh__side_config__field_indices_by_name,
   1,  mh__side_config__number_ranges,
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -374,10 +374,11 @@
   uint32_t max_running;
   uint32_t reserve_percent;
   uint32_t keep_ms;
+  uint32_t grant_term_ms;
 };
 #define MH__SIDE_CONFIG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__side_config__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -47,7 +47,7 @@
 	[platform]
 	log_url = "http://127.0.0.1:$BASE"
 	hosts_url = "http://127.0.0.1:$((BASE + 1))/hosts"
-	hosts_poll_ms = 200
+	hosts_poll_ms = ${HOSTS_POLL_MS:-200}
 	[admin]
 	bootstrap_token_sha256 = "$(printf %s $TOKEN | sha256sum | cut -d' ' -f1)"
 	[link]
--- a/tests/test_processes.sh
+++ b/tests/test_processes.sh
@@ -434,6 +434,29 @@
 	return $rc
 }
 
+# The page that describes the API names just what answers.
+t_openapi() {
+	local path method url code
+	while read -r path method; do
+		url=$(echo "$path" | sed 's/{[a-z]*}/x/')
+		code=$(curl -s -o /dev/null -w '%{http_code}' -X $method \
+			http://127.0.0.1:$(($(entry_port 1) + 1))$url)
+		[ $code = 401 ] || return 1
+		[ $method = POST ] && continue
+		code=$(curl -s -o /dev/null -w '%{http_code}' -X $method \
+			-H "Authorization: Bearer $TOKEN" \
+			http://127.0.0.1:$(($(entry_port 1) + 1))$url)
+		[ $code = 200 ] || [[ $path = *requests* && $code = 404 ]] ||
+			return 1
+	done < <(python3 -c 'import json
+for p, o in json.load(open("docs/openapi.json"))["paths"].items():
+	print(p, " ".join(o).upper())')
+	code=$(curl -s -o /dev/null -w '%{http_code}' -H \
+		"Authorization: Bearer $TOKEN" \
+		http://127.0.0.1:$(($(entry_port 1) + 1))/admin/v1/nothing)
+	[ $code = 404 ] && [ "$(grep -c '"/admin' docs/openapi.json)" = 7 ]
+}
+
 t_explain() {
 	chat 1 "explain me" 4 false -H "X-Request-Id: explain-1" >/dev/null
 	ctl 1 explain explain-1 | grep -q 'explain-1.*: ok, run, account kontor'
@@ -486,6 +509,7 @@
 check "rolling restart under load cuts nothing" t_rolling_restart
 check "a second signal ends at once" t_second_signal_ends
 check "explain tells what became of a request" t_explain
+check "the API page is true" t_openapi
 check "settings are checked" t_settings_check
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
--- a/tests/test_unit.c
+++ b/tests/test_unit.c
@@ -856,9 +856,7 @@
 	assert_in_range(moved, 1, 867 * 6 * 3 / 60);
 }
 
-/* ---- hostile input ---- */
-
-#define FUZZ_ROUNDS 100000
+/* ---- keys at an entry ---- */
 
 static void ignore_send(void *data, uint32_t link, const Mh__Frame *frame)
 {
@@ -875,6 +873,97 @@
 	mh_manifest_free(old);
 }
 
+static enum mh_error last_refusal;
+
+static void note_refusal(void *data, struct mh_call *call,
+			 const struct mh_refusal *refusal)
+{
+	(void)data;
+	(void)call;
+	last_refusal = refusal->error;
+}
+
+static void ignore_record(void *data, const uint8_t *rec, size_t len)
+{
+	(void)data;
+	(void)rec;
+	(void)len;
+}
+
+static enum mh_error submit_key(struct mh_entry *e, struct side_fixture *fx,
+				uint64_t age_ms)
+{
+	struct mh_call call = { .account = "a",
+				.pool = "p",
+				.model = "m",
+				.method = "POST",
+				.path = "/",
+				.content_type = "",
+				.non_idempotent = true,
+				.has_key = true,
+				.deadline_ns = fx->now + 1000 * MS };
+
+	mh_id_make_v7(&call.id, 1, age_ms, age_ms);
+	mh_id_make_v7(&call.key, fixture_wall(fx) - age_ms, age_ms, 1);
+	last_refusal = MH_OK;
+	mh_entry_submit(e, &call);
+	mh_entry_cancel(e, &call);
+	return last_refusal;
+}
+
+static void configure(struct mh_entry *e, uint64_t offset, uint32_t window_s)
+{
+	char rec[1024];
+
+	snprintf(rec, sizeof(rec),
+		 "{\"kind\":\"manifest\",\"base\":%llu,\"who\":\"w\","
+		 "\"doc\":{\"schema\":1,\"tier\":[{\"name\":\"t\"}],"
+		 "\"pool\":[{\"name\":\"p\",\"kind\":\"engine\","
+		 "\"models\":[\"m\"]}],\"account\":[{\"name\":\"a\","
+		 "\"tier\":\"t\",\"keys_sha256\":[]}],"
+		 "\"policy\":{\"key_window_s\":%u}}}",
+		 (unsigned long long)offset, window_s);
+	mh_entry_config_record(e, offset, 1, rec, strlen(rec));
+}
+
+/* A key is taken only if every claim on it would still be known. */
+static void test_key_window(void **state)
+{
+	static const struct mh_entry_ops ops = {
+		.send = ignore_send,
+		.refuse = note_refusal,
+		.append_claims = ignore_record,
+		.config_changed = ignore_config,
+	};
+	struct side_fixture fx = { .now = 100000000 * MS };
+	struct mh_clock clock = { fixture_mono, fixture_wall, &fx };
+	struct mh_entry *e = mh_entry_new("me", &clock, 1, &ops, NULL);
+	const uint64_t hour_ms = 3600000;
+
+	(void)state;
+	configure(e, 0, 3600);
+	assert_int_equal(submit_key(e, &fx, 0), MH_ERR_LOG_UNAVAILABLE);
+	mh_entry_claims_start(e, 0, 0);
+	mh_entry_log_state(e, true);
+	assert_int_equal(submit_key(e, &fx, 0), MH_OK);
+	assert_int_equal(submit_key(e, &fx, hour_ms), MH_ERR_KEY_EXPIRED);
+	/* A longer window doesn't bring back what was let go. */
+	configure(e, 1, 4 * 3600);
+	assert_int_equal(submit_key(e, &fx, hour_ms / 2), MH_OK);
+	assert_int_equal(submit_key(e, &fx, hour_ms + 1), MH_ERR_KEY_EXPIRED);
+	fx.now += 2 * hour_ms * MS;
+	assert_int_equal(submit_key(e, &fx, 2 * hour_ms), MH_OK);
+	/* The log has lost records that were not read. */
+	mh_entry_claims_start(e, 50, fixture_wall(&fx) - hour_ms);
+	assert_int_equal(submit_key(e, &fx, 2 * hour_ms), MH_ERR_KEY_EXPIRED);
+	assert_int_equal(submit_key(e, &fx, hour_ms / 2), MH_OK);
+	mh_entry_free(e);
+}
+
+/* ---- hostile input ---- */
+
+#define FUZZ_ROUNDS 100000
+
 static const struct mh_entry_ops ignore_ops = {
 	.send = ignore_send,
 	.config_changed = ignore_config,
@@ -1003,6 +1092,7 @@
 		cmocka_unit_test(test_settings_errors),
 		cmocka_unit_test(test_examples),
 		cmocka_unit_test(test_rendezvous_spreads),
+		cmocka_unit_test(test_key_window),
 		cmocka_unit_test(test_fuzz_frames),
 		cmocka_unit_test(test_fuzz_documents),
 	};
--- a/tools/capacity.sh
+++ b/tools/capacity.sh
@@ -5,6 +5,8 @@
 BASE=${BASE:-21000}
 . tests/site.sh
 SECONDS_EACH=${SECONDS_EACH:-6}
+IDLE_SECONDS=${IDLE_SECONDS:-20}
+HOSTS_POLL_MS=1000
 
 cpu_ms() { # NAME
 	awk '{ print ($14 + $15) * 10 }' /proc/$(pid_of $1)/stat
@@ -27,11 +29,11 @@
 	c0=$(cpu_ms entry1)
 	b0=$(metric $(entry_url) link_bytes_out)
 	i0=$(metric $(entry_url) link_bytes_in)
-	sleep $SECONDS_EACH
+	sleep $IDLE_SECONDS
 	c1=$(cpu_ms entry1)
 	b1=$(metric $(entry_url) link_bytes_out)
 	i1=$(metric $(entry_url) link_bytes_in)
-	awk -v n=$1 -v s=$SECONDS_EACH -v c=$((c1 - c0)) -v o=$((b1 - b0)) \
+	awk -v n=$1 -v s=$IDLE_SECONDS -v c=$((c1 - c0)) -v o=$((b1 - b0)) \
 		-v i=$((i1 - i0)) -v r=$(rss_mb entry1) 'BEGIN {
 		printf "idle, %d links: %.2f %% of a core, %.0f B/s out, " \
 			"%.0f B/s in, %s MB\n", n, c / s / 10, o / s, i / s, r }'
