--- a/entry/admin.c
+++ b/entry/admin.c
@@ -423,6 +423,8 @@
 		struct drain_change c = { .host = host, .drain = drain };
 
 		mh_app_sync(ar->app, build_drain, &c);
+		if (!c.drained)
+			return MHD_NO;
 		memset(&p, 0, sizeof(p));
 		p.kind = "delta";
 		p.who = ar->operator_name;
@@ -464,6 +466,8 @@
 	struct explain_query q = { .id = ar->path + strlen("requests/") };
 
 	mh_app_sync(ar->app, explain, &q);
+	if (!q.found)
+		return MHD_NO;
 	if (json_array_size(q.found))
 		return mh_http_reply_json(ar->conn, 200, q.found);
 	json_decref(q.found);
@@ -478,6 +482,8 @@
 	json_t *doc = NULL;
 
 	mh_app_sync(ar->app, fn, &doc);
+	if (!doc)
+		return MHD_NO;
 	return mh_http_reply_json(ar->conn, 200, doc);
 }
 
--- a/entry/app.c
+++ b/entry/app.c
@@ -5,10 +5,12 @@
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "config/logging.h"
 #include "core/rendezvous.h"
 
+#define SYNC_LOOK_MS 100
 #define LOG_CONFIG_READ (1u << 0)
 #define LOG_CLAIMS_READ (1u << 1)
 #define LOG_APPEND (1u << 2)
@@ -35,6 +37,18 @@
 	pthread_mutex_unlock(&sync->lock);
 }
 
+/* With the lock held. Looks up now and then whether the loop has ended. */
+static void wait_a_while(struct sync_task *sync)
+{
+	struct timespec until;
+
+	clock_gettime(CLOCK_REALTIME, &until);
+	until.tv_nsec += SYNC_LOOK_MS * (long)MH_NS_PER_MS;
+	until.tv_sec += until.tv_nsec / 1000000000;
+	until.tv_nsec %= 1000000000;
+	pthread_cond_timedwait(&sync->done_cond, &sync->lock, &until);
+}
+
 void mh_app_sync(struct mh_app *app, void (*fn)(struct mh_app *, void *),
 		 void *arg)
 {
@@ -47,8 +61,8 @@
 
 	mh_loop_post(app->loop, &sync.task);
 	pthread_mutex_lock(&sync.lock);
-	while (!sync.done)
-		pthread_cond_wait(&sync.done_cond, &sync.lock);
+	while (!sync.done && !__atomic_load_n(&app->stopped, __ATOMIC_ACQUIRE))
+		wait_a_while(&sync);
 	pthread_mutex_unlock(&sync.lock);
 }
 
@@ -451,6 +465,8 @@
 		    app->settings.host, app->settings.zone,
 		    app->settings.callers);
 	mh_loop_run(app->loop, tick, app);
+	/* Nobody answers the administration API's questions any more. */
+	__atomic_store_n(&app->stopped, true, __ATOMIC_RELEASE);
 }
 
 void mh_app_free(struct mh_app *app)
--- a/entry/app.h
+++ b/entry/app.h
@@ -70,6 +70,7 @@
  * @journal: ring of finished requests, the core thread's
  * @n_journal: number of requests ever entered into @journal
  * @drain_signals: number of signals that asked to drain
+ * @stopped: the loop has ended, nothing more runs on the core's thread
  * @signals: watch for the signals that end the program
  */
 struct mh_app {
@@ -90,6 +91,7 @@
 	struct mh_journal_entry journal[MH_JOURNAL_SIZE];
 	uint64_t n_journal;
 	int drain_signals;
+	bool stopped;
 	struct mh_signals signals;
 };
 
@@ -118,6 +120,8 @@
  * @app: program
  * @fn: function
  * @arg: its argument
+ *
+ * While the program ends it may return without having run @fn.
  */
 void mh_app_sync(struct mh_app *app, void (*fn)(struct mh_app *, void *),
 		 void *arg);
