--- a/core/entry_giveway.c
+++ b/core/entry_giveway.c
@@ -65,7 +65,7 @@
 	return ask;
 }
 
-bool mh_entry_is_lowest(const struct mh_entry *e, uint8_t tier)
+static bool is_lowest_tier(const struct mh_entry *e, uint8_t tier)
 {
 	return tier + 1 >= mh_entry_manifest(e)->n_tiers;
 }
@@ -163,7 +163,7 @@
 {
 	struct mh_ask *ask = get_ask(e, req->call->pool, req->waiter.tier);
 
-	if (!ask || mh_entry_is_lowest(e, req->waiter.tier))
+	if (!ask || is_lowest_tier(e, req->waiter.tier))
 		mh_entry_refuse(e, req, MH_ERR_OVERLOADED);
 	else
 		enter_ask_list(e, ask, req);
@@ -191,7 +191,7 @@
 
 	if (!victim)
 		return false;
-	if (!mh_entry_is_lowest(e, victim->tier)) {
+	if (!is_lowest_tier(e, victim->tier)) {
 		ask = get_ask(e, pool, victim->tier);
 		if (!ask || !all_assured(e, ask, need))
 			return false;
--- a/core/entry_impl.h
+++ b/core/entry_impl.h
@@ -237,7 +237,6 @@
 
 /* entry_giveway.c */
 void mh_entry_enter_ask(struct mh_entry *e, struct mh_req *req);
-bool mh_entry_is_lowest(const struct mh_entry *e, uint8_t tier);
 bool mh_entry_kept_out(struct mh_entry *e, const char *pool, uint8_t tier);
 bool mh_entry_try_shed(struct mh_entry *e, const char *pool, uint8_t tier,
 		       uint32_t need);
--- a/core/entry_queue.c
+++ b/core/entry_queue.c
@@ -197,7 +197,8 @@
 	struct mh_server *near, *idle;
 	uint64_t widen_ns, expiry_ns;
 
-	if (!mh_lane_add(req->lane, &req->waiter)) {
+	req->lane = get_lane(e, req->call->pool, req->call->model);
+	if (!req->lane || !mh_lane_add(req->lane, &req->waiter)) {
 		mh_entry_refuse(e, req, MH_ERR_OVERLOADED);
 		return;
 	}
@@ -218,7 +219,7 @@
 void mh_entry_leave_lane(struct mh_entry *e, struct mh_req *req, bool served)
 {
 	if (served)
-		mh_lane_serve(req->lane, &req->waiter, mh_entry_now(e));
+		mh_lane_serve(req->lane, &req->waiter);
 	else
 		mh_lane_remove(req->lane, &req->waiter);
 	forget_asked(e, req);
@@ -238,16 +239,6 @@
 	const char *pool = req->call->pool;
 	uint8_t tier = req->waiter.tier;
 
-	req->lane = get_lane(e, pool, req->call->model);
-	if (!req->lane) {
-		mh_entry_refuse(e, req, MH_ERR_OVERLOADED);
-		return;
-	}
-	/* Nothing is lower than the lowest tier, so it may be told at once. */
-	if (mh_entry_is_lowest(e, tier) && !e->policy->admits(e, req)) {
-		mh_entry_refuse(e, req, MH_ERR_OVERLOADED);
-		return;
-	}
 	if (!mh_entry_kept_out(e, pool, tier) &&
 	    (mh_entry_has_room(e, req) || mh_entry_try_shed(e, pool, tier, 1)))
 		mh_entry_enter_lane(e, req);
--- a/core/lane.c
+++ b/core/lane.c
@@ -144,45 +144,13 @@
 	lane->count--;
 }
 
-static void learn(double *value, double sample, bool first)
-{
-	*value += (first ? 1 : LEARN_WEIGHT) * (sample - *value);
-}
-
-static void note_pace(struct mh_lane_tier *tier, uint64_t now_ns)
-{
-	if (tier->served_ns)
-		learn(&tier->interval_ns, (double)(now_ns - tier->served_ns),
-		      !tier->interval_ns);
-	tier->served_ns = now_ns;
-}
-
-uint64_t mh_lane_wait_ns(const struct mh_lane *lane, uint8_t tier,
-			 uint64_t now_ns)
-{
-	const struct mh_lane_tier *t = &lane->tiers[tier];
-	double interval = t->interval_ns;
-
-	if (!t->by_deadline.n || !t->served_ns)
-		return 0;
-	/* A pause that is longer than the pace is the pace by now. */
-	if ((double)(now_ns - t->served_ns) > interval)
-		interval = (double)(now_ns - t->served_ns);
-	return (uint64_t)(interval * t->by_deadline.n);
-}
-
-void mh_lane_serve(struct mh_lane *lane, struct mh_waiter *w, uint64_t now_ns)
+void mh_lane_serve(struct mh_lane *lane, struct mh_waiter *w)
 {
 	struct mh_lane_tier *tier = &lane->tiers[w->tier];
 	struct mh_share_queue *q = w->queue;
 	uint64_t cost = w->cost_tokens ? w->cost_tokens : 1;
 	uint32_t share = w->share ? w->share : 1;
 
-	/* Only while others wait does the pace tell how fast it could be. */
-	if (tier->by_deadline.n > 1)
-		note_pace(tier, now_ns);
-	else
-		tier->served_ns = 0;
 	if (tier->vtime < q->vtime)
 		tier->vtime = q->vtime;
 	mh_lane_remove(lane, w);
@@ -191,6 +159,11 @@
 		mh_heap_update(&tier->active, q);
 }
 
+static void learn(double *value, double sample, bool first)
+{
+	*value += (first ? 1 : LEARN_WEIGHT) * (sample - *value);
+}
+
 void mh_lane_learn(struct mh_lane *lane, uint64_t first_ns, uint64_t rest_ns,
 		   uint32_t prompt_tokens, uint32_t asked_tokens,
 		   uint32_t got_tokens)
--- a/core/lane.h
+++ b/core/lane.h
@@ -47,8 +47,6 @@
 };
 
 struct mh_lane_tier {
-	uint64_t served_ns; /* time of the last hand-over */
-	double interval_ns; /* time between hand-overs of late */
 	uint64_t vtime;
 	uint64_t cost_tokens;
 	struct mh_heap by_deadline;
@@ -113,20 +111,8 @@
  * mh_lane_serve() - take a waiter out and charge its account
  * @lane: lane
  * @w: waiter in the lane
- * @now_ns: monotonic time
  */
-void mh_lane_serve(struct mh_lane *lane, struct mh_waiter *w, uint64_t now_ns);
-
-/**
- * mh_lane_wait_ns() - how long a waiter that comes last would wait
- * @lane: lane
- * @tier: its tier
- * @now_ns: monotonic time
- *
- * From the pace at which the tier was served of late; 0 when none waits.
- */
-uint64_t mh_lane_wait_ns(const struct mh_lane *lane, uint8_t tier,
-			 uint64_t now_ns);
+void mh_lane_serve(struct mh_lane *lane, struct mh_waiter *w);
 
 /**
  * mh_lane_learn() - learn from a run that ended whole
--- a/core/policy.c
+++ b/core/policy.c
@@ -56,58 +56,30 @@
 					      0;
 }
 
-static bool admit_all(struct mh_entry *e, const struct mh_req *req)
-{
-	(void)e;
-	(void)req;
-	return true;
-}
-
-/* Whoever would wait past its latest start hears it now. */
-static bool admit_if_in_time(struct mh_entry *e, const struct mh_req *req)
-{
-	uint64_t now = mh_entry_now(e);
-
-	return now + mh_lane_wait_ns(req->lane, req->waiter.tier, now) * 60 /
-			       100 <
-	       at_latest_start(e, req);
-}
-
 const struct mh_policy_ops mh_policy_default = {
 	.name = "mangohead",
 	.ask_one = ask_near_first,
-	.admits = admit_if_in_time,
 	.expiry_ns = at_latest_start,
 };
 
 static const struct mh_policy_ops ask_all_policy = {
 	.name = "ask-all",
 	.ask_one = ask_all,
-	.admits = admit_if_in_time,
 	.expiry_ns = at_latest_start,
 };
 
 static const struct mh_policy_ops no_estimate_policy = {
 	.name = "no-estimate",
 	.ask_one = ask_near_first,
-	.admits = admit_all,
 	.expiry_ns = at_deadline,
 };
 
-static const struct mh_policy_ops admit_all_policy = {
-	.name = "admit-all",
-	.ask_one = ask_near_first,
-	.admits = admit_all,
-	.expiry_ns = at_latest_start,
-};
-
 const struct mh_policy_ops *mh_policy_variants(unsigned int i)
 {
 	static const struct mh_policy_ops *const all[] = {
 		&mh_policy_default,
 		&ask_all_policy,
 		&no_estimate_policy,
-		&admit_all_policy,
 	};
 
 	return i < sizeof(all) / sizeof(all[0]) ? all[i] : NULL;
--- a/core/policy.h
+++ b/core/policy.h
@@ -16,7 +16,6 @@
  * struct mh_policy_ops - decisions that vary
  * @name: name for tables
  * @ask_one: whether a request that arrives asks one server before all
- * @admits: whether a call of the lowest tier has a chance to be served in time
  * @expiry_ns: time at which a waiting request is given up
  */
 struct mh_policy_ops {
@@ -24,7 +23,6 @@
 	bool (*ask_one)(const struct mh_entry *e, const struct mh_req *req,
 			const struct mh_server *near,
 			const struct mh_server *idle);
-	bool (*admits)(struct mh_entry *e, const struct mh_req *req);
 	uint64_t (*expiry_ns)(const struct mh_entry *e,
 			      const struct mh_req *req);
 };
--- a/tests/bench.c
+++ b/tests/bench.c
@@ -63,7 +63,6 @@
 	{ "mangohead", BASELINE_NONE, 0 },
 	{ "ask-all", BASELINE_NONE, 1 },
 	{ "no-estimate", BASELINE_NONE, 2 },
-	{ "admit-all", BASELINE_NONE, 3 },
 	{ "round-robin", BASELINE_ROUND_ROBIN, 0 },
 	{ "least-load-1s", BASELINE_LEAST_LOAD, 0 },
 };
--- a/tests/test_unit.c
+++ b/tests/test_unit.c
@@ -136,9 +136,9 @@
 	assert_ptr_equal(mh_lane_best(lane, 7), &soon);
 	assert_ptr_equal(mh_lane_victim(lane, 0), &low);
 	assert_null(mh_lane_victim(lane, 2));
-	mh_lane_serve(lane, &soon, 1);
+	mh_lane_serve(lane, &soon);
 	assert_ptr_equal(mh_lane_best(lane, 7), &late);
-	mh_lane_serve(lane, &late, 2);
+	mh_lane_serve(lane, &late);
 	assert_null(mh_lane_best(lane, 1));
 	assert_ptr_equal(mh_lane_best(lane, 2), &low);
 	mh_lane_remove(lane, &low);
@@ -164,7 +164,7 @@
 		struct mh_waiter *best = mh_lane_best(lane, 7);
 
 		served[!strcmp(best->account, "big")] += best->cost_tokens;
-		mh_lane_serve(lane, best, (uint64_t)i);
+		mh_lane_serve(lane, best);
 	}
 	/* Within 10 % of 3 to 1. */
 	assert_in_range(served[1] * 100 / served[0], 270, 330);
