--- a/Makefile
+++ b/Makefile
@@ -136,7 +136,13 @@
 	RC_PARAMS="seed=$(SEED) max_success=60 noshrink=1" \
 		build-asan/bin/test_properties
 
-.PHONY: setup demo tests check soak mutants format format-check lint sanitize
+# The real processes under the thread sanitizer.
+sanitize-threads: all
+	$(MAKE) -s -j8 BUILD=build-tsan SAN="-fsanitize=thread" \
+		build-tsan/bin/mangohead-entry build-tsan/bin/mangohead-side
+	tests/test_threads.sh
+
+.PHONY: sanitize-threads setup demo tests check soak mutants format format-check lint sanitize
 
 $(BUILD)/bin/bench: $(BUILD)/tests/bench.o $(TEST_WORLD)
 	$(LINK) -lm
--- a/core/entry_impl.h
+++ b/core/entry_impl.h
@@ -222,7 +222,12 @@
 void mh_entry_send(struct mh_entry *e, uint32_t link, const Mh__Frame *frame);
 const struct mh_manifest *mh_entry_manifest(const struct mh_entry *e);
 void mh_server_want_changed(struct mh_entry *e, struct mh_server *s);
+
+/* entry_net.c */
 bool mh_server_takes_work(const struct mh_entry *e, const struct mh_server *s);
+void mh_entry_write_snapshot(struct mh_entry *e);
+void mh_entry_send_pings(struct mh_entry *e, uint64_t now);
+void mh_entry_free_neighbours(struct mh_entry *e);
 
 /* entry_claim.c */
 void mh_entry_claim(struct mh_entry *e, struct mh_req *req);
--- a/core/entry_run.c
+++ b/core/entry_run.c
@@ -18,12 +18,6 @@
  */
 #define SEEN_TRUST_NS (60000 * MH_NS_PER_MS)
 
-static void fill_id(ProtobufCBinaryData *field, const struct mh_id *id)
-{
-	field->data = (uint8_t *)id->b;
-	field->len = MH_ID_BYTES;
-}
-
 static void set_ref(struct mh_entry *e, struct mh_req *req)
 {
 	mh_id_make_v7(&req->ref, mh_clock_wall_ms(&e->clock),
@@ -59,7 +53,7 @@
 
 	if (!s->up)
 		return;
-	fill_id(&msg.ref, ref);
+	msg.ref = mh_id_field(ref);
 	frame.body_case = MH__FRAME__BODY_CANCEL;
 	frame.cancel = &msg;
 	mh_entry_send(e, s->link, &frame);
@@ -130,7 +124,7 @@
 	reset_answer(req);
 	bind_server(e, req, s);
 	msg.grant_id = grant_id;
-	fill_id(&msg.run_id, &req->ref);
+	msg.run_id = mh_id_field(&req->ref);
 	msg.tier = req->waiter.tier;
 	msg.deadline_in_ms = deadline_in_ms(e, req);
 	msg.account = (char *)call->account;
@@ -141,8 +135,8 @@
 	msg.body.data = (uint8_t *)call->body;
 	msg.body.len = call->body_len;
 	if (call->has_key)
-		fill_id(&msg.key, &call->key);
-	fill_id(&msg.fingerprint, &call->fingerprint);
+		msg.key = mh_id_field(&call->key);
+	msg.fingerprint = mh_id_field(&call->fingerprint);
 	msg.non_idempotent = call->non_idempotent;
 	msg.prompt_tokens = call->prompt_tokens;
 	msg.output_tokens = call->output_tokens;
@@ -215,13 +209,13 @@
 	Mh__Attach msg = MH__ATTACH__INIT;
 	Mh__Frame frame = MH__FRAME__INIT;
 
-	fill_id(&msg.ref, &req->ref);
+	msg.ref = mh_id_field(&req->ref);
 	if (by_key) {
 		msg.account = (char *)req->call->account;
-		fill_id(&msg.key, &req->call->key);
-		fill_id(&msg.fingerprint, &req->call->fingerprint);
+		msg.key = mh_id_field(&req->call->key);
+		msg.fingerprint = mh_id_field(&req->call->fingerprint);
 	} else {
-		fill_id(&msg.run_id, &req->ref);
+		msg.run_id = mh_id_field(&req->ref);
 	}
 	msg.from_seq = req->next_seq;
 	frame.body_case = MH__FRAME__BODY_ATTACH;
--- a/core/entry_suspect.c
+++ b/core/entry_suspect.c
@@ -113,8 +113,7 @@
 
 	if (!clear(e, fp))
 		return;
-	field.data = (uint8_t *)fp->b;
-	field.len = MH_ID_BYTES;
+	field = mh_id_field(fp);
 	msg.n_fingerprint = 1;
 	msg.fingerprint = &field;
 	msg.cleared = true;
--- a/core/id.h
+++ b/core/id.h
@@ -8,6 +8,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <protobuf-c/protobuf-c.h>
+
 #define MH_ID_BYTES 16
 #define MH_ID_TEXT_BYTES 37
 
@@ -38,6 +40,17 @@
  */
 bool mh_id_from_bytes(struct mh_id *id, const uint8_t *p, size_t len);
 
+/**
+ * mh_id_field() - the wire field of an id
+ * @id: id; has to stay while the field is used
+ */
+static inline ProtobufCBinaryData mh_id_field(const struct mh_id *id)
+{
+	ProtobufCBinaryData field = { MH_ID_BYTES, (uint8_t *)id->b };
+
+	return field;
+}
+
 /**
  * mh_id_parse() - parse the canonical text form of a UUID
  * @id: destination
--- a/core/side.c
+++ b/core/side.c
@@ -248,10 +248,8 @@
 
 	if (!fields)
 		return;
-	for (i = 0; i < s->n_failed; i++) {
-		fields[i].data = s->failed[i].b;
-		fields[i].len = MH_ID_BYTES;
-	}
+	for (i = 0; i < s->n_failed; i++)
+		fields[i] = mh_id_field(&s->failed[i]);
 	msg.n_fingerprint = s->n_failed;
 	msg.fingerprint = fields;
 	msg.server = s->host;
--- a/core/side_run.c
+++ b/core/side_run.c
@@ -19,19 +19,13 @@
 
 #define MAX_KEPT_BYTES (64u << 20)
 
-static void fill_id(ProtobufCBinaryData *field, const struct mh_id *id)
-{
-	field->data = (uint8_t *)id->b;
-	field->len = MH_ID_BYTES;
-}
-
 static void send_refused(struct mh_side *s, uint32_t link,
 			 const struct mh_id *ref, enum mh_error error)
 {
 	Mh__Refused msg = MH__REFUSED__INIT;
 	Mh__Frame frame = MH__FRAME__INIT;
 
-	fill_id(&msg.ref, ref);
+	msg.ref = mh_id_field(ref);
 	msg.error = error;
 	frame.body_case = MH__FRAME__BODY_REFUSED;
 	frame.refused = &msg;
@@ -44,7 +38,7 @@
 	Mh__Head msg = MH__HEAD__INIT;
 	Mh__Frame frame = MH__FRAME__INIT;
 
-	fill_id(&msg.ref, &sub->ref);
+	msg.ref = mh_id_field(&sub->ref);
 	msg.status = run->status;
 	msg.content_type = run->content_type;
 	frame.body_case = MH__FRAME__BODY_HEAD;
@@ -60,7 +54,7 @@
 	Mh__Data msg = MH__DATA__INIT;
 	Mh__Frame frame = MH__FRAME__INIT;
 
-	fill_id(&msg.ref, &sub->ref);
+	msg.ref = mh_id_field(&sub->ref);
 	msg.seq = sub->next_seq++;
 	msg.bytes.data = run->answer + piece->start;
 	msg.bytes.len = piece->len;
@@ -75,7 +69,7 @@
 	Mh__End msg = MH__END__INIT;
 	Mh__Frame frame = MH__FRAME__INIT;
 
-	fill_id(&msg.ref, &sub->ref);
+	msg.ref = mh_id_field(&sub->ref);
 	msg.count = run->n_pieces;
 	msg.hash = XXH64_digest(&run->hash);
 	msg.error = run->error;
--- a/net/loop.c
+++ b/net/loop.c
@@ -8,7 +8,6 @@
 #include <unistd.h>
 
 #include <urcu/arch.h>
-#include <urcu/uatomic.h>
 
 #define MAX_EVENTS 64
 #define MAX_TASKS_PER_TURN 512
@@ -124,9 +123,11 @@
 	uint64_t one = 1;
 
 	cds_wfcq_node_init(&task->node);
+	/* The queue orders this already; here it is said to race checkers too. */
+	__atomic_store_n(&task->posted, true, __ATOMIC_RELEASE);
 	cds_wfcq_enqueue(&loop->head, &loop->tail, &task->node);
 	cmm_smp_mb();
-	if (!uatomic_read(&loop->asleep) || !uatomic_xchg(&loop->asleep, 0))
+	if (!__atomic_exchange_n(&loop->asleep, 0, __ATOMIC_SEQ_CST))
 		return;
 	if (write(loop->wake_fd, &one, sizeof(one)) < 0 && errno != EAGAIN)
 		abort();
@@ -144,6 +145,7 @@
 		if (!node)
 			return;
 		task = caa_container_of(node, struct mh_task, node);
+		(void)__atomic_load_n(&task->posted, __ATOMIC_ACQUIRE);
 		task->run(task);
 	}
 }
@@ -161,13 +163,13 @@
 {
 	int timeout = timeout_ms(next_ns);
 
-	uatomic_set(&loop->asleep, 1);
+	__atomic_store_n(&loop->asleep, 1, __ATOMIC_SEQ_CST);
 	cmm_smp_mb();
 	if (!cds_wfcq_empty(&loop->head, &loop->tail))
 		timeout = 0;
 	loop->n_events =
 		epoll_wait(loop->epoll_fd, loop->events, MAX_EVENTS, timeout);
-	uatomic_set(&loop->asleep, 0);
+	__atomic_store_n(&loop->asleep, 0, __ATOMIC_SEQ_CST);
 }
 
 static void handle_events(struct mh_loop *loop)
--- a/net/loop.h
+++ b/net/loop.h
@@ -16,10 +16,12 @@
 /**
  * struct mh_task - work for the loop's thread
  * @node: place in the queue
+ * @posted: orders what the poster wrote before what @run reads
  * @run: called on the loop's thread; may free the task
  */
 struct mh_task {
 	struct cds_wfcq_node node;
+	bool posted;
 	void (*run)(struct mh_task *task);
 };
 
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -1119,7 +1119,7 @@
   (ProtobufCMessageInit) mh__proof__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__ping__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mh__ping__field_descriptors[3] =
 {
   {
     "config_offset",
@@ -1157,29 +1157,16 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "hosts_fresh",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Mh__Ping, hosts_fresh),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned mh__ping__field_indices_by_name[] = {
   0,   /* field[0] = config_offset */
-  3,   /* field[3] = hosts_fresh */
   1,   /* field[1] = leaving */
   2,   /* field[2] = peer_leaving */
 };
 static const ProtobufCIntRange mh__ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor mh__ping__descriptor =
 {
@@ -1189,7 +1176,7 @@
   "Mh__Ping",
   "mh",
   sizeof(Mh__Ping),
-  4,
+  3,
   mh__ping__field_descriptors,
   mh__ping__field_indices_by_name,
   1,  mh__ping__number_ranges,
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -92,14 +92,10 @@
    * what the sender's host list says of the receiver
    */
   protobuf_c_boolean peer_leaving;
-  /*
-   * sender's host list is recent
-   */
-  protobuf_c_boolean hosts_fresh;
 };
 #define MH__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__ping__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
