--- a/core/side.c
+++ b/core/side.c
@@ -52,10 +52,11 @@
 	if (!s)
 		return;
 	mh_side_free_runs(s);
-	DL_FOREACH_SAFE(s->links, l, tmp) {
+	/* Dropping a grant looks at the links, so that comes first. */
+	DL_FOREACH(s->links, l)
 		mh_side_drop_grants(s, l->link);
+	DL_FOREACH_SAFE(s->links, l, tmp)
 		free(l);
-	}
 	free(s->failed);
 	free(s);
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -871,6 +871,9 @@
 	n->frozen_until = 0;
 	n->tick_at = 0;
 	n->draining = false;
+	/* A signal to leave was for the process before. */
+	if (n->drain_told)
+		n->leaving = false;
 	n->drain_told = false;
 	if (n->is_entry) {
 		n->entry = mh_entry_new(n->name, &clock, rnd(w, UINT64_MAX),
@@ -1296,7 +1299,10 @@
 			break;
 	}
 	if (!n->alive || n->draining) {
-		resend_later(w, c, 500);
+		/* No entry took it, so this try has not begun. */
+		ev = schedule(w, EV_SUBMIT, -1, w->now + 500 * MS);
+		ev->call = index;
+		ev->attempt = attempt;
 		return;
 	}
 	prepare(w, c, n);
