--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	   libprotobuf-c-dev protobuf-c-compiler liburcu-dev liblog4c-dev \
 	   libcmocka-dev libtoml11-dev librapidcheck-dev libjansson-dev \
 	   libxxhash-dev libsodium-dev uthash-dev scdoc curl \
-	   clang-format clang-tidy gnuplot-nox
+	   clang-format clang-tidy
 
 CORE = $(wildcard core/*.c) config/reader.c proto/mangohead.pb-c.c
 SHELL_PARTS = $(wildcard net/*.c platform/*.c) config/settings.c \
