Links follow the manifest as well as the host list

Cause: found by reading the change as a whole. Which servers an entry links to was decided when the host list was read; since the list is read by its version, that is only when it changes. links_per_server thus took effect late or never, and before the first manifest every server was dialled.

Ways weighed: reading the list in full again (83 KB a second at the size of two years), or deciding anew when either the list or the manifest changed (taken). Servers are dialled once a manifest is held; entries at once, as they bring it.

Change: that; the names of the entries are gathered once for all servers, not for each; the list of appenders only if there are appenders; a field that nobody read is gone; a run without pieces no longer counts as a cost that was learned.

Test: each server linked to one of two entries, and to both after the next change.

--- a/core/entry_claim.c
+++ b/core/entry_claim.c
@@ -160,12 +160,14 @@
 	const struct mh_manifest *m = mh_entry_manifest(e);
 	uint32_t want = m ? m->policy.claim_appenders : 0;
 	const char *names[MH_MAX_ENTRIES];
-	size_t n = list_entries(e, names, MH_MAX_ENTRIES);
 	struct mh_peer *p, *best = NULL;
 	uint64_t best_score = 0;
+	size_t n;
 
-	if (!want || mh_entry_now(e) < e->append_self_until_ns ||
-	    is_appender(e->host, names, n, want))
+	if (!want || mh_entry_now(e) < e->append_self_until_ns)
+		return NULL;
+	n = list_entries(e, names, MH_MAX_ENTRIES);
+	if (is_appender(e->host, names, n, want))
 		return NULL;
 	DL_FOREACH(e->peers, p) {
 		uint64_t score = mh_rendezvous_score(e->host, p->host);
--- a/core/entry_impl.h
+++ b/core/entry_impl.h
@@ -102,7 +102,6 @@
 	uint32_t link;
 	bool up;
 	bool listed; /* on the host list, so its word is needed */
-	uint64_t config_offset;
 	struct mh_peer *prev, *next;
 };
 
--- a/core/entry_net.c
+++ b/core/entry_net.c
@@ -255,10 +255,7 @@
 	}
 	if (s && msg->config_offset < s->config_sent)
 		send_side_config(e, s);
-	if (!p)
-		return;
-	p->config_offset = msg->config_offset;
-	if (msg->config_offset > mh_fold_next_offset(e->fold))
+	if (p && msg->config_offset > mh_fold_next_offset(e->fold))
 		send_pull(e, link);
 }
 
--- a/core/lane.c
+++ b/core/lane.c
@@ -169,10 +169,11 @@
 		   uint32_t got_tokens)
 {
 	struct mh_lane_costs *c = &lane->costs;
-	bool first = !c->samples++;
+	bool first;
 
 	if (!prompt_tokens || !asked_tokens || !got_tokens)
 		return;
+	first = !c->samples++;
 	learn(&c->prompt_token_ns, (double)first_ns / prompt_tokens, first);
 	learn(&c->output_token_ns, (double)rest_ns / got_tokens, first);
 	learn(&c->output_ratio, (double)got_tokens / asked_tokens, first);
--- a/entry/app.c
+++ b/entry/app.c
@@ -216,66 +216,77 @@
 	return strcmp(app->settings.host, name) < 0;
 }
 
-/* Each backend server is linked to a few entries only, if there are many. */
-static bool dials_server(const struct mh_app *app,
-			 const struct mh_host_snapshot *hosts, const char *name)
+/* The entry hosts that backend servers are shared among. */
+struct entry_names {
+	const char **v;
+	size_t n;
+	uint32_t links_per_server;
+};
+
+static struct entry_names list_entries(const struct mh_app *app,
+				       const struct mh_manifest *m)
 {
-	const struct mh_manifest *m =
-		mh_fold_manifest(mh_entry_fold(app->core));
-	const char **entries = calloc(hosts->n + 1, sizeof(*entries));
-	bool chosen = true;
-	size_t i, n = 0;
+	const struct mh_host_snapshot *hosts = app->hosts;
+	struct entry_names names = { .links_per_server =
+					     m->policy.links_per_server };
+	size_t i;
 
-	for (i = 0; entries && i < hosts->n; i++) {
+	names.v = calloc(hosts->n + 1, sizeof(*names.v));
+	for (i = 0; names.v && i < hosts->n; i++) {
 		if (hosts->v[i].is_entry && !hosts->v[i].leaving)
-			entries[n++] = hosts->v[i].name;
+			names.v[names.n++] = hosts->v[i].name;
 	}
-	if (m && entries)
-		chosen = mh_rendezvous_chosen(name, app->settings.host, entries,
-					      n, m->policy.links_per_server);
-	free(entries);
-	return chosen;
+	return names;
 }
 
-static bool dials(const struct mh_app *app,
-		  const struct mh_host_snapshot *hosts,
+/* Each backend server is linked to a few entries only, if there are many. */
+static bool dials(const struct mh_app *app, const struct entry_names *names,
 		  const struct mh_host_entry *host)
 {
+	if (!strcmp(host->name, app->settings.host))
+		return false;
 	if (host->is_entry)
 		return dials_entry(app, host->name);
-	return dials_server(app, hosts, host->name);
+	/* Without a manifest there is no telling which ones. */
+	return names->v &&
+	       mh_rendezvous_chosen(host->name, app->settings.host, names->v,
+				    names->n, names->links_per_server);
 }
 
 static bool still_dialled(const struct mh_app *app,
-			  const struct mh_host_snapshot *hosts,
-			  const char *address)
+			  const struct entry_names *names, const char *address)
 {
 	size_t i;
 
-	for (i = 0; i < hosts->n; i++) {
-		if (!strcmp(hosts->v[i].address, address))
-			return dials(app, hosts, &hosts->v[i]);
+	for (i = 0; i < app->hosts->n; i++) {
+		if (!strcmp(app->hosts->v[i].address, address))
+			return dials(app, names, &app->hosts->v[i]);
 	}
 	return false;
 }
 
-static void update_dialled(struct mh_app *app,
-			   const struct mh_host_snapshot *hosts)
+/* Follows the host list and the manifest, whichever has changed. */
+static void update_dialled(struct mh_app *app)
 {
+	const struct mh_manifest *m =
+		mh_fold_manifest(mh_entry_fold(app->core));
+	struct entry_names names = { 0 };
 	const char *address;
 	size_t i;
 
-	for (i = 0; i < hosts->n; i++) {
-		if (strcmp(hosts->v[i].name, app->settings.host) &&
-		    dials(app, hosts, &hosts->v[i]))
-			mh_links_dial(app->links, hosts->v[i].address);
+	if (m)
+		names = list_entries(app, m);
+	for (i = 0; i < app->hosts->n; i++) {
+		if (dials(app, &names, &app->hosts->v[i]))
+			mh_links_dial(app->links, app->hosts->v[i].address);
 	}
 	for (i = 0; (address = mh_links_dialled(app->links, i));) {
-		if (still_dialled(app, hosts, address))
+		if (still_dialled(app, &names, address))
 			i++;
 		else
 			mh_links_undial(app->links, address);
 	}
+	free(names.v);
 }
 
 static void run_hosts_task(struct mh_task *task)
@@ -292,9 +303,10 @@
 	}
 	if (rows)
 		mh_entry_hosts(t->app->core, rows, t->hosts->n);
-	update_dialled(t->app, t->hosts);
+	mh_host_snapshot_free(t->app->hosts);
+	t->app->hosts = t->hosts;
+	t->app->links_stale = true;
 	free(rows);
-	mh_host_snapshot_free(t->hosts);
 	free(t);
 }
 
@@ -454,6 +466,10 @@
 	struct mh_app *app = data;
 	uint64_t next = mh_entry_tick(app->core);
 
+	if (app->links_stale && app->hosts) {
+		app->links_stale = false;
+		update_dialled(app);
+	}
 	mh_links_flush(app->links);
 	if (drained(app)) {
 		mh_log_info("entry", "drained");
@@ -486,6 +502,7 @@
 		MHD_stop_daemon(app->http);
 	mh_links_free(app->links);
 	mh_entry_free(app->core);
+	mh_host_snapshot_free(app->hosts);
 	mh_signals_release(&app->signals);
 	mh_loop_free(app->loop);
 	mh_entry_settings_release(&app->settings);
--- a/entry/app.h
+++ b/entry/app.h
@@ -61,6 +61,8 @@
  * @claims_follower: reads the claims stream
  * @appender: appends to the log
  * @host_list: polls the host list
+ * @hosts: host list as last read, NULL before
+ * @links_stale: @hosts or the manifest changed since links were chosen
  * @http: callers' server
  * @admin: operators' server
  * @manifest: manifest in force, read under RCU
@@ -82,6 +84,8 @@
 	struct mh_log_follower *claims_follower;
 	struct mh_log_appender *appender;
 	struct mh_host_list *host_list;
+	struct mh_host_snapshot *hosts;
+	bool links_stale;
 	struct MHD_Daemon *http;
 	struct MHD_Daemon *admin;
 	struct mh_manifest *manifest;
--- a/entry/http.c
+++ b/entry/http.c
@@ -272,6 +272,7 @@
 	struct mh_app *app = data;
 
 	rcu_assign_pointer(app->manifest, (struct mh_manifest *)now);
+	app->links_stale = true;
 	if (!app->drain_signals)
 		__atomic_store_n(&app->ready, true, __ATOMIC_RELAXED);
 	if (!old)
--- a/tests/test_processes.sh
+++ b/tests/test_processes.sh
@@ -456,6 +456,30 @@
 	[ $code = 404 ] && [ "$(grep -c '"/admin' docs/openapi.json)" = 7 ]
 }
 
+links_of() { # ENTRY: prints how many servers it is linked to
+	ctl $1 --json status | grep -c '"up": true'
+}
+
+set_links_per_server() { # N
+	printf '[policy]\nlinks_per_server = %s\n' $1 >"$DIR/links.toml"
+	ctl 1 --delta publish "$DIR/links.toml"
+}
+
+# Each server is linked to one entry, and to both again after the next change.
+t_links_per_server() {
+	local n sum
+	set_links_per_server 1 || return 1
+	for n in 1 2; do
+		kill_hard entry$n
+		start_entry $n
+	done
+	wait_until 10 entry_ready 1 && wait_until 10 entry_ready 2 || return 1
+	sleep 2
+	sum=$(($(links_of 1) + $(links_of 2)))
+	echo "links: $(links_of 1) and $(links_of 2)"
+	set_links_per_server 0 && all_up && [ $sum = 3 ]
+}
+
 t_explain() {
 	chat 1 "explain me" 4 false -H "X-Request-Id: explain-1" >/dev/null
 	ctl 1 explain explain-1 | grep -q 'explain-1.*: ok, run, account kontor'
@@ -506,6 +530,8 @@
 check "a drained server gets no work" t_drain_server
 check "a server that the host list shows as leaving" t_host_list_leaving
 check "rolling restart under load cuts nothing" t_rolling_restart
+check "a server is linked to as many entries as asked" \
+	t_links_per_server
 check "a second signal ends at once" t_second_signal_ends
 check "explain tells what became of a request" t_explain
 check "the API page is true" t_openapi
