Audit changes that a link told first; send cancels that outlive a worker

The publisher waits for its record's audit. The fold now reads on behind the state that it took over and audits what it finds there.

--- a/Makefile
+++ b/Makefile
@@ -112,7 +112,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ -lcmocka $(LIBS)
 
-SMALL_TESTS = test_dispatch test_entry_keys test_metrics test_quota test_routing test_store \
+SMALL_TESTS = test_dispatch test_entry_keys test_fold test_metrics test_quota test_routing test_store \
 	      test_wire test_log
 
 $(addprefix $(BUILD)/bin/,$(SMALL_TESTS)): \
@@ -120,7 +120,12 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ -lcmocka $(LIBS)
 
-UNIT_TESTS = test_unit $(SMALL_TESTS)
+$(BUILD)/bin/test_backend: $(BUILD)/tests/test_backend.o $(BUILD)/side/backend.o \
+			   $(BUILD)/libmangohead.a
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $^ -lcmocka $(LIBS)
+
+UNIT_TESTS = test_unit test_backend $(SMALL_TESTS)
 
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cc' | grep -v pb-c)
 SEED ?= 1
--- a/core/fold.c
+++ b/core/fold.c
@@ -6,6 +6,17 @@
 
 #include "config/toml.h"
 
+/*
+ * State after the records that were read here, while another process's state
+ * that is ahead of them is in force.
+ */
+struct reading {
+	bool behind;
+	uint64_t next_offset;
+	uint64_t version;
+	json_t *doc;
+};
+
 struct mh_fold {
 	struct mh_manifest *manifest;
 	struct mh_manifest *old;
@@ -16,6 +27,7 @@
 	uint64_t whole_ms;
 	struct mh_audit_entry audit[MH_AUDIT_MAX];
 	size_t n_audit;
+	struct reading reading;
 	/* Records read past a truncated start, kept until a snapshot comes. */
 	struct pending *pending;
 	size_t n_pending;
@@ -47,10 +59,18 @@
 	f->n_pending = 0;
 }
 
+static void stop_reading_behind(struct mh_fold *f)
+{
+	json_decref(f->reading.doc);
+	f->reading.doc = NULL;
+	f->reading.behind = false;
+}
+
 void mh_fold_free(struct mh_fold *f)
 {
 	if (!f)
 		return;
+	stop_reading_behind(f);
 	drop_pending(f);
 	mh_manifest_free(f->old);
 	mh_manifest_free(f->manifest);
@@ -59,6 +79,8 @@
 
 void mh_fold_start(struct mh_fold *f, uint64_t first_offset)
 {
+	if (f->reading.behind && f->reading.next_offset < first_offset)
+		stop_reading_behind(f);
 	if (f->next_offset >= first_offset)
 		return;
 	/* Records were lost to us: what is in force stays until we catch up. */
@@ -116,46 +138,75 @@
 	return m;
 }
 
-static json_t *new_document(const struct mh_fold *f, const json_t *rec,
-			    bool is_delta)
+static json_t *new_document(json_t *in_force, const json_t *rec, bool is_delta)
 {
-	const json_t *doc = json_object_get(rec, "doc");
+	json_t *doc = json_object_get(rec, "doc");
 
 	if (!json_is_object(doc))
 		return NULL;
 	if (!is_delta)
 		return json_deep_copy(doc);
-	if (!f->manifest)
-		return NULL;
-	return mh_manifest_merge(f->manifest->doc, doc);
+	return in_force ? mh_manifest_merge(in_force, doc) : NULL;
 }
 
-static enum mh_fold_result apply_change(struct mh_fold *f, const json_t *rec,
-					uint64_t offset, uint64_t when_ms,
-					bool is_delta)
+/* Return: the manifest that a change makes, NULL if it is refused. */
+static struct mh_manifest *judge(struct mh_audit_entry *a, const json_t *rec,
+				 uint64_t version, json_t *in_force,
+				 bool is_delta)
 {
-	struct mh_audit_entry *a = audit_add(f, rec, offset, when_ms);
 	struct mh_manifest *m;
 	json_t *doc;
 
-	a->version = f->version;
-	if (a->base != f->version) {
+	a->version = version;
+	if (a->base != version) {
 		snprintf(a->note, sizeof(a->note),
 			 "base %llu is not the version in force, %llu",
 			 (unsigned long long)a->base,
-			 (unsigned long long)f->version);
-		return a->result = MH_FOLD_REFUSED_BASE;
+			 (unsigned long long)version);
+		a->result = MH_FOLD_REFUSED_BASE;
+		return NULL;
 	}
-	doc = new_document(f, rec, is_delta);
+	doc = new_document(in_force, rec, is_delta);
 	m = doc ? build(doc, a->note, sizeof(a->note)) : NULL;
 	json_decref(doc);
+	a->result = m ? MH_FOLD_ACCEPTED : MH_FOLD_REFUSED_INVALID;
+	if (m)
+		a->version = a->offset + 1;
+	return m;
+}
+
+static enum mh_fold_result apply_change(struct mh_fold *f, const json_t *rec,
+					uint64_t offset, uint64_t when_ms,
+					bool is_delta)
+{
+	struct mh_audit_entry *a = audit_add(f, rec, offset, when_ms);
+	json_t *in_force = f->manifest ? f->manifest->doc : NULL;
+	struct mh_manifest *m = judge(a, rec, f->version, in_force, is_delta);
+
 	if (!m)
-		return a->result = MH_FOLD_REFUSED_INVALID;
+		return a->result;
 	replace_manifest(f, m, offset + 1);
 	if (!is_delta)
 		f->whole_ms = when_ms;
-	a->version = f->version;
-	return a->result = MH_FOLD_ACCEPTED;
+	return a->result;
+}
+
+/* A change that the state in force holds already: only its audit is missing. */
+static enum mh_fold_result audit_change(struct mh_fold *f, const json_t *rec,
+					uint64_t offset, uint64_t when_ms,
+					bool is_delta)
+{
+	struct mh_audit_entry *a = audit_add(f, rec, offset, when_ms);
+	struct reading *r = &f->reading;
+	struct mh_manifest *m = judge(a, rec, r->version, r->doc, is_delta);
+
+	if (!m)
+		return a->result;
+	json_decref(r->doc);
+	r->doc = json_incref(m->doc);
+	r->version = offset + 1;
+	mh_manifest_free(m);
+	return a->result;
 }
 
 static uint64_t get_u64(const json_t *rec, const char *key)
@@ -174,24 +225,49 @@
 	return MH_FOLD_SNAPSHOT;
 }
 
+/* Return: "" if the record has none. */
+static const char *get_kind(const json_t *rec)
+{
+	const char *kind = json_string_value(json_object_get(rec, "kind"));
+
+	return kind ? kind : "";
+}
+
+static bool is_change(const char *kind)
+{
+	return !strcmp(kind, "manifest") || !strcmp(kind, "delta");
+}
+
 static enum mh_fold_result apply(struct mh_fold *f, const json_t *rec,
 				 uint64_t offset, uint64_t when_ms)
 {
-	const char *kind = json_string_value(json_object_get(rec, "kind"));
+	const char *kind = get_kind(rec);
 
 	f->next_offset = offset + 1;
-	if (!kind)
-		return MH_FOLD_SKIPPED;
-	if (!strcmp(kind, "manifest"))
-		return apply_change(f, rec, offset, when_ms, false);
-	if (!strcmp(kind, "delta"))
-		return apply_change(f, rec, offset, when_ms, true);
+	if (is_change(kind))
+		return apply_change(f, rec, offset, when_ms,
+				    !strcmp(kind, "delta"));
 	if (!strcmp(kind, "snapshot"))
 		return apply_snapshot(f, rec, when_ms);
 	/* Kinds of later releases are passed over. */
 	return MH_FOLD_SKIPPED;
 }
 
+static enum mh_fold_result read_behind(struct mh_fold *f, const json_t *rec,
+				       uint64_t offset, uint64_t when_ms)
+{
+	enum mh_fold_result result = MH_FOLD_SKIPPED;
+	const char *kind = get_kind(rec);
+
+	if (is_change(kind))
+		result = audit_change(f, rec, offset, when_ms,
+				      !strcmp(kind, "delta"));
+	f->reading.next_offset = offset + 1;
+	if (f->reading.next_offset >= f->next_offset)
+		stop_reading_behind(f);
+	return result;
+}
+
 static void keep_pending(struct mh_fold *f, json_t *rec, uint64_t offset,
 			 uint64_t when_ms)
 {
@@ -236,12 +312,11 @@
 static bool start_from_snapshot(struct mh_fold *f, const json_t *rec,
 				uint64_t when_ms)
 {
-	const char *kind = json_string_value(json_object_get(rec, "kind"));
 	uint64_t as_of = get_u64(rec, "next_offset");
 	char note[MH_AUDIT_TEXT_BYTES];
 	struct mh_manifest *m;
 
-	if (!kind || strcmp(kind, "snapshot") || as_of < f->first_offset)
+	if (strcmp(get_kind(rec), "snapshot") || as_of < f->first_offset)
 		return false;
 	m = build(json_object_get(rec, "doc"), note, sizeof(note));
 	if (!m)
@@ -256,24 +331,40 @@
 				   size_t len)
 {
 	enum mh_fold_result result = MH_FOLD_SKIPPED;
+	uint64_t read_to =
+		f->reading.behind ? f->reading.next_offset : f->next_offset;
 	json_t *rec;
 
-	if (offset < f->next_offset)
+	if (offset < read_to)
 		return MH_FOLD_SKIPPED;
 	rec = json_loadb(text, len, 0, NULL);
-	if (f->complete) {
+	if (f->reading.behind && offset < f->next_offset) {
+		result = read_behind(f, rec, offset, when_ms);
+	} else if (f->complete) {
 		result = apply(f, rec, offset, when_ms);
-		json_decref(rec);
-		return result;
+	} else {
+		f->next_offset = offset + 1;
+		keep_pending(f, rec, offset, when_ms);
+		if (start_from_snapshot(f, rec, when_ms))
+			result = MH_FOLD_SNAPSHOT;
 	}
-	f->next_offset = offset + 1;
-	keep_pending(f, rec, offset, when_ms);
-	if (start_from_snapshot(f, rec, when_ms))
-		result = MH_FOLD_SNAPSHOT;
 	json_decref(rec);
 	return result;
 }
 
+/* The records up to the state that is taken over are still to be audited. */
+static void read_behind_from_here(struct mh_fold *f)
+{
+	struct reading *r = &f->reading;
+
+	if (r->behind || !f->complete)
+		return;
+	r->behind = true;
+	r->next_offset = f->next_offset;
+	r->version = f->version;
+	r->doc = f->manifest ? json_incref(f->manifest->doc) : NULL;
+}
+
 bool mh_fold_adopt(struct mh_fold *f, uint64_t next_offset, uint64_t version,
 		   const char *text, size_t len)
 {
@@ -286,6 +377,7 @@
 	if (!f->complete && next_offset < f->first_offset)
 		return false;
 	if (f->complete && f->manifest && version == f->version) {
+		read_behind_from_here(f);
 		f->next_offset = next_offset;
 		return false;
 	}
@@ -294,6 +386,7 @@
 	json_decref(doc);
 	if (!m)
 		return false;
+	read_behind_from_here(f);
 	resume_at(f, m, version, next_offset);
 	return true;
 }
--- a/core/fold.h
+++ b/core/fold.h
@@ -78,7 +78,7 @@
  * @len: length of @rec
  *
  * Records at or before the folded offset are skipped, so that delivery twice
- * has no effect.
+ * has no effect. Those that a state taken over holds already are only audited.
  *
  * Return: what became of the record.
  */
--- a/side/backend.c
+++ b/side/backend.c
@@ -17,6 +17,8 @@
 #define HEALTH_MS 500
 /* Until a cancel that failed is sent again: as often as health is asked. */
 #define CANCEL_RETRY_MS HEALTH_MS
+/* For a run whose connection is closed: the backend may know of it no longer. */
+#define CANCEL_TRIES 5
 #define HEALTH_TIMEOUT_S 2
 #define CANCEL_TIMEOUT_S 2
 #define DONE_MARK "data: [DONE]"
@@ -41,12 +43,20 @@
 	const char *health_path;
 };
 
+/*
+ * @call: gone once the run's end is reported
+ * @done: the worker has left it; the backend is still to be told to stop
+ */
 struct job {
 	const struct mh_run_call *call;
 	struct mh_id id;
 	bool running;
 	bool cancelled;
-	bool cancel_sent;
+	bool done;
+	bool cancelling;
+	bool cancel_taken;
+	uint32_t cancel_tries;
+	uint64_t next_cancel_ns;
 	struct job *prev, *next;
 };
 
@@ -211,7 +221,8 @@
 	return req;
 }
 
-static void perform(struct mh_backend *b, const struct job *job)
+/* Return: whether the backend may go on with the run. */
+static bool perform(struct mh_backend *b, const struct job *job)
 {
 	enum mh_error error = MH_ERR_BACKEND_FAILED;
 	char *base, *path;
@@ -222,7 +233,7 @@
 
 	if (!sess) {
 		b->events->not_started(b->data, &job->id);
-		return;
+		return false;
 	}
 	len = strlen(base) + strlen(job->call->path) + 1;
 	path = malloc(len);
@@ -237,10 +248,12 @@
 	ne_session_destroy(sess);
 	free(base);
 	free(path);
-	if (rc == NE_CONNECT || rc == NE_LOOKUP)
+	if (rc == NE_CONNECT || rc == NE_LOOKUP) {
 		b->events->not_started(b->data, &job->id);
-	else
-		b->events->end(b->data, &job->id, error);
+		return false;
+	}
+	b->events->end(b->data, &job->id, error);
+	return error != MH_OK;
 }
 
 static struct job *next_job(struct mh_backend *b)
@@ -265,25 +278,38 @@
 	return job;
 }
 
-static void finish_job(struct mh_backend *b, struct job *job)
+/* With the lock held. */
+static void remove_job(struct mh_backend *b, struct job *job)
 {
-	pthread_mutex_lock(&b->lock);
 	DL_DELETE(b->jobs, job);
-	pthread_mutex_unlock(&b->lock);
 	free(job);
 }
 
+/* A cancel that was not sent yet outlives the worker's part. */
+static void finish_job(struct mh_backend *b, struct job *job, bool may_go_on)
+{
+	pthread_mutex_lock(&b->lock);
+	if (job->cancelling || (may_go_on && job->cancelled &&
+				!job->cancel_taken && b->ops->cancel))
+		job->done = true;
+	else
+		remove_job(b, job);
+	pthread_mutex_unlock(&b->lock);
+}
+
 static void *work(void *arg)
 {
 	struct mh_backend *b = arg;
 	struct job *job;
 
 	while ((job = next_job(b))) {
+		bool may_go_on = false;
+
 		if (is_cancelled(b, job))
 			b->events->end(b->data, &job->id, MH_ERR_CANCELLED);
 		else
-			perform(b, job);
-		finish_job(b, job);
+			may_go_on = perform(b, job);
+		finish_job(b, job, may_go_on);
 	}
 	return NULL;
 }
@@ -310,12 +336,13 @@
 }
 
 /* With the lock held. */
-static struct job *job_to_cancel(struct mh_backend *b)
+static struct job *job_to_cancel(struct mh_backend *b, uint64_t now_ns)
 {
 	struct job *job;
 
 	DL_FOREACH(b->jobs, job) {
-		if (job->running && job->cancelled && !job->cancel_sent)
+		if (job->running && job->cancelled && !job->cancel_taken &&
+		    now_ns >= job->next_cancel_ns)
 			break;
 	}
 	return job;
@@ -329,40 +356,36 @@
 	pthread_cond_timedwait(&b->cancelled, &b->lock, &until);
 }
 
-/* With the lock held. A run that the backend may go on with is tried again. */
-static void cancel_again(struct mh_backend *b, const struct mh_id *id)
+/* With the lock held, but for the time of the call. */
+static void send_cancel(struct mh_backend *b, struct job *job)
 {
-	struct job *job;
+	struct mh_id id = job->id;
+	bool taken;
 
-	DL_FOREACH(b->jobs, job) {
-		if (mh_id_equal(&job->id, id))
-			job->cancel_sent = false;
-	}
+	job->cancelling = true;
+	pthread_mutex_unlock(&b->lock);
+	taken = b->ops->cancel(b, &id);
+	pthread_mutex_lock(&b->lock);
+	job->cancelling = false;
+	job->cancel_taken = taken;
+	job->cancel_tries++;
+	job->next_cancel_ns = mh_now_ns() + CANCEL_RETRY_MS * MH_NS_PER_MS;
+	if (job->done && (taken || job->cancel_tries >= CANCEL_TRIES))
+		remove_job(b, job);
 }
 
 static void *send_cancels(void *arg)
 {
 	struct mh_backend *b = arg;
 	struct job *job;
-	struct mh_id id;
-	bool done;
 
 	pthread_mutex_lock(&b->lock);
 	while (!b->stop) {
-		job = b->ops->cancel ? job_to_cancel(b) : NULL;
-		if (!job) {
-			wait_cancelled(b);
-			continue;
-		}
-		job->cancel_sent = true;
-		id = job->id;
-		pthread_mutex_unlock(&b->lock);
-		done = b->ops->cancel(b, &id);
-		pthread_mutex_lock(&b->lock);
-		if (!done) {
+		job = b->ops->cancel ? job_to_cancel(b, mh_now_ns()) : NULL;
+		if (job)
+			send_cancel(b, job);
+		else
 			wait_cancelled(b);
-			cancel_again(b, &id);
-		}
 	}
 	pthread_mutex_unlock(&b->lock);
 	return NULL;
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -10,7 +10,7 @@
 try_mutant() { # NAME PROPERTY FILES EXPRESSION
 	local copy=$dir/$1 run=test_properties f
 	mkdir -p "$copy"
-	cp -r Makefile core config net platform proto entry examples tests \
+	cp -r Makefile core config net platform proto entry side examples tests \
 		"$copy/"
 	cp -r build "$copy/" 2>/dev/null
 	find "$copy/build" -name '*.d' -exec touch {} + 2>/dev/null
@@ -23,12 +23,12 @@
 	done
 	if ! make -C "$copy" -j2 CFLAGS="-std=gnu11 -O1 -w" \
 		build/bin/test_properties build/bin/test_unit \
-		build/bin/test_{dispatch,entry_keys,quota,routing,store,wire,log} \
+		build/bin/test_{backend,dispatch,entry_keys,fold,quota,routing,store,wire,log} \
 		>"$copy/log" 2>&1; then
 		echo "BROKEN   $1: does not build"
 		return
 	fi
-	[[ "$2" =~ ^(unit|dispatch|entry_keys|quota|routing|store|wire|log)$ ]] && run=test_$2
+	[[ "$2" =~ ^(unit|backend|dispatch|entry_keys|fold|quota|routing|store|wire|log)$ ]] && run=test_$2
 	if RC_PARAMS="seed=${SEED:-1} max_success=$cases noshrink=1" \
 		timeout 400 "$copy/build/bin/$run" "$2" \
 		>"$copy/log" 2>&1; then
--- /dev/null
+++ b/tests/test_backend.c
@@ -0,0 +1,306 @@
+/*
+ * The side's calls to its backend server: a run that was cancelled is stopped
+ * there, also after the side has closed its connection.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "net/http_server.h"
+#include "side/backend.h"
+
+#define EVENT_GAP_MS 2
+#define MAX_RUNS 4
+#define LIMIT_MS 10000
+
+/*
+ * An engine that streams without an end until a run is stopped. It takes its
+ * time for a cancel, or fails the first ones.
+ */
+static struct {
+	pthread_mutex_t lock;
+	struct MHD_Daemon *daemon;
+	uint16_t port;
+	unsigned int cancel_ms;
+	unsigned int failures;
+	char stopped[MAX_RUNS][MH_ID_TEXT_BYTES];
+	unsigned int n_stopped;
+	unsigned int n_started;
+	unsigned int n_ended;
+} engine = { .lock = PTHREAD_MUTEX_INITIALIZER };
+
+static void pause_ms(unsigned int ms)
+{
+	struct timespec ts = { .tv_sec = ms / 1000,
+			       .tv_nsec = (long)(ms % 1000) * 1000000 };
+
+	nanosleep(&ts, NULL);
+}
+
+static ssize_t next_event(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	static const char event[] = "data: x\n\n";
+
+	(void)cls;
+	(void)pos;
+	pause_ms(EVENT_GAP_MS);
+	assert_true(max >= sizeof(event) - 1);
+	memcpy(buf, event, sizeof(event) - 1);
+	return sizeof(event) - 1;
+}
+
+static enum MHD_Result reply_stream(struct MHD_Connection *conn)
+{
+	struct MHD_Response *r = MHD_create_response_from_callback(
+		MHD_SIZE_UNKNOWN, 64, next_event, NULL, NULL);
+	enum MHD_Result result;
+
+	MHD_add_response_header(r, "Content-Type", "text/event-stream");
+	result = MHD_queue_response(conn, 200, r);
+	MHD_destroy_response(r);
+	return result;
+}
+
+static enum MHD_Result cancel(struct MHD_Connection *conn, const char *id)
+{
+	bool fail;
+
+	pause_ms(engine.cancel_ms);
+	pthread_mutex_lock(&engine.lock);
+	fail = engine.failures > 0;
+	if (fail)
+		engine.failures--;
+	else if (engine.n_stopped < MAX_RUNS)
+		snprintf(engine.stopped[engine.n_stopped++], MH_ID_TEXT_BYTES,
+			 "%s", id);
+	pthread_mutex_unlock(&engine.lock);
+	return mh_http_reply_text(conn, fail ? 500 : 200, "text/plain", "x\n");
+}
+
+static enum MHD_Result on_request(void *cls, struct MHD_Connection *conn,
+				  const char *url, const char *method,
+				  const char *version, const char *upload,
+				  size_t *upload_size, void **ctx)
+{
+	static int seen;
+
+	(void)cls;
+	(void)version;
+	(void)upload;
+	if (!*ctx || *upload_size) {
+		*ctx = &seen;
+		*upload_size = 0;
+		return MHD_YES;
+	}
+	if (!strcmp(method, "DELETE"))
+		return cancel(conn, url + strlen("/v1/requests/"));
+	if (!strcmp(method, "POST"))
+		return reply_stream(conn);
+	return mh_http_reply_text(conn, 200, "text/plain", "ok\n");
+}
+
+static int start_engine(void **state)
+{
+	const union MHD_DaemonInfo *info;
+
+	(void)state;
+	engine.cancel_ms = 0;
+	engine.failures = 0;
+	engine.n_stopped = 0;
+	engine.n_started = 0;
+	engine.n_ended = 0;
+	engine.daemon = MHD_start_daemon(
+		MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
+		0, NULL, NULL, on_request, NULL, MHD_OPTION_END);
+	if (!engine.daemon)
+		return -1;
+	info = MHD_get_daemon_info(engine.daemon, MHD_DAEMON_INFO_BIND_PORT);
+	engine.port = info->port;
+	return 0;
+}
+
+static int stop_engine(void **state)
+{
+	(void)state;
+	MHD_stop_daemon(engine.daemon);
+	return 0;
+}
+
+static void count(unsigned int *n)
+{
+	pthread_mutex_lock(&engine.lock);
+	++*n;
+	pthread_mutex_unlock(&engine.lock);
+}
+
+static bool wait_count(const unsigned int *n, unsigned int wanted)
+{
+	unsigned int waited_ms, now = 0;
+
+	for (waited_ms = 0; waited_ms < LIMIT_MS; waited_ms += EVENT_GAP_MS) {
+		pthread_mutex_lock(&engine.lock);
+		now = *n;
+		pthread_mutex_unlock(&engine.lock);
+		if (now >= wanted)
+			return true;
+		pause_ms(EVENT_GAP_MS);
+	}
+	return false;
+}
+
+static void on_head(void *data, const struct mh_id *run, uint32_t status,
+		    const char *content_type)
+{
+	(void)data;
+	(void)run;
+	(void)status;
+	(void)content_type;
+	count(&engine.n_started);
+}
+
+static void on_data(void *data, const struct mh_id *run, const uint8_t *bytes,
+		    size_t len)
+{
+	(void)data;
+	(void)run;
+	(void)bytes;
+	(void)len;
+}
+
+static void on_end(void *data, const struct mh_id *run, enum mh_error error)
+{
+	(void)data;
+	(void)run;
+	(void)error;
+	count(&engine.n_ended);
+}
+
+static void on_not_started(void *data, const struct mh_id *run)
+{
+	on_end(data, run, MH_ERR_BACKEND_FAILED);
+}
+
+static void on_health(void *data, bool ok)
+{
+	(void)data;
+	(void)ok;
+}
+
+static const struct mh_backend_events events = {
+	.head = on_head,
+	.data = on_data,
+	.end = on_end,
+	.not_started = on_not_started,
+	.health = on_health,
+};
+
+static struct mh_backend *start_runs(struct mh_run_call *calls, unsigned int n)
+{
+	struct mh_backend *b;
+	unsigned int i;
+	char url[64];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%u", engine.port);
+	b = mh_backend_start("engine", url, n, 5, &events, NULL);
+	assert_non_null(b);
+	for (i = 0; i < n; i++) {
+		calls[i] = (struct mh_run_call){
+			.id = { .b = { 7, (uint8_t)i } },
+			.method = "POST",
+			.path = "/v1/completions",
+			.account = "a",
+			.content_type = "application/json",
+			.body = (uint8_t *)"{}",
+			.body_len = 2,
+		};
+		mh_backend_run(b, &calls[i]);
+	}
+	assert_true(wait_count(&engine.n_started, n));
+	return b;
+}
+
+static bool was_stopped(const struct mh_id *id)
+{
+	char text[MH_ID_TEXT_BYTES];
+	unsigned int i;
+	bool found = false;
+
+	mh_id_format(id, text);
+	pthread_mutex_lock(&engine.lock);
+	for (i = 0; i < engine.n_stopped; i++)
+		found = found || !strcmp(engine.stopped[i], text);
+	pthread_mutex_unlock(&engine.lock);
+	return found;
+}
+
+/* The second one's worker ends while the first is still being cancelled. */
+static void test_cancels_at_once_all_arrive(void **state)
+{
+	struct mh_run_call calls[3];
+	struct mh_backend *b;
+	int i;
+
+	(void)state;
+	engine.cancel_ms = 200;
+	b = start_runs(calls, 3);
+	for (i = 0; i < 3; i++)
+		mh_backend_cancel(b, &calls[i].id);
+	assert_true(wait_count(&engine.n_ended, 3));
+	assert_true(wait_count(&engine.n_stopped, 3));
+	for (i = 0; i < 3; i++)
+		assert_true(was_stopped(&calls[i].id));
+	mh_backend_stop(b);
+}
+
+static void test_failed_cancel_is_sent_again(void **state)
+{
+	struct mh_run_call call;
+	struct mh_backend *b;
+
+	(void)state;
+	engine.failures = 2;
+	b = start_runs(&call, 1);
+	mh_backend_cancel(b, &call.id);
+	assert_true(wait_count(&engine.n_ended, 1));
+	assert_true(wait_count(&engine.n_stopped, 1));
+	assert_true(was_stopped(&call.id));
+	mh_backend_stop(b);
+}
+
+/* Cancels that the engine never takes don't keep the side from stopping. */
+static void test_stops_with_cancels_left(void **state)
+{
+	struct mh_run_call calls[2];
+	struct mh_backend *b;
+
+	(void)state;
+	engine.failures = 1000;
+	b = start_runs(calls, 2);
+	mh_backend_cancel(b, &calls[0].id);
+	assert_true(wait_count(&engine.n_ended, 1));
+	mh_backend_stop(b);
+	assert_int_equal(engine.n_ended, 2);
+	assert_int_equal(engine.n_stopped, 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_cancels_at_once_all_arrive,
+						start_engine, stop_engine),
+		cmocka_unit_test_setup_teardown(
+			test_failed_cancel_is_sent_again, start_engine,
+			stop_engine),
+		cmocka_unit_test_setup_teardown(test_stops_with_cancels_left,
+						start_engine, stop_engine),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_fold.c
@@ -0,0 +1,217 @@
+/*
+ * The fold of the configuration stream: versions, snapshots, holes, state taken
+ * over from another process.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/fold.h"
+
+static const char *const doc_text =
+	"{\"schema\":1,\"tier\":[{\"name\":\"t\"}],\"pool\":[{\"name\":\"p\","
+	"\"kind\":\"engine\",\"models\":[\"m\"]}]%s}";
+
+static enum mh_fold_result fold(struct mh_fold *f, uint64_t offset,
+				const char *kind, uint64_t base,
+				const char *extra)
+{
+	char doc[512], rec[1024];
+
+	snprintf(doc, sizeof(doc), doc_text, extra);
+	snprintf(rec, sizeof(rec),
+		 "{\"kind\":\"%s\",\"base\":%llu,\"who\":\"w\","
+		 "\"nonce\":\"n%llu\",\"doc\":%s}",
+		 kind, (unsigned long long)base, (unsigned long long)offset,
+		 strcmp(kind, "delta") ? doc : extra);
+	return mh_fold_record(f, offset, 1000 + offset, rec, strlen(rec));
+}
+
+static void test_fold_accepts_by_base(void **state)
+{
+	struct mh_fold *f = mh_fold_new();
+
+	(void)state;
+	assert_int_equal(fold(f, 0, "manifest", 0, ""), MH_FOLD_ACCEPTED);
+	assert_int_equal(fold(f, 1, "manifest", 0, ""), MH_FOLD_REFUSED_BASE);
+	assert_int_equal(fold(f, 2, "manifest", 1, ",\"x\":1"),
+			 MH_FOLD_REFUSED_INVALID);
+	assert_int_equal(mh_fold_version(f), 1);
+	assert_int_equal(
+		fold(f, 3, "delta", 1,
+		     "{\"pool\":[{\"name\":\"p\",\"max_waiting\":5}]}"),
+		MH_FOLD_ACCEPTED);
+	assert_int_equal(mh_fold_version(f), 4);
+	assert_int_equal(mh_fold_manifest(f)->pools[0].max_waiting, 5);
+	/* Delivered twice, and garbage: no effect. */
+	assert_int_equal(fold(f, 3, "manifest", 4, ""), MH_FOLD_SKIPPED);
+	assert_int_equal(mh_fold_record(f, 4, 1, "{{", 2), MH_FOLD_SKIPPED);
+	assert_int_equal(mh_fold_next_offset(f), 5);
+	assert_string_equal(mh_fold_result_name(mh_fold_audit(f, 2)->result),
+			    "refused_base");
+	mh_fold_free(f);
+}
+
+static void test_fold_starts_from_snapshot(void **state)
+{
+	struct mh_fold *f = mh_fold_new(), *g = mh_fold_new();
+	char *snap;
+
+	(void)state;
+	fold(f, 0, "manifest", 0, "");
+	snap = mh_fold_snapshot(f); /* as of offset 1 */
+	fold(f, 1, "delta", 1,
+	     "{\"pool\":[{\"name\":\"p\",\"max_waiting\":9}]}");
+	assert_int_equal(mh_fold_record(f, 2, 9, snap, strlen(snap)),
+			 MH_FOLD_SKIPPED);
+	/* A reader whose log begins at 1 needs the record before the snapshot. */
+	mh_fold_start(g, 1);
+	fold(g, 1, "delta", 1,
+	     "{\"pool\":[{\"name\":\"p\",\"max_waiting\":9}]}");
+	assert_null(mh_fold_manifest(g));
+	assert_int_equal(mh_fold_record(g, 2, 9, snap, strlen(snap)),
+			 MH_FOLD_SNAPSHOT);
+	assert_int_equal(mh_fold_version(g), mh_fold_version(f));
+	assert_int_equal(mh_fold_manifest(g)->pools[0].max_waiting, 9);
+	mh_fold_free(g);
+	/* One whose log begins later can't trust it. */
+	g = mh_fold_new();
+	mh_fold_start(g, 2);
+	assert_int_equal(mh_fold_record(g, 2, 9, snap, strlen(snap)),
+			 MH_FOLD_SKIPPED);
+	assert_null(mh_fold_manifest(g));
+	free(snap);
+	mh_fold_free(f);
+	mh_fold_free(g);
+}
+
+static void test_fold_keeps_state_over_a_hole(void **state)
+{
+	struct mh_fold *f = mh_fold_new();
+
+	(void)state;
+	fold(f, 0, "manifest", 0, "");
+	/* Records 1 to 8 have expired unread: nothing may be judged by base. */
+	mh_fold_start(f, 9);
+	fold(f, 9, "manifest", 1, "");
+	assert_int_equal(mh_fold_version(f), 1);
+	mh_fold_free(f);
+}
+
+static void test_fold_adopts_forward_only(void **state)
+{
+	struct mh_fold *f = mh_fold_new();
+	char doc[512];
+
+	(void)state;
+	snprintf(doc, sizeof(doc), doc_text, "");
+	fold(f, 0, "manifest", 0, "");
+	fold(f, 1, "manifest", 1, "");
+	assert_false(mh_fold_adopt(f, 1, 1, doc, strlen(doc)));
+	assert_int_equal(mh_fold_version(f), 2);
+	assert_true(mh_fold_adopt(f, 9, 8, doc, strlen(doc)));
+	assert_int_equal(mh_fold_version(f), 8);
+	assert_int_equal(mh_fold_next_offset(f), 9);
+	assert_false(mh_fold_adopt(f, 20, 15, "{}", 2));
+	assert_int_equal(mh_fold_version(f), 8);
+	mh_fold_free(f);
+}
+
+static const struct mh_audit_entry *find_audit(const struct mh_fold *f,
+					       uint64_t offset)
+{
+	const struct mh_audit_entry *a;
+	size_t i;
+
+	for (i = 0; (a = mh_fold_audit(f, i)); i++) {
+		if (a->offset == offset)
+			return a;
+	}
+	return NULL;
+}
+
+/* A publisher looks for its record: also when a link told the state first. */
+static void test_fold_audits_what_a_link_told_first(void **state)
+{
+	struct mh_fold *f = mh_fold_new();
+	char doc[512];
+
+	(void)state;
+	snprintf(doc, sizeof(doc), doc_text, "");
+	fold(f, 0, "manifest", 0, "");
+	/* Another process has read 1 to 4; version 2 and then 4 were accepted. */
+	assert_true(mh_fold_adopt(f, 5, 4, doc, strlen(doc)));
+	assert_int_equal(fold(f, 1, "manifest", 1, ""), MH_FOLD_ACCEPTED);
+	assert_int_equal(fold(f, 2, "manifest", 1, ""), MH_FOLD_REFUSED_BASE);
+	assert_int_equal(
+		fold(f, 3, "delta", 2,
+		     "{\"pool\":[{\"name\":\"p\",\"max_waiting\":5}]}"),
+		MH_FOLD_ACCEPTED);
+	assert_int_equal(fold(f, 4, "manifest", 4, ",\"x\":1"),
+			 MH_FOLD_REFUSED_INVALID);
+	/* They changed nothing that is in force, and are there once. */
+	assert_int_equal(mh_fold_version(f), 4);
+	assert_int_equal(mh_fold_next_offset(f), 5);
+	assert_int_equal(find_audit(f, 1)->result, MH_FOLD_ACCEPTED);
+	assert_string_equal(find_audit(f, 1)->nonce, "n1");
+	assert_int_equal(find_audit(f, 2)->result, MH_FOLD_REFUSED_BASE);
+	assert_int_equal(find_audit(f, 3)->version, 4);
+	assert_int_equal(fold(f, 3, "manifest", 2, ""), MH_FOLD_SKIPPED);
+	assert_int_equal(fold(f, 5, "manifest", 4, ""), MH_FOLD_ACCEPTED);
+	assert_int_equal(mh_fold_version(f), 6);
+	mh_fold_free(f);
+}
+
+/* Only a refused record came between: the version that is told is known. */
+static void test_fold_audits_a_refusal_told_first(void **state)
+{
+	struct mh_fold *f = mh_fold_new();
+	char doc[512];
+
+	(void)state;
+	snprintf(doc, sizeof(doc), doc_text, "");
+	fold(f, 0, "manifest", 0, "");
+	assert_false(mh_fold_adopt(f, 2, 1, doc, strlen(doc)));
+	assert_int_equal(mh_fold_next_offset(f), 2);
+	assert_int_equal(fold(f, 1, "manifest", 0, ""), MH_FOLD_REFUSED_BASE);
+	assert_string_equal(find_audit(f, 1)->nonce, "n1");
+	assert_int_equal(mh_fold_version(f), 1);
+	mh_fold_free(f);
+}
+
+/* Past a hole nothing says what the records before it had made. */
+static void test_fold_audits_nothing_over_a_hole(void **state)
+{
+	struct mh_fold *f = mh_fold_new();
+	char doc[512];
+
+	(void)state;
+	snprintf(doc, sizeof(doc), doc_text, "");
+	fold(f, 0, "manifest", 0, "");
+	assert_true(mh_fold_adopt(f, 9, 4, doc, strlen(doc)));
+	mh_fold_start(f, 6);
+	assert_int_equal(fold(f, 6, "manifest", 1, ""), MH_FOLD_SKIPPED);
+	assert_null(find_audit(f, 6));
+	assert_int_equal(fold(f, 9, "manifest", 4, ""), MH_FOLD_ACCEPTED);
+	mh_fold_free(f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_fold_accepts_by_base),
+		cmocka_unit_test(test_fold_starts_from_snapshot),
+		cmocka_unit_test(test_fold_keeps_state_over_a_hole),
+		cmocka_unit_test(test_fold_adopts_forward_only),
+		cmocka_unit_test(test_fold_audits_what_a_link_told_first),
+		cmocka_unit_test(test_fold_audits_a_refusal_told_first),
+		cmocka_unit_test(test_fold_audits_nothing_over_a_hole),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_unit.c
+++ b/tests/test_unit.c
@@ -222,117 +222,6 @@
 	mh_claims_free(c);
 }
 
-/* ---- the configuration fold ---- */
-
-static const char *const doc_text =
-	"{\"schema\":1,\"tier\":[{\"name\":\"t\"}],\"pool\":[{\"name\":\"p\","
-	"\"kind\":\"engine\",\"models\":[\"m\"]}]%s}";
-
-static enum mh_fold_result fold(struct mh_fold *f, uint64_t offset,
-				const char *kind, uint64_t base,
-				const char *extra)
-{
-	char doc[512], rec[1024];
-
-	snprintf(doc, sizeof(doc), doc_text, extra);
-	snprintf(rec, sizeof(rec),
-		 "{\"kind\":\"%s\",\"base\":%llu,\"who\":\"w\",\"nonce\":\"n\","
-		 "\"doc\":%s}",
-		 kind, (unsigned long long)base,
-		 strcmp(kind, "delta") ? doc : extra);
-	return mh_fold_record(f, offset, 1000 + offset, rec, strlen(rec));
-}
-
-static void test_fold_accepts_by_base(void **state)
-{
-	struct mh_fold *f = mh_fold_new();
-
-	(void)state;
-	assert_int_equal(fold(f, 0, "manifest", 0, ""), MH_FOLD_ACCEPTED);
-	assert_int_equal(fold(f, 1, "manifest", 0, ""), MH_FOLD_REFUSED_BASE);
-	assert_int_equal(fold(f, 2, "manifest", 1, ",\"x\":1"),
-			 MH_FOLD_REFUSED_INVALID);
-	assert_int_equal(mh_fold_version(f), 1);
-	assert_int_equal(
-		fold(f, 3, "delta", 1,
-		     "{\"pool\":[{\"name\":\"p\",\"max_waiting\":5}]}"),
-		MH_FOLD_ACCEPTED);
-	assert_int_equal(mh_fold_version(f), 4);
-	assert_int_equal(mh_fold_manifest(f)->pools[0].max_waiting, 5);
-	/* Delivered twice, and garbage: no effect. */
-	assert_int_equal(fold(f, 3, "manifest", 4, ""), MH_FOLD_SKIPPED);
-	assert_int_equal(mh_fold_record(f, 4, 1, "{{", 2), MH_FOLD_SKIPPED);
-	assert_int_equal(mh_fold_next_offset(f), 5);
-	assert_string_equal(mh_fold_result_name(mh_fold_audit(f, 2)->result),
-			    "refused_base");
-	mh_fold_free(f);
-}
-
-static void test_fold_starts_from_snapshot(void **state)
-{
-	struct mh_fold *f = mh_fold_new(), *g = mh_fold_new();
-	char *snap;
-
-	(void)state;
-	fold(f, 0, "manifest", 0, "");
-	snap = mh_fold_snapshot(f); /* as of offset 1 */
-	fold(f, 1, "delta", 1,
-	     "{\"pool\":[{\"name\":\"p\",\"max_waiting\":9}]}");
-	assert_int_equal(mh_fold_record(f, 2, 9, snap, strlen(snap)),
-			 MH_FOLD_SKIPPED);
-	/* A reader whose log begins at 1 needs the record before the snapshot. */
-	mh_fold_start(g, 1);
-	fold(g, 1, "delta", 1,
-	     "{\"pool\":[{\"name\":\"p\",\"max_waiting\":9}]}");
-	assert_null(mh_fold_manifest(g));
-	assert_int_equal(mh_fold_record(g, 2, 9, snap, strlen(snap)),
-			 MH_FOLD_SNAPSHOT);
-	assert_int_equal(mh_fold_version(g), mh_fold_version(f));
-	assert_int_equal(mh_fold_manifest(g)->pools[0].max_waiting, 9);
-	mh_fold_free(g);
-	/* One whose log begins later can't trust it. */
-	g = mh_fold_new();
-	mh_fold_start(g, 2);
-	assert_int_equal(mh_fold_record(g, 2, 9, snap, strlen(snap)),
-			 MH_FOLD_SKIPPED);
-	assert_null(mh_fold_manifest(g));
-	free(snap);
-	mh_fold_free(f);
-	mh_fold_free(g);
-}
-
-static void test_fold_keeps_state_over_a_hole(void **state)
-{
-	struct mh_fold *f = mh_fold_new();
-
-	(void)state;
-	fold(f, 0, "manifest", 0, "");
-	/* Records 1 to 8 have expired unread: nothing may be judged by base. */
-	mh_fold_start(f, 9);
-	fold(f, 9, "manifest", 1, "");
-	assert_int_equal(mh_fold_version(f), 1);
-	mh_fold_free(f);
-}
-
-static void test_fold_adopts_forward_only(void **state)
-{
-	struct mh_fold *f = mh_fold_new();
-	char doc[512];
-
-	(void)state;
-	snprintf(doc, sizeof(doc), doc_text, "");
-	fold(f, 0, "manifest", 0, "");
-	fold(f, 1, "manifest", 1, "");
-	assert_false(mh_fold_adopt(f, 1, 1, doc, strlen(doc)));
-	assert_int_equal(mh_fold_version(f), 2);
-	assert_true(mh_fold_adopt(f, 9, 8, doc, strlen(doc)));
-	assert_int_equal(mh_fold_version(f), 8);
-	assert_int_equal(mh_fold_next_offset(f), 9);
-	assert_false(mh_fold_adopt(f, 20, 15, "{}", 2));
-	assert_int_equal(mh_fold_version(f), 8);
-	mh_fold_free(f);
-}
-
 /* ---- the side, frame by frame ---- */
 
 struct side_fixture {
@@ -1067,10 +956,6 @@
 		cmocka_unit_test(test_lane_order),
 		cmocka_unit_test(test_lane_shares),
 		cmocka_unit_test(test_claims),
-		cmocka_unit_test(test_fold_accepts_by_base),
-		cmocka_unit_test(test_fold_starts_from_snapshot),
-		cmocka_unit_test(test_fold_keeps_state_over_a_hole),
-		cmocka_unit_test(test_fold_adopts_forward_only),
 		cmocka_unit_test(test_side_dispatches_once),
 		cmocka_unit_test(test_side_never_seen_is_final),
 		cmocka_unit_test(test_side_grant_has_a_term),
