Second signal answers open calls; tests end only their own processes

Cause: an entry that was told to stop at once left its callers suspended in the HTTP server, which aborts the process at its end ('Fatal error', seen in the log of each run); callers saw a cut connection. Open calls are refused truthfully now, and have half a second to be read.

Process tests: at the end a run killed each pid that it had ever started; beside other runs a pid may be another run's by then (seen with ten runs at once: services and sides vanished). A process is now named by pid and start.

--- a/core/entry.c
+++ b/core/entry.c
@@ -366,6 +366,28 @@
 	e->draining = true;
 }
 
+/* A request that looks for or joins a run of its key can't be said not to run. */
+static bool is_before_any_run(const struct mh_req *req)
+{
+	return req->state == MH_REQ_ADMIT || req->state == MH_REQ_WAIT ||
+	       req->state == MH_REQ_CLAIM;
+}
+
+void mh_entry_give_up(struct mh_entry *e)
+{
+	e->draining = true;
+	while (e->by_call) {
+		struct mh_req *req = e->by_call;
+
+		/* A leader's refusal is that of its followers too. */
+		if (req->leader)
+			req = req->leader;
+		mh_entry_refuse(e, req,
+				is_before_any_run(req) ? MH_ERR_DRAINING :
+							 MH_ERR_CANCELLED);
+	}
+}
+
 uint32_t mh_entry_open(const struct mh_entry *e)
 {
 	return HASH_CNT(hh_call, e->by_call);
--- a/core/entry.h
+++ b/core/entry.h
@@ -186,6 +186,15 @@
  */
 void mh_entry_drain(struct mh_entry *e);
 
+/**
+ * mh_entry_give_up() - refuse all open calls and take none any more
+ * @e: core
+ *
+ * Runs that may have started are stopped, and their callers are told that the
+ * outcome is unknown.
+ */
+void mh_entry_give_up(struct mh_entry *e);
+
 /**
  * mh_entry_open() - number of calls that have not ended
  * @e: core
--- a/entry/app.c
+++ b/entry/app.c
@@ -11,6 +11,8 @@
 #include "core/rendezvous.h"
 
 #define SYNC_LOOK_MS 100
+/* From the second signal to the end: callers that read get their refusal. */
+#define STOP_MS 500
 #define LOG_CONFIG_READ (1u << 0)
 #define LOG_CLAIMS_READ (1u << 1)
 #define LOG_APPEND (1u << 2)
@@ -337,7 +339,8 @@
 	if (app->drain_signals++) {
 		mh_log_warn("entry", "stopping at once open=%u",
 			    mh_entry_open(app->core));
-		mh_loop_stop(app->loop);
+		app->stop_by_ns = mh_now_ns() + STOP_MS * MH_NS_PER_MS;
+		mh_entry_give_up(app->core);
 		return;
 	}
 	mh_log_info("entry", "draining open=%u", mh_entry_open(app->core));
@@ -399,6 +402,7 @@
 		mh_entry_settings_release(settings);
 		return NULL;
 	}
+	app->stop_by_ns = UINT64_MAX;
 	app->settings = *settings;
 	app->signals.watch.fd = -1;
 	/* Appending counts as working until it fails. */
@@ -460,8 +464,13 @@
 	if (drained(app)) {
 		mh_log_info("entry", "drained");
 		mh_loop_stop(app->loop);
+	} else if (mh_now_ns() >= app->stop_by_ns) {
+		mh_log_warn(
+			"entry", "stopped unread=%u",
+			__atomic_load_n(&app->open_calls, __ATOMIC_RELAXED));
+		mh_loop_stop(app->loop);
 	}
-	return mh_earlier(next, due);
+	return mh_earlier(mh_earlier(next, due), app->stop_by_ns);
 }
 
 void mh_app_run(struct mh_app *app)
--- a/entry/app.h
+++ b/entry/app.h
@@ -75,6 +75,7 @@
  * @journal: ring of finished requests, the core thread's
  * @n_journal: number of requests ever entered into @journal
  * @drain_signals: number of signals that asked to drain
+ * @stop_by_ns: when to end though callers are not done, monotonic
  * @stopped: the loop has ended, nothing more runs on the core's thread
  * @signals: watch for the signals that end the program
  */
@@ -100,6 +101,7 @@
 	struct mh_journal_entry journal[MH_JOURNAL_SIZE];
 	uint64_t n_journal;
 	int drain_signals;
+	uint64_t stop_by_ns;
 	bool stopped;
 	struct mh_signals signals;
 };
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -9,12 +9,23 @@
 TOKEN=operator-token
 HOSTS=""
 
+# When a process started, in ticks since boot: with its pid it names the process
+# for good, since a pid may be another one's by then.
+started_at() { # PID
+	sed 's/.*) //' /proc/$1/stat 2>/dev/null | cut -d' ' -f20
+}
+
+is_ours() { # PID: a process that this script started, and still the same one
+	[ "$(started_at $1)" = \
+		"$(awk -v p=$1 '$1 == p { t = $2 } END { print t }' "$DIR/pids")" ]
+}
+
 start() { # NAME COMMAND...: starts a process, its pid in $DIR/NAME.pid
 	local name=$1
 	shift
-	"$@" >"$DIR/$name.log" 2>&1 &
+	"$@" >>"$DIR/$name.log" 2>&1 &
 	echo $! >"$DIR/$name.pid"
-	echo $! >>"$DIR/pids"
+	echo $! $(started_at $!) >>"$DIR/pids"
 }
 
 pid_of() {
@@ -22,6 +33,7 @@
 }
 
 kill_hard() { # NAME: returns once it is gone, so that its ports are free
+	is_ours $(pid_of $1) || return 1
 	kill -9 $(pid_of $1)
 	tail --pid=$(pid_of $1) -f /dev/null
 }
@@ -178,7 +190,8 @@
 
 stop_site() {
 	local pid
-	for pid in $(cat "$DIR/pids"); do
+	for pid in $(cut -d' ' -f1 "$DIR/pids"); do
+		is_ours $pid || continue
 		kill -CONT $pid 2>/dev/null
 		kill -KILL $pid 2>/dev/null
 	done
--- a/tests/test_entry_keys.c
+++ b/tests/test_entry_keys.c
@@ -308,6 +308,44 @@
 	mh_entry_free(fx.entry);
 }
 
+/* A second signal: nobody may be told that a run of the key can't exist. */
+static void test_give_up_refuses_all_truthfully(void **state)
+{
+	struct fixture fx;
+	uint32_t i;
+
+	(void)state;
+	open_entry(&fx);
+	for (i = 0; i < CALLERS; i++)
+		mh_entry_submit(fx.entry, &fx.calls[i]);
+	lose_claim(&fx);
+	mh_entry_give_up(fx.entry);
+	assert_int_equal(mh_entry_open(fx.entry), 0);
+	for (i = 0; i < CALLERS; i++) {
+		assert_true(fx.outcomes[i].refused);
+		assert_int_equal(fx.outcomes[i].error, MH_ERR_CANCELLED);
+	}
+	mh_entry_free(fx.entry);
+}
+
+/* Before a claim is known to hold nothing was sent. */
+static void test_give_up_before_a_run(void **state)
+{
+	struct fixture fx;
+	uint32_t i;
+
+	(void)state;
+	open_entry(&fx);
+	for (i = 0; i < CALLERS; i++)
+		mh_entry_submit(fx.entry, &fx.calls[i]);
+	mh_entry_give_up(fx.entry);
+	for (i = 0; i < CALLERS; i++)
+		assert_int_equal(fx.outcomes[i].error, MH_ERR_DRAINING);
+	assert_int_equal(fx.n_attached, 0);
+	assert_int_equal(fx.handovers, 0);
+	mh_entry_free(fx.entry);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -315,6 +353,8 @@
 		cmocka_unit_test(test_heir_of_a_lost_claim_looks_for_the_run),
 		cmocka_unit_test(test_heir_without_a_run_is_refused_at_once),
 		cmocka_unit_test(test_heir_of_a_leader_with_a_lost_link),
+		cmocka_unit_test(test_give_up_refuses_all_truthfully),
+		cmocka_unit_test(test_give_up_before_a_run),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_processes.sh
+++ b/tests/test_processes.sh
@@ -421,8 +421,12 @@
 		! grep -q CUT "$DIR"/worker?
 }
 
+engines_idle() {
+	[ "$(engine_load 1 running)$(engine_load 2 running)" = 00 ]
+}
+
 t_second_signal_ends() {
-	chat 1 "second signal" 3000 true >/dev/null 2>&1 &
+	chat 1 "second signal" 3000 true >"$DIR/out" 2>/dev/null &
 	busy_server >/dev/null || return 1
 	kill -TERM $(pid_of entry1)
 	sleep 0.3
@@ -432,7 +436,10 @@
 	rc=$?
 	start_entry 1
 	wait_until 10 entry_ready 1 && all_up
-	return $rc
+	# Its caller was told, and the run was stopped.
+	grep -q '"outcome":"outcome_unknown"' "$DIR/out" || return 1
+	grep -q 'Fatal error' "$DIR/entry1.log" && return 1
+	wait_until 5 engines_idle && return $rc
 }
 
 # The page that describes the API names just what answers.
