Servers that fail all that they are sent no longer draw the load

Three faults: an error that is passed on to the caller (the request may run once) counted as a success, and a quick one; a server that resets connections stayed in use while one older answer went on there; the pool's share of failures was counted by run, so that the failing servers hid each other. Ruled out: the order within a tier (time left before the latest start, no gain, reverted).

A server rests after two connections in a row lost before the first byte, or once it fails far more than the others; it comes back by single runs. 'done' lines have status, first_ms and gap_ms.

Tests fail before: test_failing_server_does_not_draw_the_load (395 of 400 lost there), test_resetting_server_does_not_draw_the_load (340), proxy: a server that fails all (40 of 40), test_repeats_stay_within_any_window. The explain test asks for the status, too, which done lines have now.

--- a/core/budget.c
+++ b/core/budget.c
@@ -83,7 +83,8 @@
 void mh_window_init(struct mh_window *w, uint32_t span_ms)
 {
 	memset(w, 0, sizeof(*w));
-	w->slot_ns = span_ms * MH_NS_PER_MS / MH_WINDOW_SLOTS;
+	/* The newest slot is not full yet: the others cover the span. */
+	w->slot_ns = span_ms * MH_NS_PER_MS / (MH_WINDOW_SLOTS - 1);
 }
 
 static uint32_t slot_at(struct mh_window *w, uint64_t now_ns)
@@ -109,12 +110,15 @@
 bool mh_window_again(struct mh_window *w, double ratio, double extra,
 		     uint64_t now_ns)
 {
-	uint32_t at = slot_at(w, now_ns), i;
+	uint32_t at = slot_at(w, now_ns), oldest = (at + 1) % MH_WINDOW_SLOTS;
+	uint32_t i;
 	double first = 0, again = 0;
 
+	/* Repeats of at least the span, requests of at most the span. */
 	for (i = 0; i < MH_WINDOW_SLOTS; i++) {
-		first += w->first[i];
 		again += w->again[i];
+		if (i != oldest)
+			first += w->first[i];
 	}
 	if (again + 1 > ratio * first + extra)
 		return false;
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -57,7 +57,8 @@
 	uint64_t heard_ns;	/* last byte of any answer */
 	uint64_t rest_until_ns; /* after a lost connection */
 	uint32_t rest_ms;
-	bool on_trial; /* one run at a time until one succeeds */
+	uint32_t lost_row; /* connections lost before a first byte, in a row */
+	bool on_trial;	   /* one run at a time until one succeeds */
 	UT_hash_handle hh;
 };
 
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -24,13 +24,20 @@
 #define PACE_MAX 40.0
 /* Noise in a server's cost, up to a tenth of an idle one's. */
 #define NOISE (0.1 / 64)
-/* Failures beyond those of the pool at which a server counts as grey. */
+/* Failures beyond the mean of its pool at which a server counts as grey. */
 #define GREY_MARGIN 0.15
+/* Failures beyond the mean of the others at which it is no better than one that
+ * is down. What fails at once is always free, and would draw the work of a busy
+ * pool. */
+#define DEAD_MARGIN 0.4
 /* Requests that are moved away from silent servers at a time. */
 #define MOVES_MAX 64
 /* Rest after a lost connection: doubles from the first to the last. */
 #define REST_FIRST_MS 150
 #define REST_LAST_MS 1200
+/* A server that loses so many connections in a row before their first byte
+ * takes no more for now, though earlier answers go on there. */
+#define LOST_ROW 2
 /* A server that answers nothing for so long, beyond what is expected, while
  * requests wait for its first byte, gets no more. */
 #define SILENT_MS 450
@@ -101,9 +108,10 @@
 
 	if (!s->takes_work || now_ns < s->rest_until_ns || is_silent(s, now_ns))
 		return 0;
+	/* What has run there for long says nothing of a trial. */
 	if (s->on_trial)
-		places = 1;
-	else if (s->pace > SLOW_PACE)
+		return !s->silent && s->held < places ? 1 : 0;
+	if (s->pace > SLOW_PACE)
 		places = (uint32_t)(places * SLOW_PACE / s->pace) + 1;
 	if (s->failing > s->pool->failing + GREY_MARGIN)
 		places = (places + 1) / 2;
@@ -244,6 +252,7 @@
 		return;
 	it->answering = true;
 	s->silent--;
+	s->lost_row = 0;
 	s->heard_ns = now_ns;
 	if (s->pool->is_engine) {
 		double ratio = first_ms / engine_ms(it, 0);
@@ -306,6 +315,22 @@
 	s->on_trial = true;
 }
 
+/* Return: 1 if there are no others, since nothing better is known then. */
+static double failing_of_others(const struct server *s)
+{
+	struct server *other, *tmp;
+	double sum = 0;
+	uint32_t n = 0;
+
+	HASH_ITER(hh, s->pool->servers, other, tmp) {
+		if (other == s || !other->takes_work)
+			continue;
+		sum += other->failing;
+		n++;
+	}
+	return n ? sum / n : 1;
+}
+
 static void learn_success(struct item *it, uint32_t total_ms)
 {
 	struct server *s = it->server;
@@ -313,6 +338,7 @@
 	double ms = total_ms > 0 ? total_ms : 1;
 
 	s->rest_ms = 0;
+	s->lost_row = 0;
 	s->on_trial = false;
 	if (p->is_engine) {
 		double ratio = ms / engine_ms(it, it->output_tokens);
@@ -337,18 +363,20 @@
 		s->heard_ns = now_ns;
 		learn_success(it, total_ms);
 		blend(&s->failing, 0, FAIL_GAIN);
-		blend(&s->pool->failing, 0, POOL_GAIN / 2);
 		break;
 	case MH_PLACE_FAILED:
 		s->heard_ns = now_ns;
 		s->on_trial = false;
 		blend(&s->failing, 1, FAIL_GAIN);
-		blend(&s->pool->failing, 1, POOL_GAIN / 2);
+		if (s->failing > failing_of_others(s) + DEAD_MARGIN)
+			rest(s, now_ns);
 		break;
 	case MH_PLACE_LOST:
 		blend(&s->failing, 1, FAIL_GAIN);
+		if (!it->answering)
+			s->lost_row++;
 		/* One broken answer is no broken server: others go on there. */
-		if (s->held == s->silent)
+		if (s->held == s->silent || s->lost_row >= LOST_ROW)
 			rest(s, now_ns);
 		break;
 	case MH_PLACE_UNREACHABLE:
@@ -379,7 +407,13 @@
 void mh_dispatch_fade(struct pool *p)
 {
 	struct server *s, *tmp;
+	double failing = 0;
 
+	/* Of servers, not of runs: most runs are where they fail at once. */
+	HASH_ITER(hh, p->servers, s, tmp)
+		failing += s->failing;
+	if (p->servers)
+		p->failing = failing / HASH_COUNT(p->servers);
 	HASH_ITER(hh, p->servers, s, tmp) {
 		blend(&s->pace, 1, FORGET_GAIN);
 		blend(&s->failing, p->failing, FORGET_GAIN);
--- a/proxy/exchange_answer.c
+++ b/proxy/exchange_answer.c
@@ -11,6 +11,11 @@
 	return status == 429 || status == 503 || status == 408 || status == 421;
 }
 
+static bool is_server_error(uint16_t status)
+{
+	return status >= 500;
+}
+
 static enum verdict judge(const struct exchange *x, uint16_t status,
 			  const struct mh_wire_answer *answer)
 {
@@ -19,7 +24,7 @@
 
 	if (answer->not_run)
 		return VERDICT_NOT_RUN;
-	if (status >= 500 && again)
+	if (is_server_error(status) && again)
 		return VERDICT_AGAIN;
 	if (promises_not_run(status))
 		return VERDICT_HIDE;
@@ -77,6 +82,7 @@
 			    memcmp(answer.id.p, x->wire.id.p, answer.id.len) :
 		    !answer.not_run && x->wire.id.len)
 		return 1;
+	x->status = head->status;
 	x->verdict = judge(x, head->status, &answer);
 	if (x->verdict == VERDICT_PASS && head->status < 300 &&
 	    (!answer.is_signed || answer.is_encoded))
@@ -86,8 +92,10 @@
 		x->verdict = VERDICT_HIDE;
 	if (x->verdict != VERDICT_PASS)
 		return 0;
-	mh_placer_first(x->set->env.placer, x->id,
-			mh_exchange_since_ms(x, x->sent_ns));
+	/* How soon an error comes says nothing of how fast a server works. */
+	if (!is_server_error(x->status))
+		mh_placer_first(x->set->env.placer, x->id,
+				mh_exchange_since_ms(x, x->sent_ns));
 	mh_exchange_time_first(x);
 	x->phase = PHASE_ANSWERING;
 	if (!x->head_passed)
@@ -210,10 +218,10 @@
 		mh_buffer_add(out, "0\r\n\r\n", 5);
 	mh_count(x->set->env.counters, MH_C_WHOLE);
 	mh_event(mh_exchange_log_of(x), MH_EV_DONE,
-		 "event=done id=%.*s route=%s account=%s server=%s "
+		 "event=done id=%.*s status=%u route=%s account=%s server=%s "
 		 "total_ms=%u server_ms=%u first_ms=%u gap_ms=%u servers=%u "
 		 "events=%u",
-		 (int)x->wire.id.len, x->wire.id.p, x->route->name,
+		 (int)x->wire.id.len, x->wire.id.p, x->status, x->route->name,
 		 x->account ? x->account->name : "", x->server,
 		 mh_exchange_since_ms(x, x->arrived_ns),
 		 mh_exchange_since_ms(x, x->sent_ns), x->first_ms, x->gap_ms,
@@ -237,7 +245,10 @@
 		return;
 	}
 	x->sent_count++;
-	mh_exchange_leave_server(x, failed ? MH_PLACE_FAILED : MH_PLACE_OK);
+	/* An error that is passed on, too, tells of the server. */
+	mh_exchange_leave_server(x, failed || is_server_error(x->status) ?
+					    MH_PLACE_FAILED :
+					    MH_PLACE_OK);
 	if (failed)
 		mh_exchange_lost_there(x, MH_ERR_BACKEND_FAILED);
 	else
--- a/proxy/exchange_impl.h
+++ b/proxy/exchange_impl.h
@@ -48,9 +48,10 @@
 	uint64_t asked_ns; /* for a place */
 	uint64_t sent_ns;
 	uint64_t part_ns; /* newest bytes of the answer */
+	uint16_t status;  /* of the last server's answer */
 	struct mh_series *gaps;
-	uint32_t first_ms; /* from arrival to the answer's first byte */
-	uint32_t gap_ms;   /* longest pause after it */
+	uint32_t first_ms;   /* from arrival to the answer's first byte */
+	uint32_t gap_ms;     /* longest pause after it */
 	uint32_t sent_count; /* servers that may have run it */
 	uint32_t arrivals;   /* servers that it may have reached */
 	uint32_t fruitless;  /* places that came to nothing */
--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -13,6 +13,7 @@
  *   POST /test/down?ms=         the store answers 503 for so long
  *   POST /test/store            {"outage": bool, "lose_answers": n,
  *                               "slow_ms": n, "retain": n}
+ *   POST /test/fail?id=&on=     a server answers all with 500, or no more
  *   POST /test/silent?id=&ms=   a server neither answers nor closes for so long
  *   GET  /test/runs             a line for each run: server, id, method,
  *                               target, account, deadline, event, body length
@@ -62,6 +63,7 @@
 	int sequence;
 	char state[16];
 	uint64_t silent_until_ms;
+	bool fails_all;
 };
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -117,7 +119,9 @@
 
 	snprintf(id, sizeof(id), "%s", query(c, "id"));
 	s = find_server(id);
-	if (path_is(c, "/test/silent") && s) {
+	if (path_is(c, "/test/fail") && s) {
+		s->fails_all = !strcmp(query(c, "on"), "1");
+	} else if (path_is(c, "/test/silent") && s) {
 		s->silent_until_ms =
 			now_ms() + strtoul(query(c, "ms"), NULL, 10);
 	} else if (path_is(c, "/test/server") && s) {
@@ -322,7 +326,7 @@
 		begin(c, 200,
 		      SIGNED "Content-Encoding: gzip\r\n"
 			     "Content-Length: 5\r\n\r\nhello");
-	} else if (asked_for(c, "fail")) {
+	} else if (c->server->fails_all || asked_for(c, "fail")) {
 		begin(c, 500, SIGNED "Content-Length: 5\r\n\r\nwrong");
 	} else if (asked_for(c, "busy")) {
 		begin(c, 503, "Content-Length: 4\r\n\r\nbusy");
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -260,6 +260,90 @@
 	free_fixture(f);
 }
 
+/* Sends a request each 5 ms; return: how many of them the bad server lost. */
+static uint32_t lose_at_a_bad_server(struct fixture *f,
+				     enum mh_place_outcome outcome)
+{
+	uint64_t held[400];
+	uint32_t i, n = 0, lost = 0;
+
+	for (i = 0; i < 400; i++) {
+		uint64_t id = ask(f, 0);
+
+		pass(f, 5);
+		if (!f->answers[id].placed)
+			continue;
+		if (!strcmp(f->answers[id].server, "bad")) {
+			lost++;
+			done(f, id, outcome, 2);
+		} else {
+			held[n++] = id;
+		}
+		/* The sound one takes 200 ms for each. */
+		if (n && f->now_ns > f->answers[held[0]].at_ns + 200 * MS) {
+			done(f, held[0], MH_PLACE_OK, 200);
+			memmove(held, held + 1, --n * sizeof(*held));
+		}
+	}
+	return lost;
+}
+
+/*
+ * Pattern: overload, and a server that fails all at once. It is always free
+ * and would draw what the busy ones can't take.
+ */
+static void test_failing_server_does_not_draw_the_load(void **state)
+{
+	struct fixture *f = new_fixture();
+
+	(void)state;
+	add_server(f, "bad", 1, true);
+	add_server(f, "sound", 1, true);
+	assert_in_range(lose_at_a_bad_server(f, MH_PLACE_FAILED), 1, 12);
+	free_fixture(f);
+}
+
+/* The same with broken connections, while an older answer goes on there. */
+static void test_resetting_server_does_not_draw_the_load(void **state)
+{
+	struct mh_place_service service = { POOL, 6, false };
+	struct fixture *f = new_fixture();
+	uint64_t old;
+
+	(void)state;
+	mh_dispatch_service(f->d, &service);
+	add_server(f, "bad", 1, true);
+	old = ask(f, 0);
+	mh_dispatch_tick(f->d);
+	assert_true(f->answers[old].placed);
+	mh_dispatch_first(f->d, 1, old, 20);
+	add_server(f, "sound", 1, true);
+	assert_in_range(lose_at_a_bad_server(f, MH_PLACE_LOST), 1, 12);
+	free_fixture(f);
+}
+
+/* A pool without better servers goes on with those that it has. */
+static void test_only_failing_servers_are_still_used(void **state)
+{
+	struct fixture *f = new_fixture();
+	uint32_t i, placed = 0;
+
+	(void)state;
+	add_server(f, "a", 1, true);
+	add_server(f, "b", 1, true);
+	for (i = 0; i < 100; i++) {
+		uint64_t id = ask(f, 0);
+
+		pass(f, 10);
+		if (!f->answers[id].placed)
+			continue;
+		placed++;
+		done(f, id, MH_PLACE_FAILED, 2);
+	}
+	assert_true(placed >= 95);
+	free_fixture(f);
+}
+
 static void test_silent_server_gets_nothing_more(void **state)
 {
 	struct fixture *f = new_fixture();
@@ -564,6 +648,9 @@
 		cmocka_unit_test(test_slow_server_gets_less_of_the_work),
 		cmocka_unit_test(test_server_that_was_slow_is_tried_again),
 		cmocka_unit_test(test_grey_server_is_avoided),
+		cmocka_unit_test(test_failing_server_does_not_draw_the_load),
+		cmocka_unit_test(test_resetting_server_does_not_draw_the_load),
+		cmocka_unit_test(test_only_failing_servers_are_still_used),
 		cmocka_unit_test(test_silent_server_gets_nothing_more),
 		cmocka_unit_test(test_requests_leave_a_frozen_server),
 		cmocka_unit_test(test_moved_requests_may_leave_at_once),
--- a/tests/test_proxy.sh
+++ b/tests/test_proxy.sh
@@ -173,7 +173,7 @@
 	echo "$out" | grep -q '^cause: refused, no_route, answered with 404' ||
 		return 1
 	$BIN/mangoctl explain story-2 - <"$DIR/proxy1.log" |
-		grep -q '^cause: done$' || return 1
+		grep -q '^cause: done, answered with 200' || return 1
 	! $BIN/mangoctl explain story-3 "$DIR/proxy1.log" &&
 		! $BIN/mangoctl explain story-2 "$DIR/no.log"
 }
@@ -372,6 +372,20 @@
 	runs | grep ' back-' | grep -q '^s1 '
 }
 
+# Errors that are passed on, since the request may run once only, still tell of
+# the server: it answers fast, which must not draw the work.
+t_server_that_fails_all() {
+	local i
+	platform 'fail?id=s2&on=1'
+	for i in $(seq 40); do
+		ID=fa-$i status_of 1 /once/plain >/dev/null
+	done
+	platform 'fail?id=s2&on=0'
+	runs | grep ' fa-' | cut -d' ' -f1 | sort | uniq -c
+	[ "$(runs | grep -c " fa-")" = 40 ] &&
+		[ "$(runs | grep -c "^s2 fa-")" -le 12 ]
+}
+
 t_silent_server() {
 	local i ok=0
 	platform 'silent?id=s2&ms=4000'
@@ -539,6 +553,7 @@
 check "proxy: a quota holds over two proxies" t_quota
 check "proxy: configurations only go forward" t_new_configuration
 check "proxy: a server leaves and comes back" t_server_leaves
+check "proxy: a server that fails all" t_server_that_fails_all
 check "proxy: a silent server" t_silent_server
 check "proxy: the store is down" t_store_down
 check "proxy: dispatcher killed" t_dispatcher_killed
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -434,6 +434,54 @@
 	free_fixture(f);
 }
 
+#define STEPS 4000
+#define STEP_MS 10
+#define SPAN_STEPS 1000
+
+static double sum_of(const uint32_t *v, int from)
+{
+	double sum = 0;
+	int i;
+
+	for (i = from < 0 ? 0 : from; i < from + SPAN_STEPS; i++)
+		sum += v[i];
+	return sum;
+}
+
+/*
+ * Pattern: bursts, and servers that fail all, so that each repeat that is
+ * allowed is taken. No window of 10 s, from whatever moment, may hold more
+ * repeats than belong to its requests, to those of the window before, or to
+ * those of the one half a window before.
+ */
+static void test_repeats_stay_within_any_window(void **state)
+{
+	static uint32_t first[STEPS], again[STEPS];
+	struct mh_window w;
+	int t, i;
+
+	(void)state;
+	mh_window_init(&w, SPAN_STEPS * STEP_MS);
+	for (t = 0; t < STEPS; t++) {
+		uint64_t now_ns = (uint64_t)(100000 + t * STEP_MS) * MS;
+
+		first[t] = t / 300 % 3 ? 1 : 8;
+		for (i = 0; i < (int)first[t]; i++)
+			mh_window_first(&w, now_ns);
+		while (mh_window_again(&w, 0.2, 5, now_ns))
+			again[t]++;
+	}
+	for (t = 0; t + SPAN_STEPS <= STEPS; t++) {
+		double most = sum_of(first, t);
+
+		if (sum_of(first, t - SPAN_STEPS) > most)
+			most = sum_of(first, t - SPAN_STEPS);
+		if (sum_of(first, t - SPAN_STEPS / 2) > most)
+			most = sum_of(first, t - SPAN_STEPS / 2);
+		assert_true(sum_of(again, t) <= 0.2 * most + 5);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -455,6 +503,7 @@
 			test_kept_record_counts_whatever_the_clocks_say),
 		cmocka_unit_test(test_ledger_rejects_other_bytes),
 		cmocka_unit_test(test_abusive_retriers_stay_within_the_budget),
+		cmocka_unit_test(test_repeats_stay_within_any_window),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
