--- a/config/settings.c
+++ b/config/settings.c
@@ -142,6 +142,7 @@
 static const struct mh_field proxy_root[] = {
 	P(host, "host", MH_FIELD_STRING, .required = true),
 	P(zone, "zone", MH_FIELD_STRING, .required = true),
+	P(log_format, "log_format", MH_FIELD_STRING, .def_string = "text"),
 };
 
 static const struct mh_field proxy_listen[] = {
@@ -169,6 +170,7 @@
 static const struct mh_field dispatcher_root[] = {
 	D(host, "host", MH_FIELD_STRING, .required = true),
 	D(zone, "zone", MH_FIELD_STRING, .required = true),
+	D(log_format, "log_format", MH_FIELD_STRING, .def_string = "text"),
 };
 
 static const struct mh_field dispatcher_listen[] = {
@@ -325,6 +327,21 @@
 		      json_object_get(table, key), "must begin with http://");
 }
 
+bool mh_log_format_is_json(const char *format)
+{
+	return !strcmp(format, "json");
+}
+
+static void check_log_format(const json_t *doc, const char *format,
+			     struct mh_report *rep)
+{
+	if (!format || !strcmp(format, "text") || mh_log_format_is_json(format))
+		return;
+	mh_report_add(rep, mh_toml_line(doc, "log_format"), "log_format",
+		      json_object_get(doc, "log_format"),
+		      "must be text or json");
+}
+
 static void check_log_level(const json_t *doc, const char *level,
 			    struct mh_report *rep)
 {
@@ -469,6 +486,7 @@
 
 	if (!doc)
 		return false;
+	check_log_format(doc, s->log_format, rep);
 	check_address(doc, "listen", "callers", s->callers, rep);
 	check_address(doc, "listen", "status", s->status, rep);
 	check_address(doc, "listen", "metrics", s->metrics, rep);
@@ -489,6 +507,7 @@
 
 	if (!doc)
 		return false;
+	check_log_format(doc, s->log_format, rep);
 	check_address(doc, "listen", "links", s->links, rep);
 	check_address(doc, "listen", "announce", s->announce, rep);
 	check_address(doc, "listen", "status", s->status, rep);
--- a/config/settings.h
+++ b/config/settings.h
@@ -118,6 +118,7 @@
  * @callers: address for callers
  * @status: address for readiness and metrics
  * @metrics: a further address for metrics, may be absent
+ * @log_format: "text" or "json"
  * @store: address of the platform's store
  * @bounds: section [bounds]
  * @link: section [link]
@@ -125,6 +126,7 @@
 struct mh_proxy_settings {
 	char *host;
 	char *zone;
+	char *log_format;
 	char *callers;
 	char *status;
 	char *metrics;
@@ -140,6 +142,7 @@
  * @links: address for the links of entries
  * @announce: address at which entries reach @links, absent if it is the same
  * @status: address for metrics
+ * @log_format: "text" or "json"
  * @store: address of the platform's store
  * @bounds: section [bounds]
  * @link: section [link]
@@ -147,6 +150,7 @@
 struct mh_dispatcher_settings {
 	char *host;
 	char *zone;
+	char *log_format;
 	char *links;
 	char *announce;
 	char *status;
@@ -189,6 +193,12 @@
  */
 void mh_side_settings_release(struct mh_side_settings *s);
 
+/**
+ * mh_log_format_is_json() - what a checked log_format says
+ * @format: "text" or "json"
+ */
+bool mh_log_format_is_json(const char *format);
+
 /**
  * mh_proxy_settings_read() - read and check a settings file
  * @path: file
--- a/ctl/story.c
+++ b/ctl/story.c
@@ -8,6 +8,7 @@
 
 #include "config/cmdline.h"
 #include "core/err.h"
+#include "net/log_format.h"
 
 #define VALUE_BYTES 128
 /* What a process believed when a request came was learned before: lines of its
@@ -60,7 +61,7 @@
 	return field(text, name, value) && !strcmp(value, want);
 }
 
-static void add_line(struct story *st, const char *text)
+static void add_text(struct story *st, const char *text)
 {
 	const char *at = strncmp(text, "t=", 2) ? strstr(text, " t=") : text;
 	char value[VALUE_BYTES];
@@ -82,6 +83,16 @@
 	st->n++;
 }
 
+/* Something may stand before the line, as a collector's time or host. */
+static void add_line(struct story *st, const char *line)
+{
+	const char *object = strstr(line, "{\"t\":");
+	char *text = object ? mh_log_from_json(object) : NULL;
+
+	add_text(st, text ? text : line);
+	free(text);
+}
+
 static bool read_log(struct story *st, const char *path)
 {
 	FILE *in = strcmp(path, "-") ? fopen(path, "r") : stdin;
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -406,6 +406,8 @@
 		return;
 	}
 	app->settings.bounds = now.bounds;
+	mh_event_log_set_json(app->process.log,
+			      mh_log_format_is_json(now.log_format));
 	conf = mh_bounds_dispatch(&now.bounds);
 	mh_dispatch_set_conf(app->dispatch, &conf);
 	mh_event(app->process.log, MH_EV_PROCESS,
@@ -537,6 +539,8 @@
 	};
 	uint64_t seed;
 
+	mh_event_log_set_json(app->process.log,
+			      mh_log_format_is_json(app->settings.log_format));
 	randombytes_buf(&seed, sizeof(seed));
 	randombytes_buf(&link_conf.incarnation, sizeof(link_conf.incarnation));
 	memcpy(link_conf.key, app->settings.link.key, sizeof(link_conf.key));
--- a/net/event_log.c
+++ b/net/event_log.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "net/buffer.h"
+#include "net/log_format.h"
 
 #define LINE_BYTES 700
 /* Lines that the pipe has not taken; beyond that they are dropped. */
@@ -41,6 +42,7 @@
 
 struct mh_event_log {
 	int fd;
+	bool json;
 	char *host;
 	const struct mh_clock *clock;
 	struct mh_buffer queue;
@@ -67,6 +69,11 @@
 	return log;
 }
 
+void mh_event_log_set_json(struct mh_event_log *log, bool json)
+{
+	log->json = json;
+}
+
 static void write_out(struct mh_event_log *log)
 {
 	while (log->queue.len) {
@@ -104,14 +111,21 @@
 		     char *text)
 {
 	const struct kind_info *k = &kinds[kind];
+	char *line = NULL, *json = NULL;
+	bool ok = log->queue.len + 2 * LINE_BYTES <= QUEUE_BYTES;
 
 	clean(text);
-	if (log->queue.len + LINE_BYTES > QUEUE_BYTES ||
-	    !mh_buffer_printf(&log->queue,
-			      "t=%llu level=%s host=%s kind=%s %s\n",
-			      (unsigned long long)mh_clock_wall_ms(log->clock),
-			      k->level, log->host, k->name, text))
+	if (ok && asprintf(&line, "t=%llu level=%s host=%s kind=%s %s",
+			   (unsigned long long)mh_clock_wall_ms(log->clock),
+			   k->level, log->host, k->name, text) < 0)
+		line = NULL;
+	if (line && log->json)
+		json = mh_log_to_json(line);
+	ok = log->json ? json != NULL : line != NULL;
+	if (!ok || !mh_buffer_printf(&log->queue, "%s\n", json ? json : line))
 		log->dropped++;
+	free(json);
+	free(line);
 }
 
 static void next_span(struct mh_event_log *log, uint64_t now_ns)
--- a/net/event_log.h
+++ b/net/event_log.h
@@ -1,11 +1,13 @@
 /*
- * Structured log on standard output: one key=value line for each decision.
+ * Structured log on standard output: one line for each decision, of key=value
+ * fields or a JSON object.
  * Bounded and never blocking: each kind of line has a budget for a second,
  * what does not fit the pipe is dropped, and both are counted and told.
  */
 #ifndef MH_EVENT_LOG_H
 #define MH_EVENT_LOG_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "core/clock.h"
@@ -37,6 +39,13 @@
 struct mh_event_log *mh_event_log_new(int fd, const char *host,
 				      const struct mh_clock *clock);
 
+/**
+ * mh_event_log_set_json() - choose the form of the lines
+ * @log: log
+ * @json: JSON objects, otherwise key=value fields
+ */
+void mh_event_log_set_json(struct mh_event_log *log, bool json);
+
 /**
  * mh_event_log_free() - write what is left and close the log
  * @log: log or NULL
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -7,11 +7,13 @@
 #include <stdint.h>
 #include <cmocka.h>
 #include <fcntl.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "core/clock.h"
 #include "net/event_log.h"
+#include "net/log_format.h"
 #include "net/timers.h"
 
 /* ---- timers and log ---- */
@@ -142,12 +144,82 @@
 	close(fds[1]);
 }
 
+static void check_json(const char *text, const char *json)
+{
+	char *line = mh_log_to_json(text);
+
+	assert_string_equal(line, json);
+	free(line);
+}
+
+static void test_log_line_as_json(void **state)
+{
+	(void)state;
+	check_json("t=1 event=done id=17 held_ms=3",
+		   "{\"t\":1,\"event\":\"done\",\"id\":\"17\",\"held_ms\":3}");
+	/* A value with blanks and quotes, and one that is empty. */
+	check_json("error=\"a = \"x\": must be 1\" route= tier=0",
+		   "{\"error\":\"a = \\\"x\\\": must be 1\",\"route\":\"\","
+		   "\"tier\":0}");
+	/* Text from callers: not UTF-8, and what looks like JSON. */
+	check_json("id=\xff\" phase=007",
+		   "{\"id\":\"?\\\"\",\"phase\":\"007\"}");
+	check_json("id={\"t\":2} pace=1.5",
+		   "{\"id\":\"{\\\"t\\\":2}\",\"pace\":\"1.5\"}");
+	check_json("", "{}");
+}
+
+static void test_log_line_back_from_json(void **state)
+{
+	static const char *const lines[] = {
+		"t=1 event=done id=17 route= held_ms=3",
+		"t=1 error=\"a = \"x\": must be 1\" tier=0",
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		char *json = mh_log_to_json(lines[i]);
+		char *text = mh_log_from_json(json);
+
+		assert_string_equal(text, lines[i]);
+		free(text);
+		free(json);
+	}
+	assert_null(mh_log_from_json("{\"t\":1"));
+	assert_null(mh_log_from_json("[1]"));
+}
+
+static void test_log_writes_json(void **state)
+{
+	static char text[4096];
+	struct mh_event_log *log;
+	int fds[2];
+
+	(void)state;
+	assert_int_equal(pipe(fds), 0);
+	fcntl(fds[0], F_SETFL, O_NONBLOCK);
+	log = mh_event_log_new(fds[1], "h", &log_clock);
+	mh_event_log_set_json(log, true);
+	mh_event(log, MH_EV_FAILED, "event=failed id=%s", "a\n\"b");
+	mh_event_log_free(log);
+	drain_pipe(fds[0], text, sizeof(text));
+	assert_non_null(strstr(text, "\"level\":\"warn\",\"host\":\"h\","
+				     "\"kind\":\"failed\",\"event\":\"failed\","
+				     "\"id\":\"a\"}\n"));
+	close(fds[0]);
+	close(fds[1]);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_timers_fire_in_order_and_once),
 		cmocka_unit_test(test_log_survives_a_reader_that_stops),
 		cmocka_unit_test(test_log_of_a_burst_is_bounded_and_says_so),
+		cmocka_unit_test(test_log_line_as_json),
+		cmocka_unit_test(test_log_line_back_from_json),
+		cmocka_unit_test(test_log_writes_json),
 		cmocka_unit_test(test_log_values_can_not_forge_a_line),
 	};
 
--- a/tests/test_proxy.sh
+++ b/tests/test_proxy.sh
@@ -508,6 +508,32 @@
 			"$DIR/proxy1.log"
 }
 
+# The form changes without a restart, and explain reads both.
+t_log_json() {
+	local settings=$DIR/proxy1.toml
+	cp "$settings" "$DIR/text.toml"
+	ID=json-1 call 1 /nowhere >/dev/null
+	sed -i 's/^zone.*/&\nlog_format = "json"/' "$settings"
+	kill -HUP $(pid_of proxy1)
+	sleep 0.3
+	ID=json-2 call 1 /nowhere >/dev/null
+	sleep 0.5
+	cp "$DIR/text.toml" "$settings"
+	kill -HUP $(pid_of proxy1)
+	grep -q '^{"t":.*"event":"refused","id":"json-2"' "$DIR/proxy1.log" ||
+		return 1
+	$BIN/mangoctl explain json-1 "$DIR/proxy1.log" >"$DIR/one" &&
+		$BIN/mangoctl explain json-2 "$DIR/proxy1.log" >"$DIR/two" &&
+		grep -q '^cause: refused, no_route, answered with 404' \
+			"$DIR/one" &&
+		grep -q '^cause: refused, no_route, answered with 404' \
+			"$DIR/two" || return 1
+	sed 's/^zone.*/&\nlog_format = "xml"/' "$settings" >"$DIR/xml.toml"
+	$BIN/mangohead-proxy --config "$DIR/xml.toml" --check 2>"$DIR/err"
+	[ $? = 3 ] && grep -q 'xml.toml:3: log_format = "xml": must be' \
+		"$DIR/err"
+}
+
 t_settings_check() {
 	sed 's/^zone.*/zone = 3/' "$DIR/proxy1.toml" >"$DIR/bad.toml"
 	$BIN/mangohead-proxy --config "$DIR/bad.toml" --check 2>"$DIR/err"
@@ -566,6 +592,7 @@
 check "proxy: histograms and gauges" t_histograms
 check "proxy: explain from saved logs" t_explain_logs
 check "proxy: log lines" t_log_lines
+check "proxy: log lines as JSON" t_log_json
 check "proxy: settings are checked" t_settings_check
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
