--- a/Makefile
+++ b/Makefile
@@ -202,6 +202,14 @@
 $(BUILD)/bin/bench: $(BUILD)/tests/bench.o $(TEST_WORLD)
 	$(LINK) -lm
 
+$(BUILD)/bin/log_cost: $(BUILD)/tests/log_cost.o $(BUILD)/libmangohead.a
+	$(LINK)
+
+log-cost: $(BUILD)/bin/log_cost
+	$(BUILD)/bin/log_cost
+
+.PHONY: log-cost
+
 bench: $(BUILD)/bin/bench
 	$(BUILD)/bin/bench
 	$(BUILD)/bin/bench --step-ms=30
--- a/net/event_log.c
+++ b/net/event_log.c
@@ -190,6 +190,16 @@
 	write_out(log);
 }
 
+uint32_t mh_event_log_lines_per_s(void)
+{
+	uint32_t sum = 0;
+	int i;
+
+	for (i = 0; i < MH_EV_KINDS; i++)
+		sum += kinds[i].lines_per_s;
+	return sum;
+}
+
 uint64_t mh_event_log_dropped(const struct mh_event_log *log)
 {
 	return log->dropped;
--- a/net/event_log.h
+++ b/net/event_log.h
@@ -67,6 +67,11 @@
  */
 void mh_event_log_flush(struct mh_event_log *log);
 
+/**
+ * mh_event_log_lines_per_s() - most lines in a second, over all kinds
+ */
+uint32_t mh_event_log_lines_per_s(void);
+
 /**
  * mh_event_log_dropped() - lines dropped since the start
  * @log: log
--- /dev/null
+++ b/tests/log_cost.c
@@ -0,0 +1,101 @@
+/*
+ * What the structured log costs: a written line of either form, a line beyond
+ * the budget, and the most that a process spends in a second when every kind of
+ * line is used up.
+ * Usage: log_cost
+ */
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "net/event_log.h"
+#include "net/loop.h"
+
+#define LINES 200000
+#define LEFT_OUT 20000000
+/* Requests a second that an entry of a whole core serves: docs/CAPACITY.md. */
+#define REQUESTS_PER_S 12000
+#define CALLS_PER_REQUEST 3
+
+static uint64_t fake_ns = 1000 * MH_NS_PER_MS;
+
+static uint64_t fake_mono(void *data)
+{
+	(void)data;
+	return fake_ns;
+}
+
+static uint64_t fake_wall(void *data)
+{
+	(void)data;
+	return 1789728664012;
+}
+
+static const struct mh_clock fake_clock = { fake_mono, fake_wall, NULL };
+
+static double cpu_ns(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+	return (double)ts.tv_sec * 1e9 + (double)ts.tv_nsec;
+}
+
+static void log_done(struct mh_event_log *log, int i)
+{
+	mh_event(log, MH_EV_DONE,
+		 "event=done id=%016x status=%u route=%s account=%s server=%s "
+		 "total_ms=%u server_ms=%u first_ms=%u gap_ms=%u servers=%u "
+		 "events=%u",
+		 i, 200, "r-cx4ag5z", "noxa621", "i-b6f5898619", 113, 111, 64,
+		 27, 1, 14);
+}
+
+/* Return: ns for a line. Each second has room for some lines of a kind only. */
+static double written_ns(struct mh_event_log *log)
+{
+	double begin = cpu_ns();
+	int i;
+
+	for (i = 0; i < LINES; i++) {
+		fake_ns += 40 * MH_NS_PER_MS;
+		log_done(log, i);
+		mh_event_log_flush(log);
+	}
+	return (cpu_ns() - begin) / LINES;
+}
+
+static double left_out_ns(struct mh_event_log *log)
+{
+	double begin = cpu_ns();
+	int i;
+
+	for (i = 0; i < LEFT_OUT; i++)
+		log_done(log, i);
+	return (cpu_ns() - begin) / LEFT_OUT;
+}
+
+int main(void)
+{
+	int fd = open("/dev/null", O_WRONLY | O_CLOEXEC);
+	struct mh_event_log *log = mh_event_log_new(fd, "front-1", &fake_clock);
+	double text, json, out, most;
+
+	if (fd < 0 || !log)
+		return 1;
+	text = written_ns(log);
+	mh_event_log_set_json(log, true);
+	json = written_ns(log);
+	out = left_out_ns(log);
+	most = mh_event_log_lines_per_s();
+	printf("a written line: %.0f ns, as JSON %.0f ns\n", text, json);
+	printf("a line beyond the budget: %.0f ns\n", out);
+	printf("all %.0f lines of a second, and %d calls of %d requests/s: "
+	       "%.2f %% of a core, as JSON %.2f %%\n",
+	       most, CALLS_PER_REQUEST, REQUESTS_PER_S,
+	       (most * text + out * CALLS_PER_REQUEST * REQUESTS_PER_S) / 1e7,
+	       (most * json + out * CALLS_PER_REQUEST * REQUESTS_PER_S) / 1e7);
+	mh_event_log_free(log);
+	return 0;
+}
