--- a/core/dispatch_quota.c
+++ b/core/dispatch_quota.c
@@ -8,7 +8,7 @@
  * which two dispatchers count, or the last spending was not written down. */
 #define QUOTA_USED 0.75
 /* Part of its bound that an account's requests leave to those that are more
- * urgent by one rank. */
+ * urgent by one rank: docs/BENCH.md, as good as half or one and a half of it. */
 #define URGENT_PART 0.1
 /* Requests below this part of an account's mean are small ones; weight of the
  * newest request in the mean. */
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -27,8 +27,8 @@
 /* Failures beyond the mean of its pool at which a server counts as grey. */
 #define GREY_MARGIN 0.15
 /* Failures beyond the mean of the others at which it is no better than one that
- * is down. What fails at once is always free, and would draw the work of a busy
- * pool. */
+ * is down: four in a row. What fails at once is always free, and would draw the
+ * work of a busy pool. */
 #define DEAD_MARGIN 0.4
 /* Requests that are moved away from silent servers at a time. */
 #define MOVES_MAX 64
@@ -36,7 +36,8 @@
 #define REST_FIRST_MS 150
 #define REST_LAST_MS 1200
 /* A server that loses so many connections in a row before their first byte
- * takes no more for now, though earlier answers go on there. */
+ * takes no more for now, though earlier answers go on there. One may be lost by
+ * chance, two hardly. */
 #define LOST_ROW 2
 /* A server that answers nothing for so long, beyond what is expected, while
  * requests wait for its first byte, gets no more. */
--- a/entry/app.c
+++ b/entry/app.c
@@ -13,6 +13,7 @@
 #define SYNC_LOOK_MS 100
 /* From the second signal to the end: callers that read get their refusal. */
 #define STOP_MS 500
+/* How often it is looked whether they have. */
 #define CLOSE_LOOK_MS 5
 #define LOG_CONFIG_READ (1u << 0)
 #define LOG_CLAIMS_READ (1u << 1)
