--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -2,33 +2,26 @@
 # Switches one mechanism off at a time, in a copy, and expects the property
 # that proves it to fail. A mutant that survives means a proof without teeth.
 cd "$(dirname "$0")/.." || exit 1
+. tests/mutate.sh
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 jobs=${JOBS:-6}
 cases=${CASES:-300}
 
 try_mutant() { # NAME PROPERTY FILES EXPRESSION
-	local copy=$dir/$1 run=test_properties f
+	local copy=$dir/$1 run=test_properties
 	mkdir -p "$copy"
 	cp -r Makefile core config net platform proto entry side examples tests \
 		"$copy/"
 	cp -r build "$copy/" 2>/dev/null
 	find "$copy/build" -name '*.d' -exec touch {} + 2>/dev/null
-	for f in $3; do
-		sed -i "$4" "$copy/$f"
-		if cmp -s "$f" "$copy/$f"; then
-			echo "STALE    $1: the expression changes nothing"
-			return
-		fi
-	done
-	if ! make -C "$copy" -j2 CFLAGS="-std=gnu11 -O1 -w" \
-		build/bin/test_properties build/bin/test_unit \
-		build/bin/test_{backend,dispatch,entry_keys,fold,quota,routing,store,wire,log} \
+	mutate "$1" "$copy" "$3" "$4" || return
+	[ ! -e "tests/test_$2.c" ] || run=test_$2
+	if ! make -C "$copy" -j2 CFLAGS="-std=gnu11 -O1 -w" build/bin/$run \
 		>"$copy/log" 2>&1; then
 		echo "BROKEN   $1: does not build"
 		return
 	fi
-	[[ "$2" =~ ^(unit|backend|dispatch|entry_keys|fold|quota|routing|store|wire|log)$ ]] && run=test_$2
 	if RC_PARAMS="seed=${SEED:-1} max_success=$cases noshrink=1" \
 		timeout 400 "$copy/build/bin/$run" "$2" \
 		>"$copy/log" 2>&1; then
--- a/tests/soak_mutants.sh
+++ b/tests/soak_mutants.sh
@@ -2,22 +2,17 @@
 # Switches one mechanism off at a time, in a copy, and expects the soak to find
 # the promise broken that it keeps. Usage: soak_mutants.sh [PATTERN]
 cd "$(dirname "$0")/.." || exit 1
+. tests/mutate.sh
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 n=0
 
 try_mutant() { # PROMISE FILE EXPRESSION PORTS
-	local copy gap_ms f
+	local copy gap_ms
 	copy=$(mktemp -d "$dir/XXXXXX")
 	cp -r Makefile core config net platform proto proxy dispatcher entry \
 		tests build "$copy/"
-	for f in $2; do
-		sed -i "$3" "$copy/$f"
-		if cmp -s "$f" "$copy/$f"; then
-			echo "STALE    $name: the expression changes nothing"
-			return
-		fi
-	done
+	mutate "$name" "$copy" "$2" "$3" || return
 	if ! make -C "$copy" -s -j4 CFLAGS="-std=gnu11 -O1 -w" \
 		build/bin/mangohead-proxy build/bin/mangohead-dispatcher \
 		>"$copy/log" 2>&1; then
--- a/tests/test_entry_keys.c
+++ b/tests/test_entry_keys.c
@@ -243,20 +243,26 @@
 	mh_entry_free(fx.entry);
 }
 
+/* The first of two callers leaves while it looks for the run of their key. */
+static void leave_an_heir(struct fixture *fx)
+{
+	open_entry(fx);
+	mh_entry_submit(fx->entry, &fx->calls[0]);
+	mh_entry_submit(fx->entry, &fx->calls[1]);
+	lose_claim(fx);
+	assert_int_equal(fx->n_attached, 1);
+	mh_entry_cancel(fx->entry, &fx->calls[0]);
+	tick(fx, 1);
+	assert_int_equal(fx->n_attached, 2);
+}
+
 /* A caller leaves while it looks for the run: the next one looks for it. */
 static void test_heir_of_a_lost_claim_looks_for_the_run(void **state)
 {
 	struct fixture fx;
 
 	(void)state;
-	open_entry(&fx);
-	mh_entry_submit(fx.entry, &fx.calls[0]);
-	mh_entry_submit(fx.entry, &fx.calls[1]);
-	lose_claim(&fx);
-	assert_int_equal(fx.n_attached, 1);
-	mh_entry_cancel(fx.entry, &fx.calls[0]);
-	tick(&fx, 1);
-	assert_int_equal(fx.n_attached, 2);
+	leave_an_heir(&fx);
 	send_answer(&fx, &fx.attached[1]);
 	assert_true(fx.outcomes[1].whole);
 	assert_int_equal(fx.handovers, 0);
@@ -269,13 +275,7 @@
 	struct fixture fx;
 
 	(void)state;
-	open_entry(&fx);
-	mh_entry_submit(fx.entry, &fx.calls[0]);
-	mh_entry_submit(fx.entry, &fx.calls[1]);
-	lose_claim(&fx);
-	mh_entry_cancel(fx.entry, &fx.calls[0]);
-	tick(&fx, 1);
-	assert_int_equal(fx.n_attached, 2);
+	leave_an_heir(&fx);
 	refuse_attach(&fx, &fx.attached[1]);
 	assert_true(fx.outcomes[1].refused);
 	assert_int_equal(fx.outcomes[1].error, MH_ERR_DUPLICATE);
--- a/tests/test_fold.c
+++ b/tests/test_fold.c
@@ -32,6 +32,15 @@
 	return mh_fold_record(f, offset, 1000 + offset, rec, strlen(rec));
 }
 
+/* Another process tells its state, with an ordinary document. */
+static bool adopt(struct mh_fold *f, uint64_t next_offset, uint64_t version)
+{
+	char doc[512];
+
+	snprintf(doc, sizeof(doc), doc_text, "");
+	return mh_fold_adopt(f, next_offset, version, doc, strlen(doc));
+}
+
 static void test_fold_accepts_by_base(void **state)
 {
 	struct mh_fold *f = mh_fold_new();
@@ -106,15 +115,13 @@
 static void test_fold_adopts_forward_only(void **state)
 {
 	struct mh_fold *f = mh_fold_new();
-	char doc[512];
 
 	(void)state;
-	snprintf(doc, sizeof(doc), doc_text, "");
 	fold(f, 0, "manifest", 0, "");
 	fold(f, 1, "manifest", 1, "");
-	assert_false(mh_fold_adopt(f, 1, 1, doc, strlen(doc)));
+	assert_false(adopt(f, 1, 1));
 	assert_int_equal(mh_fold_version(f), 2);
-	assert_true(mh_fold_adopt(f, 9, 8, doc, strlen(doc)));
+	assert_true(adopt(f, 9, 8));
 	assert_int_equal(mh_fold_version(f), 8);
 	assert_int_equal(mh_fold_next_offset(f), 9);
 	assert_false(mh_fold_adopt(f, 20, 15, "{}", 2));
@@ -139,13 +146,11 @@
 static void test_fold_audits_what_a_link_told_first(void **state)
 {
 	struct mh_fold *f = mh_fold_new();
-	char doc[512];
 
 	(void)state;
-	snprintf(doc, sizeof(doc), doc_text, "");
 	fold(f, 0, "manifest", 0, "");
 	/* Another process has read 1 to 4; version 2 and then 4 were accepted. */
-	assert_true(mh_fold_adopt(f, 5, 4, doc, strlen(doc)));
+	assert_true(adopt(f, 5, 4));
 	assert_int_equal(fold(f, 1, "manifest", 1, ""), MH_FOLD_ACCEPTED);
 	assert_int_equal(fold(f, 2, "manifest", 1, ""), MH_FOLD_REFUSED_BASE);
 	assert_int_equal(
@@ -171,12 +176,10 @@
 static void test_fold_audits_a_refusal_told_first(void **state)
 {
 	struct mh_fold *f = mh_fold_new();
-	char doc[512];
 
 	(void)state;
-	snprintf(doc, sizeof(doc), doc_text, "");
 	fold(f, 0, "manifest", 0, "");
-	assert_false(mh_fold_adopt(f, 2, 1, doc, strlen(doc)));
+	assert_false(adopt(f, 2, 1));
 	assert_int_equal(mh_fold_next_offset(f), 2);
 	assert_int_equal(fold(f, 1, "manifest", 0, ""), MH_FOLD_REFUSED_BASE);
 	assert_string_equal(find_audit(f, 1)->nonce, "n1");
@@ -188,12 +191,10 @@
 static void test_fold_audits_nothing_over_a_hole(void **state)
 {
 	struct mh_fold *f = mh_fold_new();
-	char doc[512];
 
 	(void)state;
-	snprintf(doc, sizeof(doc), doc_text, "");
 	fold(f, 0, "manifest", 0, "");
-	assert_true(mh_fold_adopt(f, 9, 4, doc, strlen(doc)));
+	assert_true(adopt(f, 9, 4));
 	mh_fold_start(f, 6);
 	assert_int_equal(fold(f, 6, "manifest", 1, ""), MH_FOLD_SKIPPED);
 	assert_null(find_audit(f, 6));
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -62,15 +62,27 @@
 
 static const struct mh_clock log_clock = { log_mono, log_wall, NULL };
 
-static size_t drain_pipe(int fd, char *text, size_t size)
+/* A log into a pipe, whose reading end does not block. */
+static struct mh_event_log *open_log(int fds[2], const char *host)
+{
+	assert_int_equal(pipe(fds), 0);
+	fcntl(fds[0], F_SETFL, O_NONBLOCK);
+	return mh_event_log_new(fds[1], host, &log_clock);
+}
+
+/* Ends the log and reads what it has written. */
+static void read_log(struct mh_event_log *log, const int fds[2], char *text,
+		     size_t size)
 {
 	size_t len = 0;
 	ssize_t n;
 
-	while ((n = read(fd, text + len, size - 1 - len)) > 0)
+	mh_event_log_free(log);
+	while ((n = read(fds[0], text + len, size - 1 - len)) > 0)
 		len += (size_t)n;
 	text[len] = '\0';
-	return len;
+	close(fds[0]);
+	close(fds[1]);
 }
 
 static void test_log_survives_a_reader_that_stops(void **state)
@@ -79,8 +91,7 @@
 	int fds[2], i, span;
 
 	(void)state;
-	assert_int_equal(pipe(fds), 0);
-	log = mh_event_log_new(fds[1], "host", &log_clock);
+	log = open_log(fds, "host");
 	for (span = 0; span < 100; span++) {
 		for (i = 0; i < 100; i++)
 			mh_event(log, MH_EV_FAILED,
@@ -103,16 +114,13 @@
 	int fds[2], i, lines = 0;
 
 	(void)state;
-	assert_int_equal(pipe(fds), 0);
-	fcntl(fds[0], F_SETFL, O_NONBLOCK);
-	log = mh_event_log_new(fds[1], "host", &log_clock);
+	log = open_log(fds, "host");
 	for (i = 0; i < 5000; i++)
 		mh_event(log, MH_EV_DONE, "event=done id=%d", i);
 	mh_event(log, MH_EV_FAILED, "event=failed id=last");
 	log_now_ns += 1000 * MH_NS_PER_MS;
 	mh_event(log, MH_EV_DONE, "event=done id=next");
-	mh_event_log_free(log);
-	drain_pipe(fds[0], text, sizeof(text));
+	read_log(log, fds, text, sizeof(text));
 	for (p = text; (p = strchr(p, '\n')); p++)
 		lines++;
 	assert_true(lines < 200);
@@ -120,8 +128,6 @@
 	/* A failure has a budget of its own. */
 	assert_non_null(strstr(text, "id=last"));
 	assert_non_null(strstr(text, "level=warn host=host kind=failed"));
-	close(fds[0]);
-	close(fds[1]);
 }
 
 static void test_log_values_can_not_forge_a_line(void **state)
@@ -131,17 +137,12 @@
 	int fds[2];
 
 	(void)state;
-	assert_int_equal(pipe(fds), 0);
-	fcntl(fds[0], F_SETFL, O_NONBLOCK);
-	log = mh_event_log_new(fds[1], "host", &log_clock);
+	log = open_log(fds, "host");
 	mh_event(log, MH_EV_FAILED, "event=failed id=%s",
 		 "a\nt=1 level=x\r\x1b");
-	mh_event_log_free(log);
-	drain_pipe(fds[0], text, sizeof(text));
+	read_log(log, fds, text, sizeof(text));
 	assert_ptr_equal(strchr(text, '\n'), text + strlen(text) - 1);
 	assert_null(strchr(text, '\x1b'));
-	close(fds[0]);
-	close(fds[1]);
 }
 
 static void check_json(const char *text, const char *json)
@@ -197,18 +198,13 @@
 	int fds[2];
 
 	(void)state;
-	assert_int_equal(pipe(fds), 0);
-	fcntl(fds[0], F_SETFL, O_NONBLOCK);
-	log = mh_event_log_new(fds[1], "h", &log_clock);
+	log = open_log(fds, "h");
 	mh_event_log_set_json(log, true);
 	mh_event(log, MH_EV_FAILED, "event=failed id=%s", "a\n\"b");
-	mh_event_log_free(log);
-	drain_pipe(fds[0], text, sizeof(text));
+	read_log(log, fds, text, sizeof(text));
 	assert_non_null(strstr(text, "\"level\":\"warn\",\"host\":\"h\","
 				     "\"kind\":\"failed\",\"event\":\"failed\","
 				     "\"id\":\"a\"}\n"));
-	close(fds[0]);
-	close(fds[1]);
 }
 
 int main(void)
--- a/tests/test_processes.sh
+++ b/tests/test_processes.sh
@@ -274,11 +274,15 @@
 		[ $((after - before)) -lt 1000 ]
 }
 
+engines_idle() {
+	[ "$(engine_load 1 running)$(engine_load 2 running)" = 00 ]
+}
+
 t_caller_gone() {
 	local n
 	chat 1 "caller leaves" 3000 true --max-time 0.5 >/dev/null 2>&1
 	sleep 1.5
-	[ "$(engine_load 1 running)" = 0 ] && [ "$(engine_load 2 running)" = 0 ]
+	engines_idle
 }
 
 t_one_of_two_leaves() {
@@ -289,8 +293,7 @@
 	rc=$?
 	sleep 1.5
 	[ $rc = 0 ] && [ "$(grep -c '^data: {' "$DIR/stays")" = 500 ] &&
-		[ "$(engine_load 1 running)" = 0 ] &&
-		[ "$(engine_load 2 running)" = 0 ]
+		engines_idle
 }
 
 t_crash_request() {
@@ -424,10 +427,6 @@
 		! grep -q CUT "$DIR"/worker?
 }
 
-engines_idle() {
-	[ "$(engine_load 1 running)$(engine_load 2 running)" = 00 ]
-}
-
 t_second_signal_ends() {
 	chat 1 "second signal" 3000 true >"$DIR/out" 2>/dev/null &
 	busy_server >/dev/null || return 1
