--- a/config/settings.c
+++ b/config/settings.c
@@ -327,15 +327,10 @@
 		      json_object_get(table, key), "must begin with http://");
 }
 
-bool mh_log_format_is_json(const char *format)
-{
-	return !strcmp(format, "json");
-}
-
 static void check_log_format(const json_t *doc, const char *format,
 			     struct mh_report *rep)
 {
-	if (!format || !strcmp(format, "text") || mh_log_format_is_json(format))
+	if (!format || !strcmp(format, "text") || !strcmp(format, "json"))
 		return;
 	mh_report_add(rep, mh_toml_line(doc, "log_format"), "log_format",
 		      json_object_get(doc, "log_format"),
--- a/config/settings.h
+++ b/config/settings.h
@@ -193,12 +193,6 @@
  */
 void mh_side_settings_release(struct mh_side_settings *s);
 
-/**
- * mh_log_format_is_json() - what a checked log_format says
- * @format: "text" or "json"
- */
-bool mh_log_format_is_json(const char *format);
-
 /**
  * mh_proxy_settings_read() - read and check a settings file
  * @path: file
--- a/core/fold.c
+++ b/core/fold.c
@@ -138,21 +138,26 @@
 	return m;
 }
 
-static json_t *new_document(json_t *in_force, const json_t *rec, bool is_delta)
+static bool is_delta(const struct mh_audit_entry *a)
+{
+	return !strcmp(a->kind, "delta");
+}
+
+static json_t *new_document(const struct mh_audit_entry *a, json_t *in_force,
+			    const json_t *rec)
 {
 	json_t *doc = json_object_get(rec, "doc");
 
 	if (!json_is_object(doc))
 		return NULL;
-	if (!is_delta)
+	if (!is_delta(a))
 		return json_deep_copy(doc);
 	return in_force ? mh_manifest_merge(in_force, doc) : NULL;
 }
 
 /* Return: the manifest that a change makes, NULL if it is refused. */
 static struct mh_manifest *judge(struct mh_audit_entry *a, const json_t *rec,
-				 uint64_t version, json_t *in_force,
-				 bool is_delta)
+				 uint64_t version, json_t *in_force)
 {
 	struct mh_manifest *m;
 	json_t *doc;
@@ -166,7 +171,7 @@
 		a->result = MH_FOLD_REFUSED_BASE;
 		return NULL;
 	}
-	doc = new_document(in_force, rec, is_delta);
+	doc = new_document(a, in_force, rec);
 	m = doc ? build(doc, a->note, sizeof(a->note)) : NULL;
 	json_decref(doc);
 	a->result = m ? MH_FOLD_ACCEPTED : MH_FOLD_REFUSED_INVALID;
@@ -176,29 +181,27 @@
 }
 
 static enum mh_fold_result apply_change(struct mh_fold *f, const json_t *rec,
-					uint64_t offset, uint64_t when_ms,
-					bool is_delta)
+					uint64_t offset, uint64_t when_ms)
 {
 	struct mh_audit_entry *a = audit_add(f, rec, offset, when_ms);
 	json_t *in_force = f->manifest ? f->manifest->doc : NULL;
-	struct mh_manifest *m = judge(a, rec, f->version, in_force, is_delta);
+	struct mh_manifest *m = judge(a, rec, f->version, in_force);
 
 	if (!m)
 		return a->result;
 	replace_manifest(f, m, offset + 1);
-	if (!is_delta)
+	if (!is_delta(a))
 		f->whole_ms = when_ms;
 	return a->result;
 }
 
 /* A change that the state in force holds already: only its audit is missing. */
 static enum mh_fold_result audit_change(struct mh_fold *f, const json_t *rec,
-					uint64_t offset, uint64_t when_ms,
-					bool is_delta)
+					uint64_t offset, uint64_t when_ms)
 {
 	struct mh_audit_entry *a = audit_add(f, rec, offset, when_ms);
 	struct reading *r = &f->reading;
-	struct mh_manifest *m = judge(a, rec, r->version, r->doc, is_delta);
+	struct mh_manifest *m = judge(a, rec, r->version, r->doc);
 
 	if (!m)
 		return a->result;
@@ -245,8 +248,7 @@
 
 	f->next_offset = offset + 1;
 	if (is_change(kind))
-		return apply_change(f, rec, offset, when_ms,
-				    !strcmp(kind, "delta"));
+		return apply_change(f, rec, offset, when_ms);
 	if (!strcmp(kind, "snapshot"))
 		return apply_snapshot(f, rec, when_ms);
 	/* Kinds of later releases are passed over. */
@@ -257,11 +259,9 @@
 				       uint64_t offset, uint64_t when_ms)
 {
 	enum mh_fold_result result = MH_FOLD_SKIPPED;
-	const char *kind = get_kind(rec);
 
-	if (is_change(kind))
-		result = audit_change(f, rec, offset, when_ms,
-				      !strcmp(kind, "delta"));
+	if (is_change(get_kind(rec)))
+		result = audit_change(f, rec, offset, when_ms);
 	f->reading.next_offset = offset + 1;
 	if (f->reading.next_offset >= f->next_offset)
 		stop_reading_behind(f);
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -350,13 +350,20 @@
 	return get_and_print(ctl, "manifest", print_json);
 }
 
+static int count_args(char **args)
+{
+	int n = 0;
+
+	while (args[n])
+		n++;
+	return n;
+}
+
 static int run_explain(struct ctl *ctl, char **args)
 {
+	int n_logs = count_args(args + 1);
 	char path[PATH_BYTES];
-	int n_logs = 0;
 
-	while (args[1 + n_logs])
-		n_logs++;
 	if (n_logs)
 		return mh_story_print(args[0], args + 1, n_logs, stdout);
 	snprintf(path, sizeof(path), "requests/%s", args[0]);
@@ -365,11 +372,7 @@
 
 static int run_report(struct ctl *ctl, char **args)
 {
-	int n = 0;
-
-	while (args[n])
-		n++;
-	return mh_metrics_report(args, n, ctl->plot_dir, stdout);
+	return mh_metrics_report(args, count_args(args), ctl->plot_dir, stdout);
 }
 
 static const struct command commands[] = {
--- a/ctl/metrics_report.c
+++ b/ctl/metrics_report.c
@@ -26,22 +26,16 @@
 	UT_hash_handle hh;
 };
 
-struct report {
-	struct series *all;
-	const char *path;
-	unsigned int line;
-};
-
-static struct series *get_series(struct report *r, const char *key)
+static struct series *get_series(struct series **all, const char *key)
 {
 	struct series *s;
 
-	HASH_FIND_STR(r->all, key, s);
+	HASH_FIND_STR(*all, key, s);
 	if (s)
 		return s;
 	s = mh_need(calloc(1, sizeof(*s)));
 	s->key = mh_need(strdup(key));
-	HASH_ADD_KEYPTR(hh, r->all, s->key, strlen(s->key), s);
+	HASH_ADD_KEYPTR(hh, *all, s->key, strlen(s->key), s);
 	return s;
 }
 
@@ -72,7 +66,7 @@
 	return value;
 }
 
-static bool add_bucket(struct report *r, char *key, double count)
+static bool add_bucket(struct series **all, char *key, double count)
 {
 	char text[32], *end = strstr(key, BUCKET_END);
 	struct series *s;
@@ -84,7 +78,7 @@
 	le = strtod(text, NULL);
 	memmove(end, end + strlen(BUCKET_END),
 		strlen(end + strlen(BUCKET_END)) + 1);
-	s = get_series(r, key);
+	s = get_series(all, key);
 	s->is_histogram = true;
 	for (i = 0; i < s->n_buckets && s->le[i] != le; i++)
 		;
@@ -121,7 +115,7 @@
 	return len > n && !memcmp(name + len - n, end, n);
 }
 
-static bool read_line(struct report *r, char *line)
+static bool read_line(struct series **all, char *line)
 {
 	size_t len = key_len(line), name_len = strcspn(line, "{ \t");
 	char *key, *rest;
@@ -133,19 +127,20 @@
 		return false;
 	key = mh_need(strndup(line, len));
 	if (ends_with(key, name_len, BUCKET_END))
-		ok = add_bucket(r, key, value);
+		ok = add_bucket(all, key, value);
 	/* Both follow from the buckets, but for the mean. */
 	else if (!ends_with(key, name_len, "_sum") &&
 		 !ends_with(key, name_len, "_count"))
-		add_value(get_series(r, key), value,
+		add_value(get_series(all, key), value,
 			  ends_with(key, name_len, "_total"));
 	free(key);
 	return ok;
 }
 
-static int read_file(struct report *r, const char *path)
+static int read_file(struct series **all, const char *path)
 {
 	FILE *in = strcmp(path, "-") ? fopen(path, "r") : stdin;
+	unsigned int n = 0;
 	int rc = MH_EXIT_OK;
 	char *line = NULL;
 	size_t cap = 0;
@@ -154,15 +149,13 @@
 		fprintf(stderr, "mangoctl: %s: %s\n", path, strerror(errno));
 		return MH_EXIT_FAILED;
 	}
-	r->path = path;
-	r->line = 0;
 	while (rc == MH_EXIT_OK && getline(&line, &cap, in) >= 0) {
-		r->line++;
+		n++;
 		line[strcspn(line, "\r\n")] = '\0';
-		if (!*line || *line == '#' || read_line(r, line))
+		if (!*line || *line == '#' || read_line(all, line))
 			continue;
-		fprintf(stderr, "mangoctl: %s:%u: no metric: %.60s\n", path,
-			r->line, line);
+		fprintf(stderr, "mangoctl: %s:%u: no metric: %.60s\n", path, n,
+			line);
 		rc = MH_EXIT_CONFIG;
 	}
 	free(line);
@@ -207,13 +200,13 @@
 		fprintf(out, " %8.1f", ms);
 }
 
-static void print_tables(const struct report *r, FILE *out)
+static void print_tables(const struct series *all, FILE *out)
 {
 	const struct series *s;
 
 	fprintf(out, "%9s %8s %8s %8s  histogram, ms\n", "count", "median",
 		"90 %", "99 %");
-	for (s = r->all; s; s = s->hh.next) {
+	for (s = all; s; s = s->hh.next) {
 		if (!s->is_histogram || !count_of(s))
 			continue;
 		fprintf(out, "%9.0f", count_of(s));
@@ -223,7 +216,7 @@
 		fprintf(out, "  %s\n", s->key);
 	}
 	fprintf(out, "\n%9s  counter, summed, or greatest gauge\n", "value");
-	for (s = r->all; s; s = s->hh.next) {
+	for (s = all; s; s = s->hh.next) {
 		if (!s->is_histogram && s->value != 0)
 			fprintf(out, "%9.0f  %s\n", s->value, s->key);
 	}
@@ -241,94 +234,86 @@
 	return f;
 }
 
-/* One block of data for each series: bound in ms, share at or below it. */
-static void write_data(const struct report *r, const char *name, size_t len,
-		       FILE *data, FILE *script)
+/* A block of data: bound in ms, share at or below it. */
+static void write_block(const struct series *s, FILE *data)
 {
+	uint32_t i;
+
+	fprintf(data, "# %s\n", s->key);
+	for (i = 0; i < s->n_buckets; i++) {
+		if (!isinf(s->le[i]))
+			fprintf(data, "%g %g\n", s->le[i],
+				s->upto[i] / count_of(s));
+	}
+	fprintf(data, "\n\n");
+}
+
+/* Series of one name follow each other: one file and one plot for them. */
+static int write_all(const struct series *all, const char *dir, FILE *script)
+{
+	char name[PATH_BYTES] = "", file[PATH_BYTES + sizeof(".dat")];
 	const struct series *s;
-	uint32_t i, block = 0;
+	FILE *data = NULL;
+	uint32_t block = 0;
+
+	for (s = all; s; s = s->hh.next) {
+		size_t len = strcspn(s->key, "{");
 
-	for (s = r->all; s; s = s->hh.next) {
-		if (!s->is_histogram || strcspn(s->key, "{") != len ||
-		    memcmp(s->key, name, len) || !count_of(s))
+		if (!s->is_histogram || !count_of(s))
 			continue;
-		fprintf(data, "# %s\n", s->key);
-		for (i = 0; i < s->n_buckets; i++) {
-			if (!isinf(s->le[i]))
-				fprintf(data, "%g %g\n", s->le[i],
-					s->upto[i] / count_of(s));
+		if (strlen(name) != len || memcmp(name, s->key, len)) {
+			snprintf(name, sizeof(name), "%.*s", (int)len, s->key);
+			snprintf(file, sizeof(file), "%s.dat", name);
+			if (data)
+				fclose(data);
+			data = open_in(dir, file);
+			if (!data)
+				return MH_EXIT_FAILED;
+			block = 0;
+			fprintf(script, "\nset output \"%s.svg\"\n", name);
 		}
-		fprintf(data, "\n\n");
-		fprintf(script,
-			"%s\"%.*s.dat\" index %u with linespoints "
-			"title '%s'",
-			block ? ", \\\n     " : "plot ", (int)len, name, block,
+		write_block(s, data);
+		fprintf(script, "%s\"%s\" index %u with linespoints title '%s'",
+			block ? ", \\\n     " : "plot ", file, block,
 			s->key + len);
 		block++;
 	}
 	fprintf(script, "\n");
+	if (data)
+		fclose(data);
+	return MH_EXIT_OK;
 }
 
-static bool is_first_of_name(const struct report *r, const struct series *s)
-{
-	const struct series *other;
-	size_t len = strcspn(s->key, "{");
-
-	for (other = r->all; other != s; other = other->hh.next) {
-		if (other->is_histogram && count_of(other) &&
-		    strcspn(other->key, "{") == len &&
-		    !memcmp(other->key, s->key, len))
-			return false;
-	}
-	return true;
-}
-
-static int write_plots(const struct report *r, const char *dir)
+static int write_plots(const struct series *all, const char *dir)
 {
-	FILE *script = open_in(dir, "report.gp"), *data;
-	const struct series *s;
-	char name[PATH_BYTES];
+	FILE *script = open_in(dir, "report.gp");
+	int rc;
 
 	if (!script)
 		return MH_EXIT_FAILED;
 	fprintf(script, "set terminal svg size 1000,600\nset logscale x\n"
 			"set xlabel \"ms\"\nset ylabel \"share at or below\"\n"
 			"set yrange [0:1]\nset key bottom right noenhanced\n");
-	for (s = r->all; s; s = s->hh.next) {
-		size_t len = strcspn(s->key, "{");
-
-		if (!s->is_histogram || !count_of(s) || !is_first_of_name(r, s))
-			continue;
-		snprintf(name, sizeof(name), "%.*s.dat", (int)len, s->key);
-		data = open_in(dir, name);
-		if (!data) {
-			fclose(script);
-			return MH_EXIT_FAILED;
-		}
-		fprintf(script, "set output \"%.*s.svg\"\n", (int)len, s->key);
-		write_data(r, s->key, len, data, script);
-		fclose(data);
-	}
+	rc = write_all(all, dir, script);
 	fclose(script);
-	return MH_EXIT_OK;
+	return rc;
 }
 
 int mh_metrics_report(char **paths, int n, const char *plot_dir, FILE *out)
 {
-	struct report r = { 0 };
-	struct series *s, *tmp;
+	struct series *all = NULL, *s, *tmp;
 	int i, rc = MH_EXIT_OK;
 
 	for (i = 0; i < n && rc == MH_EXIT_OK; i++)
-		rc = read_file(&r, paths[i]);
+		rc = read_file(&all, paths[i]);
 	if (rc == MH_EXIT_OK) {
-		HASH_SORT(r.all, by_key);
-		print_tables(&r, out);
+		HASH_SORT(all, by_key);
+		print_tables(all, out);
 		if (plot_dir)
-			rc = write_plots(&r, plot_dir);
+			rc = write_plots(all, plot_dir);
 	}
-	HASH_ITER(hh, r.all, s, tmp) {
-		HASH_DEL(r.all, s);
+	HASH_ITER(hh, all, s, tmp) {
+		HASH_DEL(all, s);
 		free(s->key);
 		free(s);
 	}
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -8,6 +8,7 @@
 
 #include "core/dispatch.h"
 #include "config/bounds.h"
+#include "net/listener.h"
 #include "net/process.h"
 #include "net/link.h"
 #include "net/words.h"
@@ -320,22 +321,20 @@
 static void on_written(void *data, const char *text)
 {
 	struct mh_dispatcher_app *app = data;
-	Mh__LedgerRecord msg = MH__LEDGER_RECORD__INIT;
-	Mh__Frame frame = MH__FRAME__INIT;
+	uint64_t now = mh_now_ns();
 	struct owner *o, *tmp;
 	uint32_t n = 0;
 
-	if (mh_now_ns() < app->kept_ns + KEEP_NS)
+	if (now < app->kept_ns + KEEP_NS)
 		return;
-	app->kept_ns = mh_now_ns();
-	msg.host = app->settings.host;
-	msg.bytes.data = (uint8_t *)text;
-	msg.bytes.len = strlen(text);
-	frame.body_case = MH__FRAME__BODY_LEDGER_RECORD;
-	frame.ledger_record = &msg;
+	app->kept_ns = now;
 	HASH_ITER(hh, app->owners, o, tmp) {
-		if (n++ < KEEPERS)
-			mh_links_send(app->links, o->link, &frame);
+		struct mh_listener to = { app->links, o->link };
+
+		if (n++ == KEEPERS)
+			break;
+		mh_listener_record(&to, app->settings.host,
+				   (const uint8_t *)text, strlen(text), 0);
 	}
 }
 
@@ -406,8 +405,7 @@
 		return;
 	}
 	app->settings.bounds = now.bounds;
-	mh_event_log_set_json(app->process.log,
-			      mh_log_format_is_json(now.log_format));
+	mh_process_set_log_format(&app->process, now.log_format);
 	conf = mh_bounds_dispatch(&now.bounds);
 	mh_dispatch_set_conf(app->dispatch, &conf);
 	mh_event(app->process.log, MH_EV_PROCESS,
@@ -539,8 +537,7 @@
 	};
 	uint64_t seed;
 
-	mh_event_log_set_json(app->process.log,
-			      mh_log_format_is_json(app->settings.log_format));
+	mh_process_set_log_format(&app->process, app->settings.log_format);
 	randombytes_buf(&seed, sizeof(seed));
 	randombytes_buf(&link_conf.incarnation, sizeof(link_conf.incarnation));
 	memcpy(link_conf.key, app->settings.link.key, sizeof(link_conf.key));
--- a/entry/app.c
+++ b/entry/app.c
@@ -456,7 +456,7 @@
 static uint64_t tick(void *data)
 {
 	struct mh_app *app = data;
-	uint64_t due = mh_timers_run(&app->timers, mh_now_ns());
+	uint64_t now = mh_now_ns(), due = mh_timers_run(&app->timers, now);
 	uint64_t next = mh_entry_tick(app->core);
 
 	if (app->links_stale && app->hosts_read) {
@@ -467,7 +467,7 @@
 	if (drained(app)) {
 		mh_log_info("entry", "drained");
 		mh_loop_stop(app->loop);
-	} else if (mh_now_ns() >= app->stop_by_ns) {
+	} else if (now >= app->stop_by_ns) {
 		mh_log_warn(
 			"entry", "stopped unread=%u",
 			__atomic_load_n(&app->open_calls, __ATOMIC_RELAXED));
--- a/net/event_log.c
+++ b/net/event_log.c
@@ -112,17 +112,21 @@
 {
 	const struct kind_info *k = &kinds[kind];
 	char *line = NULL, *json = NULL;
-	bool ok = log->queue.len + 2 * LINE_BYTES <= QUEUE_BYTES;
+	const char *form;
 
 	clean(text);
-	if (ok && asprintf(&line, "t=%llu level=%s host=%s kind=%s %s",
-			   (unsigned long long)mh_clock_wall_ms(log->clock),
-			   k->level, log->host, k->name, text) < 0)
-		line = NULL;
-	if (line && log->json)
+	if (log->queue.len + 2 * LINE_BYTES > QUEUE_BYTES ||
+	    asprintf(&line, "t=%llu level=%s host=%s kind=%s %s",
+		     (unsigned long long)mh_clock_wall_ms(log->clock), k->level,
+		     log->host, k->name, text) < 0) {
+		log->dropped++;
+		return;
+	}
+	if (log->json)
 		json = mh_log_to_json(line);
-	ok = log->json ? json != NULL : line != NULL;
-	if (!ok || !mh_buffer_printf(&log->queue, "%s\n", json ? json : line))
+	form = log->json ? json : line;
+	if (!form || !mh_buffer_add(&log->queue, form, strlen(form)) ||
+	    !mh_buffer_add(&log->queue, "\n", 1))
 		log->dropped++;
 	free(json);
 	free(line);
--- a/proxy/listener.c
+++ b/net/listener.c
@@ -1,4 +1,4 @@
-#include "proxy/listener.h"
+#include "net/listener.h"
 
 void mh_listener_spent(void *data, const char *account, uint64_t giver,
 		       uint64_t units, uint32_t age_ms)
--- a/proxy/listener.h
+++ b/net/listener.h
@@ -1,5 +1,6 @@
 /*
- * A dispatcher that an entry tells what it knows of accounts' spending.
+ * The process at the other end of a link, told of accounts' spending: by an
+ * entry a dispatcher, by a dispatcher the entries that keep its ledger.
  */
 #ifndef MH_LISTENER_H
 #define MH_LISTENER_H
--- a/net/process.c
+++ b/net/process.c
@@ -1,5 +1,6 @@
 #include "net/process.h"
 
+#include <string.h>
 #include <unistd.h>
 
 #include "config/settings.h"
@@ -43,6 +44,11 @@
 	       !mh_signals_watch(&p->signals, p->loop, on_stop, p);
 }
 
+void mh_process_set_log_format(struct mh_process *p, const char *format)
+{
+	mh_event_log_set_json(p->log, !strcmp(format, "json"));
+}
+
 static struct mh_status *serve(struct mh_process *p, const char *address)
 {
 	struct mh_status *st = mh_status_new(address, &p->counters, p->metrics);
@@ -78,17 +84,15 @@
 static uint64_t tick(void *data)
 {
 	struct mh_process *p = data;
-	uint64_t now = mh_now_ns(), next = mh_timers_run(&p->timers, now), own;
+	uint64_t now = mh_now_ns(), next = mh_timers_run(&p->timers, now);
 
 	if (now >= p->look_ns) {
 		p->look_ns = now + LOOK_NS;
 		look_at_settings(p);
 	}
-	own = p->ops->tick(p->data);
-	if (own < next)
-		next = own;
+	next = mh_earlier(next, p->ops->tick(p->data));
 	mh_event_log_flush(p->log);
-	return p->look_ns < next ? p->look_ns : next;
+	return mh_earlier(p->look_ns, next);
 }
 
 void mh_process_run(struct mh_process *p)
--- a/net/process.h
+++ b/net/process.h
@@ -72,6 +72,13 @@
 bool mh_process_init(struct mh_process *p, const char *path, const char *host,
 		     const struct mh_process_ops *ops, void *data);
 
+/**
+ * mh_process_set_log_format() - choose the form of log lines
+ * @p: shell
+ * @format: "text" or "json"
+ */
+void mh_process_set_log_format(struct mh_process *p, const char *format);
+
 /**
  * mh_process_serve_status() - serve readiness and metrics
  * @p: shell
--- a/proxy/app.c
+++ b/proxy/app.c
@@ -152,8 +152,7 @@
 		return;
 	}
 	app->settings.bounds = now.bounds;
-	mh_event_log_set_json(app->process.log,
-			      mh_log_format_is_json(now.log_format));
+	mh_process_set_log_format(&app->process, now.log_format);
 	conf = mh_bounds_dispatch(&now.bounds);
 	mh_placer_bounds(app->placer, &conf);
 	mh_event(app->process.log, MH_EV_PROCESS,
@@ -273,8 +272,7 @@
 		.log = app->process.log,
 	};
 
-	mh_event_log_set_json(app->process.log,
-			      mh_log_format_is_json(app->settings.log_format));
+	mh_process_set_log_format(&app->process, app->settings.log_format);
 	if (!mh_process_serve_status(&app->process, app->settings.status) ||
 	    !mh_process_serve_metrics(&app->process, app->settings.metrics))
 		return false;
--- a/proxy/placer.c
+++ b/proxy/placer.c
@@ -11,8 +11,8 @@
 #include "core/keeper.h"
 #include "core/need.h"
 #include "core/spending.h"
+#include "net/listener.h"
 #include "net/words.h"
-#include "proxy/listener.h"
 
 /* Dispatchers speak every 100 ms; three words lost mean that it is gone. */
 #define SILENCE_MS 450
