Log lost runs with the fingerprint of their request

The log could not tell the incident's hypotheses apart: no line said which request a lost run belonged to, what else its server held, or how many crashes count against it. The dispatcher logs each lost run, the proxy names the fingerprint on the lines of a request. A cut without a server no longer prints (null).

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -394,6 +394,23 @@
 		mh_dispatch_free_server(s->pool, s);
 }
 
+static void report_lost(struct mh_dispatch *d, const struct request *req,
+			enum mh_slot_outcome outcome)
+{
+	struct mh_lost_run run = {
+		.owner = (uint32_t)req->key.owner,
+		.id = req->key.id,
+		.server = req->server->info.id,
+		.fingerprint = req->fingerprint,
+		.outcome = outcome,
+		.answering = req->answering,
+		.held = req->server->held - 1,
+		.crashes = mh_dispatch_crashes(d, req->fingerprint),
+	};
+
+	d->ops->lost(d->data, &run);
+}
+
 void mh_dispatch_done(struct mh_dispatch *d, uint32_t owner, uint64_t id,
 		      enum mh_slot_outcome outcome, uint32_t total_ms)
 {
@@ -406,6 +423,8 @@
 	if (s) {
 		mh_dispatch_record_outcome(d, req, outcome, total_ms,
 					   mh_dispatch_now_ns(d));
+		if (outcome == MH_SLOT_LOST || outcome == MH_SLOT_UNREACHABLE)
+			report_lost(d, req, outcome);
 		mh_dispatch_release_slot(req);
 		free_if_gone(s);
 	} else {
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -128,12 +128,35 @@
 	uint64_t limit;
 };
 
+/**
+ * struct mh_lost_run - a run that ended because its server could not be reached
+ * @owner: entry that holds the request
+ * @id: request
+ * @server: identifier of the server
+ * @fingerprint: fingerprint of the request
+ * @outcome: MH_SLOT_LOST or MH_SLOT_UNREACHABLE
+ * @answering: the server had begun to respond
+ * @held: other requests that hold a slot of the server
+ * @crashes: crashes of servers that count against the fingerprint
+ */
+struct mh_lost_run {
+	uint32_t owner;
+	uint64_t id;
+	const char *server;
+	uint64_t fingerprint;
+	enum mh_slot_outcome outcome;
+	bool answering;
+	uint32_t held;
+	uint32_t crashes;
+};
+
 /**
  * struct mh_dispatch_ops - results of slot requests
  * @grant: the request got a slot: send it to this server
  * @refuse: the request gets no slot and is not to be sent
  * @move: its server has not begun to respond in time: release the slot and
  *        request another one, with @is_moved set
+ * @lost: a run was lost
  */
 struct mh_dispatch_ops {
 	void (*grant)(void *data, uint32_t owner, uint64_t id,
@@ -141,6 +164,7 @@
 	void (*refuse)(void *data, uint32_t owner, uint64_t id,
 		       const struct mh_slot_refusal *why);
 	void (*move)(void *data, uint32_t owner, uint64_t id);
+	void (*lost)(void *data, const struct mh_lost_run *run);
 };
 
 /**
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -160,6 +160,7 @@
 				  const struct server *s);
 void mh_dispatch_expire_suspects(struct mh_dispatch *d, uint64_t now_ns);
 bool mh_dispatch_is_suspect(const struct mh_dispatch *d, uint64_t fingerprint);
+uint32_t mh_dispatch_crashes(const struct mh_dispatch *d, uint64_t fingerprint);
 void mh_dispatch_decay_stats(struct pool *p);
 void mh_dispatch_free_server(struct pool *p, struct server *s);
 
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -314,13 +314,19 @@
 	}
 }
 
-bool mh_dispatch_is_suspect(const struct mh_dispatch *d, uint64_t fingerprint)
+uint32_t mh_dispatch_crashes(const struct mh_dispatch *d, uint64_t fingerprint)
 {
 	struct suspect *x;
 
 	HASH_FIND(hh, d->suspects, &fingerprint, sizeof(fingerprint), x);
-	return x && x->crashes >= SUSPECT_CRASHES &&
-	       mh_clock_mono_ns(d->clock) < x->last_ns + SUSPECT_RETENTION_NS;
+	if (!x || mh_dispatch_now_ns(d) >= x->last_ns + SUSPECT_RETENTION_NS)
+		return 0;
+	return x->crashes;
+}
+
+bool mh_dispatch_is_suspect(const struct mh_dispatch *d, uint64_t fingerprint)
+{
+	return mh_dispatch_crashes(d, fingerprint) >= SUSPECT_CRASHES;
 }
 
 static void back_off(struct server *s, uint64_t now_ns)
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -75,13 +75,21 @@
 	mh_links_send(app->links, owner, &frame);
 }
 
+static const char *entry_host(const struct mh_dispatcher_app *app,
+			      uint32_t link)
+{
+	struct linked_entry *entry;
+
+	HASH_FIND(hh, app->linked_entries, &link, sizeof(link), entry);
+	return entry ? entry->host : "";
+}
+
 static void refuse_slot(void *data, uint32_t owner, uint64_t id,
 			const struct mh_slot_refusal *why)
 {
 	struct mh_dispatcher_app *app = data;
 	Mh__PlaceRefused msg = MH__PLACE_REFUSED__INIT;
 	Mh__Frame frame = MH__FRAME__INIT;
-	struct linked_entry *entry;
 
 	msg.id = id;
 	msg.error = why->error;
@@ -89,11 +97,10 @@
 	frame.body_case = MH__FRAME__BODY_PLACE_REFUSED;
 	frame.place_refused = &msg;
 	mh_count(&app->process.counters, MH_C_REFUSED);
-	HASH_FIND(hh, app->linked_entries, &owner, sizeof(owner), entry);
 	mh_event(app->process.log, MH_EV_REFUSED,
 		 "event=no_place entry=%s request=%llu error=%s wait_ms=%u "
 		 "spent=%llu limit=%llu retry_after_ms=%u",
-		 entry ? entry->host : "", (unsigned long long)id,
+		 entry_host(app, owner), (unsigned long long)id,
 		 mh_error_info(why->error)->name, why->wait_ms,
 		 (unsigned long long)why->spent, (unsigned long long)why->limit,
 		 why->retry_after_ms);
@@ -112,10 +119,25 @@
 	mh_links_send(app->links, owner, &frame);
 }
 
+static void log_lost_run(void *data, const struct mh_lost_run *run)
+{
+	struct mh_dispatcher_app *app = data;
+
+	mh_event(app->process.log, MH_EV_CRASH,
+		 "event=run_lost entry=%s request=%llu server=%s "
+		 "fingerprint=%016llx outcome=%s answering=%d held=%u "
+		 "crashes=%u",
+		 entry_host(app, run->owner), (unsigned long long)run->id,
+		 run->server, (unsigned long long)run->fingerprint,
+		 run->outcome == MH_SLOT_LOST ? "lost" : "unreachable",
+		 run->answering, run->held, run->crashes);
+}
+
 static const struct mh_dispatch_ops dispatch_ops = {
 	grant_slot,
 	refuse_slot,
 	move_request,
+	log_lost_run,
 };
 
 static void on_server(void *data, const struct mh_registration *reg)
--- a/net/event_log.c
+++ b/net/event_log.c
@@ -31,6 +31,7 @@
 	[MH_EV_DEPENDENCY] = { "warn", "dependency", 100 },
 	[MH_EV_CONFIG] = { "info", "config", 50 },
 	[MH_EV_SERVER] = { "info", "server", 100 },
+	[MH_EV_CRASH] = { "warn", "crash", 50 },
 	[MH_EV_POOL] = { "info", "pool", 20 },
 	[MH_EV_FAILED] = { "warn", "failed", 200 },
 	[MH_EV_REFUSED] = { "info", "refused", 100 },
--- a/net/event_log.h
+++ b/net/event_log.h
@@ -18,6 +18,7 @@
 	MH_EV_DEPENDENCY, /* store, link or dispatcher lost or regained */
 	MH_EV_CONFIG,	  /* a configuration was applied or rejected */
 	MH_EV_SERVER,	  /* the known state of a backend server changed */
+	MH_EV_CRASH,	  /* a run was lost with its server */
 	MH_EV_POOL,	  /* state of the servers of a service */
 	MH_EV_FAILED,	  /* a request got no full response; a socket error */
 	MH_EV_REFUSED,	  /* a request was refused and did not run */
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -87,7 +87,7 @@
 	mh_event(mh_exchange_log(x), unknown ? MH_EV_FAILED : MH_EV_REFUSED,
 		 "event=%s id=%.*s request=%llu error=%s status=%u route=%s "
 		 "account=%s tier=%u held_ms=%u retry_after_ms=%u servers=%u "
-		 "server=%s version=%llu",
+		 "server=%s version=%llu fingerprint=%016llx",
 		 unknown ? "failed" : "refused", (int)x->wire.id.len,
 		 x->wire.id.p ? x->wire.id.p : "", (unsigned long long)x->id,
 		 info->name, info->status, x->route ? x->route->name : "",
@@ -96,7 +96,8 @@
 		 mh_exchange_elapsed_ms(x, x->arrived_ns), retry_after_ms,
 		 x->servers_reached, x->server ? x->server : "",
 		 x->routes ? (unsigned long long)mh_routes_version(x->routes) :
-			     0);
+			     0,
+		 (unsigned long long)x->fingerprint);
 	mh_exchange_observe_refusal(x, info->name);
 	mh_exchange_observe_total(x, unknown ? "failed" : "refused");
 	mh_client_append_error(mh_client_out(cl), error, retry_after_ms,
@@ -113,10 +114,11 @@
 	mh_count(x->set->env.counters, MH_C_CUT);
 	mh_event(mh_exchange_log(x), MH_EV_FAILED,
 		 "event=cut id=%.*s why=%s route=%s server=%s events=%u "
-		 "held_ms=%u servers=%u",
+		 "held_ms=%u servers=%u fingerprint=%016llx",
 		 (int)x->wire.id.len, x->wire.id.p, why, x->route->name,
-		 x->server, x->events, mh_exchange_elapsed_ms(x, x->arrived_ns),
-		 x->servers_reached);
+		 x->server ? x->server : "", x->events,
+		 mh_exchange_elapsed_ms(x, x->arrived_ns), x->servers_reached,
+		 (unsigned long long)x->fingerprint);
 	mh_exchange_observe_total(x, "cut");
 	mh_exchange_free(x);
 	mh_client_abort(cl);
@@ -220,9 +222,10 @@
 	mh_count(x->set->env.counters, MH_C_SENT_AGAIN);
 	mh_event(mh_exchange_log(x), MH_EV_RETRIED,
 		 "event=again id=%.*s why=%s route=%s server=%s servers=%u "
-		 "events=%u left_ms=%u",
+		 "events=%u left_ms=%u fingerprint=%016llx",
 		 (int)x->wire.id.len, x->wire.id.p, why, x->route->name,
-		 x->server, x->servers_reached, x->events, remaining_ms(x));
+		 x->server, x->servers_reached, x->events, remaining_ms(x),
+		 (unsigned long long)x->fingerprint);
 	if (x->n_tried < MH_AVOID_MAX) {
 		x->tried[x->n_tried++] = x->server;
 	} else {
@@ -293,10 +296,10 @@
 	mh_count(set->env.counters, MH_C_SENT);
 	mh_event(mh_exchange_log(x), MH_EV_SENT,
 		 "event=sent id=%.*s server=%s address=%s deadline_ms=%u "
-		 "waited_ms=%u servers=%u",
+		 "waited_ms=%u servers=%u fingerprint=%016llx",
 		 (int)x->wire.id.len, x->wire.id.p, x->server, address,
 		 add.deadline_ms, mh_exchange_elapsed_ms(x, x->arrived_ns),
-		 x->servers_reached);
+		 x->servers_reached, (unsigned long long)x->fingerprint);
 }
 
 static struct exchange *find(struct mh_exchanges *set, uint64_t id)
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -433,8 +433,21 @@
 	sc->ops->move(sc->data, id);
 }
 
+static void local_lost(void *data, const struct mh_lost_run *run)
+{
+	struct mh_slot_client *sc = data;
+
+	mh_event(sc->log, MH_EV_CRASH,
+		 "event=run_lost request=%llu server=%s fingerprint=%016llx "
+		 "outcome=%s answering=%d held=%u crashes=%u",
+		 (unsigned long long)run->id, run->server,
+		 (unsigned long long)run->fingerprint,
+		 run->outcome == MH_SLOT_LOST ? "lost" : "unreachable",
+		 run->answering, run->held, run->crashes);
+}
+
 static const struct mh_dispatch_ops local_ops = { local_grant, local_refuse,
-						  local_move };
+						  local_move, local_lost };
 
 static void on_server(void *data, const struct mh_registration *reg)
 {
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -38,6 +38,8 @@
 	struct slot_result results[MAX_REQUESTS];
 	uint64_t next_id;
 	bool releases_on_move; /* like an entry that runs its own dispatcher */
+	uint32_t n_lost;
+	struct mh_lost_run last_lost; /* its strings may be stale */
 };
 
 static inline uint64_t fake_mono(void *data)
@@ -88,7 +90,16 @@
 		mh_dispatch_done(f->d, owner, id, MH_SLOT_TIMED_OUT, 700);
 }
 
-static const struct mh_dispatch_ops ops = { on_place, on_refuse, on_move };
+static inline void on_lost(void *data, const struct mh_lost_run *run)
+{
+	struct fixture *f = data;
+
+	f->n_lost++;
+	f->last_lost = *run;
+}
+
+static const struct mh_dispatch_ops ops = { on_place, on_refuse, on_move,
+					    on_lost };
 
 static const struct mh_dispatch_conf conf = {
 	.retry_ratio = 0.2,
