Fingerprint: the account and the method, not the key

Callers saw: a request that crashes servers ends three servers for each key of its caller. The fingerprint held the caller's key, which the server never sees, and of the method only its length, so that requests of different methods could share one. It holds account, method, target and body now, each with its length.

--- a/core/suspects.c
+++ b/core/suspects.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
+#include <xxhash.h>
 
 #include "core/check_alloc.h"
 #include "core/clock.h"
@@ -85,6 +86,13 @@
 	return r;
 }
 
+uint64_t mh_fingerprint_add(uint64_t fingerprint, const void *part, size_t len)
+{
+	uint64_t h = XXH3_64bits_withSeed(part, len, fingerprint + len);
+
+	return h ? h : 1;
+}
+
 uint32_t mh_suspect_crashes(const struct mh_suspect *suspect)
 {
 	uint32_t i, n = 0;
--- a/core/suspects.h
+++ b/core/suspects.h
@@ -8,6 +8,7 @@
 #define MH_SUSPECTS_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /* Crashes that are kept for a fingerprint; a request is refused from fewer on.
@@ -49,6 +50,16 @@
 
 struct mh_suspects;
 
+/**
+ * mh_fingerprint_add() - extend a fingerprint by a part of a request
+ * @fingerprint: fingerprint of the parts before, 0 for the first
+ * @part: bytes
+ * @len: length of @part
+ *
+ * Return: fingerprint, never 0.
+ */
+uint64_t mh_fingerprint_add(uint64_t fingerprint, const void *part, size_t len);
+
 /**
  * mh_suspect_crashes() - number of crashes that count
  * @suspect: record
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -353,14 +353,15 @@
 	mh_exchange_on_outcome_unknown(x, MH_ERR_TIMEOUT);
 }
 
+/* A caller may have several keys; the server sees the account only. */
 static uint64_t fingerprint_of(const struct exchange *x)
 {
-	uint64_t h = XXH3_64bits_withSeed(
-		x->head->target.p, x->head->target.len, x->head->method.len);
+	const char *account = x->account ? x->account->name : "";
+	uint64_t h = mh_fingerprint_add(0, account, strlen(account));
 
-	if (x->wire.key.len)
-		h = XXH3_64bits_withSeed(x->wire.key.p, x->wire.key.len, h);
-	return XXH3_64bits_withSeed(mh_buffer_front(x->body), x->body->len, h);
+	h = mh_fingerprint_add(h, x->head->method.p, x->head->method.len);
+	h = mh_fingerprint_add(h, x->head->target.p, x->head->target.len);
+	return mh_fingerprint_add(h, mh_buffer_front(x->body), x->body->len);
 }
 
 static struct mh_http_text host_of(const struct mh_http_head *head)
--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -4,7 +4,8 @@
  *
  * standin-platform PORT SERVER...
  *   SERVER is PORT:ID:SERVICE:SLOTS[:REGISTERED-PORT]; by default a server
- *   registers the port that it listens on.
+ *   registers the port that it listens on. One with port 0 is only registered:
+ *   another process serves it. With PORT 0 there is no store.
  *
  * The store listens on PORT. Control requests of tests:
  *   POST /test/config           publishes a configuration
@@ -27,7 +28,8 @@
  * The last path segment of a request selects the response: stream, cut, reset,
  * wrongid, unsigned, encoded, reject, fail, busy, unframed, extra, slow; own
  * and ownstream, whose bytes contain the request id; hold, which runs until the
- * client disconnects, at most 3 s; any other, such as ok: "hello".
+ * client disconnects, at most 3 s; crash, which ends the process; any other,
+ * such as ok: "hello".
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -298,6 +300,15 @@
 	return send_all(c);
 }
 
+static void crash(const struct conn *c)
+{
+	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
+
+	printf("crashed server=%s id=%.*s\n", c->server->id, (int)id.len, id.p);
+	fflush(stdout);
+	_exit(1);
+}
+
 static bool serve_run(struct conn *c)
 {
 	struct mh_http_text expected = header(c, "X-Mangohead-Expect-Instance");
@@ -317,6 +328,8 @@
 		return send_all(c);
 	}
 	record_run(c);
+	if (target_ends_with(c, "crash"))
+		crash(c);
 	if (target_ends_with(c, "own"))
 		return serve_id_lines(c);
 	if (target_ends_with(c, "hold"))
@@ -470,13 +483,13 @@
 
 		if (sscanf(argv[i], "%d:%31[^:]:%31[^:]:%d:%d", &s->port, s->id,
 			   s->service, &s->slots, &s->registered_port) < 4 ||
-		    listen_at(s->port, s))
+		    (s->port && listen_at(s->port, s)))
 			return 2;
 		if (!s->registered_port)
 			s->registered_port = s->port;
 		snprintf(s->state, sizeof(s->state), "ready");
 	}
-	if (listen_at(atoi(argv[1]), NULL))
+	if (atoi(argv[1]) && listen_at(atoi(argv[1]), NULL))
 		return 1;
 	for (;;) {
 		pthread_mutex_lock(&lock);
--- a/tests/test_proxy.sh
+++ b/tests/test_proxy.sh
@@ -91,15 +91,24 @@
 	"route_type":"stream","timeout_ms":5000,"target_latency_ms":400,
 	"priority":0,"service":"app","max_attempts":2,"public":false,
 	"sticky":true,"resumable":true,"target_gap_ms":250},
+	{"name":"fragile","host":"h.example","path_prefix":"/fragile/",
+	"route_type":"idempotent","timeout_ms":3000,
+	"target_latency_ms":100,"priority":1,"service":"fragile",
+	"max_attempts":2,"public":false},
+	{"name":"fragile-once","host":"h.example",
+	"path_prefix":"/fragile-once/","route_type":"non_idempotent",
+	"timeout_ms":3000,"target_latency_ms":100,"priority":1,
+	"service":"fragile","max_attempts":1,"public":false},
 	{"name":"open","host":"h.example","path_prefix":"/open/",
 	"route_type":"idempotent","timeout_ms":3000,
 	"target_latency_ms":100,"priority":1,"service":"app",
 	"max_attempts":2,"public":true}],
 	"services":[{"name":"app","health_path":"/health",
-	"max_connections":100}],
+	"max_connections":100},{"name":"fragile",
+	"health_path":"/health","max_connections":100}],
 	"limits":{"max_header_bytes":4096,"max_body_bytes":100000,
 	"header_timeout_ms":1000,"idle_timeout_ms":3000},
-	"tenants":[{"name":"acct","api_keys":["key-1"],"priority":1,
+	"tenants":[{"name":"acct","api_keys":["key-1","key-3"],"priority":1,
 	"unit":"requests","rate_per_s":100000,"burst":100000},
 	{"name":"small","api_keys":["key-2"],"priority":1,
 	"unit":"requests","rate_per_s":2,"burst":4}]}
@@ -480,6 +489,62 @@
 	[ "$(status_of 1 /once/ok)" = 200 ]
 }
 
+# Servers of the service "fragile" are processes of their own, which end as they
+# run /crash.
+start_fragile() { # N
+	start fragile$1 $BIN/standin-platform 0 $(server_port $((5 + $1))):c$1:fragile:4
+}
+
+revive_fragile() {
+	local i
+	sleep 0.5
+	for i in 1 2 3; do
+		[ -d /proc/$(pid_of fragile$i) ] || start_fragile $i
+	done
+	sleep 0.2
+}
+
+crashes() { # REQUEST-ID-PART: servers that such requests ended
+	cat "$DIR"/fragile?.log | grep -c "crashed .*id=$1"
+}
+
+# Sends a request that crashes servers, time and again, through both proxies and
+# with both keys of the caller. Proper requests go on beside it.
+crash_servers() { # ID-PART PATH TIMES
+	local i beside
+	for i in $(seq 12); do
+		ID=$1-beside-$i KEY=key-1 call $((1 + i % 2)) /fragile/slow \
+			-o /dev/null -w "%{http_code} $1\n" -d $1-$i \
+			>>"$DIR/beside"
+		sleep 0.1
+	done &
+	beside=$!
+	for i in $(seq $3); do
+		ID=$1-$i KEY=key-$((1 + i / 2 % 2 * 2)) \
+			status_of $((1 + i % 2)) $2 -d $1
+		echo
+		revive_fragile
+	done >"$DIR/$1"
+	wait $beside
+	cat "$DIR/$1"
+	grep " $1" "$DIR/beside" | sort | uniq -c
+}
+
+t_crashing_request() {
+	crash_servers poison /fragile/crash 8
+	[ "$(crashes poison-)" = 3 ] &&
+		[ "$(tail -n 4 "$DIR/poison" | sort -u)" = 503 ] &&
+		[ "$(grep -c '^200 poison' "$DIR/beside")" -ge 10 ] &&
+		! grep -q '^503 poison' "$DIR/beside"
+}
+
+t_crashing_request_that_may_run_once() {
+	crash_servers fatal /fragile-once/crash 8
+	[ "$(crashes fatal-)" = 3 ] &&
+		[ "$(tail -n 4 "$DIR/fatal" | sort -u)" = 503 ] &&
+		! grep -q '^503 fatal' "$DIR/beside"
+}
+
 t_graceful_stop() {
 	local n=1 pid rc
 	call 1 /gen/stream -N >"$DIR/stream" &
@@ -578,7 +643,11 @@
 
 start platform $BIN/standin-platform $STORE \
 	$(server_port 1):s1:app:4 $(server_port 2):s2:app:4 \
-	$(server_port 3):s3:app:4
+	$(server_port 3):s3:app:4 0:c1:fragile:4:$(server_port 6) \
+	0:c2:fragile:4:$(server_port 7) 0:c3:fragile:4:$(server_port 8)
+for i in 1 2 3; do
+	start_fragile $i
+done
 wait_until 5 config 10 || exit 1
 start_dispatcher 1
 start_dispatcher 2
@@ -613,6 +682,9 @@
 check "proxy: a server that fails all" t_server_that_fails_all
 check "proxy: a silent server" t_silent_server
 check "proxy: the store is down" t_store_down
+check "proxy: a request that crashes servers is refused" t_crashing_request
+check "proxy: one that crashes servers and may run once" \
+	t_crashing_request_that_may_run_once
 check "proxy: dispatcher killed" t_dispatcher_killed
 check "proxy: dispatcher frozen" t_dispatcher_frozen
 check "proxy: no dispatcher at all" t_no_dispatcher
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -284,6 +284,32 @@
 	free_fixture(f);
 }
 
+static uint64_t fingerprint(const char *account, const char *method,
+			    const char *target, const char *body)
+{
+	uint64_t h = mh_fingerprint_add(0, account, strlen(account));
+
+	h = mh_fingerprint_add(h, method, strlen(method));
+	h = mh_fingerprint_add(h, target, strlen(target));
+	return mh_fingerprint_add(h, body, strlen(body));
+}
+
+/* Guards against different requests that share a fingerprint. */
+static void test_fingerprint_tells_all_parts_apart(void **state)
+{
+	uint64_t a = fingerprint("x", "GET", "/a", "");
+
+	(void)state;
+	assert_true(a == fingerprint("x", "GET", "/a", ""));
+	assert_true(a != fingerprint("y", "GET", "/a", ""));
+	assert_true(a != fingerprint("x", "PUT", "/a", ""));
+	assert_true(a != fingerprint("x", "GET", "/b", ""));
+	assert_true(a != fingerprint("x", "GET", "/a", "b"));
+	assert_true(fingerprint("x", "GET", "/ab", "c") !=
+		    fingerprint("x", "GET", "/a", "bc"));
+	assert_true(fingerprint("", "", "", "") != 0);
+}
+
 /* ---- proper requests at servers that go down ---- */
 
 /* Guards against proper requests that are refused because they were at servers
@@ -595,6 +621,7 @@
 		cmocka_unit_test(
 			test_request_stays_refused_while_it_keeps_coming),
 		cmocka_unit_test(test_adopted_run_is_counted),
+		cmocka_unit_test(test_fingerprint_tells_all_parts_apart),
 		cmocka_unit_test(
 			test_requests_beside_the_crashing_one_are_served),
 		cmocka_unit_test(test_known_suspect_takes_the_blame),
