Share what is known of crashing requests among dispatchers and entries

Callers saw: a request that crashes servers was served again whenever the dispatcher changed or restarted. Each dispatcher counted for itself, as did an entry that uses its own share of the slots, and a restart forgot all: with several dispatchers nobody saw the third crash.

Dispatchers send each change to their entries; entries keep it, pass it on to their other dispatcher and to each one that they link to later, and use it for their own share. Records are merged; a number for each crash keeps one that is relayed slowly from counting twice. Frames for slots moved to a file of their own.

--- a/core/suspects.c
+++ b/core/suspects.c
@@ -134,12 +134,14 @@
 	free_row(set, set->rows);
 }
 
-static struct row *get(struct mh_suspects *set, uint64_t fingerprint)
+static struct row *get(struct mh_suspects *set, uint64_t fingerprint,
+		       uint64_t now_ns)
 {
 	struct row *r = find(set, fingerprint);
 
 	if (r)
 		return r;
+	mh_suspects_expire(set, now_ns);
 	if (HASH_COUNT(set->rows) == MAX_SUSPECTS)
 		evict(set);
 	r = mh_check_alloc(calloc(1, sizeof(*r)));
@@ -234,7 +236,7 @@
 
 	if (!fingerprint || has_alibi(set, fingerprint, now_ns))
 		return false;
-	r = get(set, fingerprint);
+	r = get(set, fingerprint, now_ns);
 	suspect = &r->suspect;
 	for (i = 0; i < suspect->n_crashes; i++) {
 		const struct mh_crash *known = &suspect->crashes[i];
@@ -389,7 +391,7 @@
 
 	if (!other->fingerprint || now_ns >= expiry_ns(other))
 		return false;
-	r = get(set, other->fingerprint);
+	r = get(set, other->fingerprint, now_ns);
 	if (other->cleared_ns > r->suspect.cleared_ns) {
 		r->suspect.cleared_ns = other->cleared_ns;
 		changed = drop_cleared_crashes(&r->suspect);
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -8,10 +8,12 @@
 
 #include "config/bounds.h"
 #include "core/dispatch.h"
+#include "net/crash_log.h"
 #include "net/link.h"
 #include "net/link_peer.h"
 #include "net/process.h"
 #include "net/registrations.h"
+#include "net/suspect_frames.h"
 #include "platform/directory.h"
 #include "platform/ledger.h"
 
@@ -123,28 +125,33 @@
 {
 	struct mh_dispatcher_app *app = data;
 
-	mh_event(app->process.log, MH_EV_CRASH,
-		 "event=run_lost entry=%s request=%llu server=%s "
-		 "fingerprint=%016llx verdict=%s answering=%d held=%u "
-		 "crashes=%u",
-		 entry_host(app, run->owner), (unsigned long long)run->id,
-		 run->server, (unsigned long long)run->fingerprint,
-		 mh_lost_verdict_name(run->verdict), run->answering, run->held,
-		 run->crashes);
+	mh_crash_log_lost_run(app->process.log, entry_host(app, run->owner),
+			      run);
 }
 
-static void log_suspect(void *data, const struct mh_suspect *suspect)
+/* Entries pass it on to the other dispatchers that they are linked to, and use
+ * it while they have none. */
+static void share_suspect(struct mh_dispatcher_app *app,
+			  const struct mh_suspect *suspect, uint32_t from_link)
 {
-	struct mh_dispatcher_app *app = data;
+	struct linked_entry *entry, *tmp;
 
-	mh_event(app->process.log, MH_EV_CRASH,
-		 "event=suspect fingerprint=%016llx crashes=%u refused=%d",
-		 (unsigned long long)suspect->fingerprint,
-		 mh_suspect_crashes(suspect), mh_suspect_is_refused(suspect));
+	mh_crash_log_suspect(app->process.log, entry_host(app, from_link),
+			     suspect);
+	HASH_ITER(hh, app->linked_entries, entry, tmp) {
+		if (entry->link != from_link)
+			mh_suspect_send(app->links, entry->link, suspect,
+					mh_now_ns());
+	}
+}
+
+static void on_suspect(void *data, const struct mh_suspect *suspect)
+{
+	share_suspect(data, suspect, 0);
 }
 
 static const struct mh_dispatch_ops dispatch_ops = {
-	grant_slot, refuse_slot, move_request, log_lost_run, log_suspect,
+	grant_slot, refuse_slot, move_request, log_lost_run, on_suspect,
 };
 
 static void on_server(void *data, const struct mh_registration *reg)
@@ -218,18 +225,35 @@
 	on_dispatcher,
 };
 
-struct registration_recipient {
+struct recipient {
 	struct mh_dispatcher_app *app;
 	uint32_t link;
 };
 
 static void send_registration(void *data, const struct mh_registration *reg)
 {
-	const struct registration_recipient *to = data;
+	const struct recipient *to = data;
 
 	mh_registration_send(to->app->links, to->link, reg);
 }
 
+static void send_suspect(void *data, const struct mh_suspect *suspect)
+{
+	const struct recipient *to = data;
+
+	mh_suspect_send(to->app->links, to->link, suspect, mh_now_ns());
+}
+
+static void receive_suspect(struct mh_dispatcher_app *app, uint32_t link,
+			    const Mh__CrashSuspect *msg)
+{
+	struct mh_suspect suspect;
+
+	mh_suspect_read(msg, mh_now_ns(), &suspect);
+	if (mh_dispatch_merge_suspect(app->dispatch, &suspect))
+		share_suspect(app, &suspect, link);
+}
+
 static void send_heartbeat(struct mh_dispatcher_app *app, uint32_t link)
 {
 	Mh__Standing msg = MH__STANDING__INIT;
@@ -258,7 +282,7 @@
 static void on_link_up(void *data, uint32_t link, const Mh__Hello *hello)
 {
 	struct mh_dispatcher_app *app = data;
-	struct registration_recipient to = { app, link };
+	struct recipient to = { app, link };
 	struct linked_entry *entry = calloc(1, sizeof(*entry));
 
 	if (!entry)
@@ -272,6 +296,7 @@
 	mh_ledger_run(app->ledger, true);
 	send_document(app, link);
 	mh_catalog_each(app->catalog, send_registration, &to);
+	mh_dispatch_each_suspect(app->dispatch, send_suspect, &to);
 	send_heartbeat(app, link);
 }
 
@@ -401,6 +426,9 @@
 		mh_registration_receive(app->catalog, frame->server_words,
 					mh_now_ns());
 		break;
+	case MH__FRAME__BODY_CRASH_SUSPECT:
+		receive_suspect(app, link, frame->crash_suspect);
+		break;
 	case MH__FRAME__BODY_LEDGER_RECORD:
 		if (!mh_ledger_decode_cached(app->dispatch,
 					     frame->ledger_record->bytes.data,
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -1267,6 +1267,141 @@
   assert(message->base.descriptor == &mh__ledger_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mh__crash__init
+                     (Mh__Crash         *message)
+{
+  static const Mh__Crash init_value = MH__CRASH__INIT;
+  *message = init_value;
+}
+size_t mh__crash__get_packed_size
+                     (const Mh__Crash *message)
+{
+  assert(message->base.descriptor == &mh__crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__crash__pack
+                     (const Mh__Crash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__crash__pack_to_buffer
+                     (const Mh__Crash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__Crash *
+       mh__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__Crash *)
+     protobuf_c_message_unpack (&mh__crash__descriptor,
+                                allocator, len, data);
+}
+void   mh__crash__free_unpacked
+                     (Mh__Crash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mh__crash_suspect__init
+                     (Mh__CrashSuspect         *message)
+{
+  static const Mh__CrashSuspect init_value = MH__CRASH_SUSPECT__INIT;
+  *message = init_value;
+}
+size_t mh__crash_suspect__get_packed_size
+                     (const Mh__CrashSuspect *message)
+{
+  assert(message->base.descriptor == &mh__crash_suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__crash_suspect__pack
+                     (const Mh__CrashSuspect *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__crash_suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__crash_suspect__pack_to_buffer
+                     (const Mh__CrashSuspect *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__crash_suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__CrashSuspect *
+       mh__crash_suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__CrashSuspect *)
+     protobuf_c_message_unpack (&mh__crash_suspect__descriptor,
+                                allocator, len, data);
+}
+void   mh__crash_suspect__free_unpacked
+                     (Mh__CrashSuspect *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__crash_suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mh__server_probed__init
+                     (Mh__ServerProbed         *message)
+{
+  static const Mh__ServerProbed init_value = MH__SERVER_PROBED__INIT;
+  *message = init_value;
+}
+size_t mh__server_probed__get_packed_size
+                     (const Mh__ServerProbed *message)
+{
+  assert(message->base.descriptor == &mh__server_probed__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__server_probed__pack
+                     (const Mh__ServerProbed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__server_probed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__server_probed__pack_to_buffer
+                     (const Mh__ServerProbed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__server_probed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__ServerProbed *
+       mh__server_probed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__ServerProbed *)
+     protobuf_c_message_unpack (&mh__server_probed__descriptor,
+                                allocator, len, data);
+}
+void   mh__server_probed__free_unpacked
+                     (Mh__ServerProbed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__server_probed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mh__server_word__init
                      (Mh__ServerWord         *message)
 {
@@ -3648,6 +3783,224 @@
   (ProtobufCMessageInit) mh__ledger_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mh__crash__field_descriptors[5] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Crash, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Crash, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Crash, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "on_trial",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Crash, on_trial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refuted",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Crash, refuted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__crash__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = id */
+  3,   /* field[3] = on_trial */
+  4,   /* field[4] = refuted */
+  1,   /* field[1] = server */
+};
+static const ProtobufCIntRange mh__crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mh__crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.Crash",
+  "Crash",
+  "Mh__Crash",
+  "mh",
+  sizeof(Mh__Crash),
+  5,
+  mh__crash__field_descriptors,
+  mh__crash__field_indices_by_name,
+  1,  mh__crash__number_ranges,
+  (ProtobufCMessageInit) mh__crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__crash_suspect__field_descriptors[5] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__CrashSuspect, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seen_age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__CrashSuspect, seen_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_cleared",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__CrashSuspect, is_cleared),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cleared_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__CrashSuspect, cleared_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crash",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__CrashSuspect, n_crash),
+    offsetof(Mh__CrashSuspect, crash),
+    &mh__crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__crash_suspect__field_indices_by_name[] = {
+  3,   /* field[3] = cleared_age_ms */
+  4,   /* field[4] = crash */
+  0,   /* field[0] = fingerprint */
+  2,   /* field[2] = is_cleared */
+  1,   /* field[1] = seen_age_ms */
+};
+static const ProtobufCIntRange mh__crash_suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mh__crash_suspect__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.CrashSuspect",
+  "CrashSuspect",
+  "Mh__CrashSuspect",
+  "mh",
+  sizeof(Mh__CrashSuspect),
+  5,
+  mh__crash_suspect__field_descriptors,
+  mh__crash_suspect__field_indices_by_name,
+  1,  mh__crash_suspect__number_ranges,
+  (ProtobufCMessageInit) mh__crash_suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__server_probed__field_descriptors[1] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ServerProbed, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__server_probed__field_indices_by_name[] = {
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange mh__server_probed__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor mh__server_probed__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.ServerProbed",
+  "ServerProbed",
+  "Mh__ServerProbed",
+  "mh",
+  sizeof(Mh__ServerProbed),
+  1,
+  mh__server_probed__field_descriptors,
+  mh__server_probed__field_indices_by_name,
+  1,  mh__server_probed__number_ranges,
+  (ProtobufCMessageInit) mh__server_probed__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mh__server_word__field_descriptors[8] =
 {
   {
@@ -3930,7 +4283,7 @@
   (ProtobufCMessageInit) mh__standing__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__frame__field_descriptors[31] =
+static const ProtobufCFieldDescriptor mh__frame__field_descriptors[33] =
 {
   {
     "hello",
@@ -4304,6 +4657,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crash_suspect",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, crash_suspect),
+    &mh__crash_suspect__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server_probed",
+    33,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, server_probed),
+    &mh__server_probed__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__frame__field_indices_by_name[] = {
   7,   /* field[7] = attach */
@@ -4311,6 +4688,7 @@
   19,   /* field[19] = claims */
   15,   /* field[15] = config_pull */
   16,   /* field[16] = config_state */
+  31,   /* field[31] = crash_suspect */
   10,   /* field[10] = data */
   27,   /* field[27] = document */
   11,   /* field[11] = end */
@@ -4331,6 +4709,7 @@
   1,   /* field[1] = proof */
   8,   /* field[8] = refused */
   5,   /* field[5] = ret */
+  32,   /* field[32] = server_probed */
   26,   /* field[26] = server_words */
   18,   /* field[18] = side_config */
   25,   /* field[25] = spent */
@@ -4341,7 +4720,7 @@
 static const ProtobufCIntRange mh__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 31 }
+  { 0, 33 }
 };
 const ProtobufCMessageDescriptor mh__frame__descriptor =
 {
@@ -4351,7 +4730,7 @@
   "Mh__Frame",
   "mh",
   sizeof(Mh__Frame),
-  31,
+  33,
   mh__frame__field_descriptors,
   mh__frame__field_indices_by_name,
   1,  mh__frame__number_ranges,
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -43,6 +43,9 @@
 typedef struct Mh__PlaceDone Mh__PlaceDone;
 typedef struct Mh__Spent Mh__Spent;
 typedef struct Mh__LedgerRecord Mh__LedgerRecord;
+typedef struct Mh__Crash Mh__Crash;
+typedef struct Mh__CrashSuspect Mh__CrashSuspect;
+typedef struct Mh__ServerProbed Mh__ServerProbed;
 typedef struct Mh__ServerWord Mh__ServerWord;
 typedef struct Mh__ServerWords Mh__ServerWords;
 typedef struct Mh__Document Mh__Document;
@@ -536,6 +539,66 @@
     , (char *)protobuf_c_empty_string, {0,NULL}, 0 }
 
 
+/*
+ * A server that went down while it ran a request.
+ */
+struct  Mh__Crash
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * hash of its identifier and start
+   */
+  uint64_t server;
+  uint32_t age_ms;
+  protobuf_c_boolean on_trial;
+  /*
+   * it did not go down
+   */
+  protobuf_c_boolean refuted;
+};
+#define MH__CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__crash__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * What the sender knows of a request that may crash servers.
+ */
+struct  Mh__CrashSuspect
+{
+  ProtobufCMessage base;
+  uint64_t fingerprint;
+  /*
+   * since its last crash or refusal
+   */
+  uint32_t seen_age_ms;
+  /*
+   * an equal request ended well
+   */
+  protobuf_c_boolean is_cleared;
+  uint32_t cleared_age_ms;
+  size_t n_crash;
+  Mh__Crash **crash;
+};
+#define MH__CRASH_SUSPECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__crash_suspect__descriptor) \
+    , 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * The server accepted a connection just after a run was lost there.
+ */
+struct  Mh__ServerProbed
+{
+  ProtobufCMessage base;
+  char *server;
+};
+#define MH__SERVER_PROBED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__server_probed__descriptor) \
+    , (char *)protobuf_c_empty_string }
+
+
 struct  Mh__ServerWord
 {
   ProtobufCMessage base;
@@ -628,7 +691,9 @@
   MH__FRAME__BODY_DOCUMENT = 28,
   MH__FRAME__BODY_STANDING = 29,
   MH__FRAME__BODY_PLACE_MOVE = 30,
-  MH__FRAME__BODY_LEDGER_RECORD = 31
+  MH__FRAME__BODY_LEDGER_RECORD = 31,
+  MH__FRAME__BODY_CRASH_SUSPECT = 32,
+  MH__FRAME__BODY_SERVER_PROBED = 33
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MH__FRAME__BODY__CASE)
 } Mh__Frame__BodyCase;
 
@@ -668,6 +733,8 @@
     Mh__Standing *standing;
     Mh__PlaceMove *place_move;
     Mh__LedgerRecord *ledger_record;
+    Mh__CrashSuspect *crash_suspect;
+    Mh__ServerProbed *server_probed;
   };
 };
 #define MH__FRAME__INIT \
@@ -1207,6 +1274,63 @@
 void   mh__ledger_record__free_unpacked
                      (Mh__LedgerRecord *message,
                       ProtobufCAllocator *allocator);
+/* Mh__Crash methods */
+void   mh__crash__init
+                     (Mh__Crash         *message);
+size_t mh__crash__get_packed_size
+                     (const Mh__Crash   *message);
+size_t mh__crash__pack
+                     (const Mh__Crash   *message,
+                      uint8_t             *out);
+size_t mh__crash__pack_to_buffer
+                     (const Mh__Crash   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__Crash *
+       mh__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__crash__free_unpacked
+                     (Mh__Crash *message,
+                      ProtobufCAllocator *allocator);
+/* Mh__CrashSuspect methods */
+void   mh__crash_suspect__init
+                     (Mh__CrashSuspect         *message);
+size_t mh__crash_suspect__get_packed_size
+                     (const Mh__CrashSuspect   *message);
+size_t mh__crash_suspect__pack
+                     (const Mh__CrashSuspect   *message,
+                      uint8_t             *out);
+size_t mh__crash_suspect__pack_to_buffer
+                     (const Mh__CrashSuspect   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__CrashSuspect *
+       mh__crash_suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__crash_suspect__free_unpacked
+                     (Mh__CrashSuspect *message,
+                      ProtobufCAllocator *allocator);
+/* Mh__ServerProbed methods */
+void   mh__server_probed__init
+                     (Mh__ServerProbed         *message);
+size_t mh__server_probed__get_packed_size
+                     (const Mh__ServerProbed   *message);
+size_t mh__server_probed__pack
+                     (const Mh__ServerProbed   *message,
+                      uint8_t             *out);
+size_t mh__server_probed__pack_to_buffer
+                     (const Mh__ServerProbed   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__ServerProbed *
+       mh__server_probed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__server_probed__free_unpacked
+                     (Mh__ServerProbed *message,
+                      ProtobufCAllocator *allocator);
 /* Mh__ServerWord methods */
 void   mh__server_word__init
                      (Mh__ServerWord         *message);
@@ -1388,6 +1512,15 @@
 typedef void (*Mh__LedgerRecord_Closure)
                  (const Mh__LedgerRecord *message,
                   void *closure_data);
+typedef void (*Mh__Crash_Closure)
+                 (const Mh__Crash *message,
+                  void *closure_data);
+typedef void (*Mh__CrashSuspect_Closure)
+                 (const Mh__CrashSuspect *message,
+                  void *closure_data);
+typedef void (*Mh__ServerProbed_Closure)
+                 (const Mh__ServerProbed *message,
+                  void *closure_data);
 typedef void (*Mh__ServerWord_Closure)
                  (const Mh__ServerWord *message,
                   void *closure_data);
@@ -1437,6 +1570,9 @@
 extern const ProtobufCMessageDescriptor mh__place_done__descriptor;
 extern const ProtobufCMessageDescriptor mh__spent__descriptor;
 extern const ProtobufCMessageDescriptor mh__ledger_record__descriptor;
+extern const ProtobufCMessageDescriptor mh__crash__descriptor;
+extern const ProtobufCMessageDescriptor mh__crash_suspect__descriptor;
+extern const ProtobufCMessageDescriptor mh__server_probed__descriptor;
 extern const ProtobufCMessageDescriptor mh__server_word__descriptor;
 extern const ProtobufCMessageDescriptor mh__server_words__descriptor;
 extern const ProtobufCMessageDescriptor mh__document__descriptor;
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -11,8 +11,11 @@
 #include "core/check_alloc.h"
 #include "core/ledger_cache.h"
 #include "core/usage_relay.h"
+#include "net/crash_log.h"
 #include "net/link_peer.h"
 #include "net/registrations.h"
+#include "proxy/slot_frames.h"
+#include "proxy/suspect_relay.h"
 
 /* Dispatchers send a heartbeat every 100 ms; a link that is silent for longer
  * than three missed heartbeats is closed. */
@@ -60,6 +63,7 @@
 	struct request *requests;
 	struct mh_usage_relay *usage_relay;
 	struct mh_ledger_cache *ledger_cache;
+	struct mh_suspect_relay suspects;
 };
 
 static uint64_t now_of(const struct mh_slot_client *sc)
@@ -67,63 +71,12 @@
 	return mh_clock_mono_ns(sc->clock);
 }
 
-static int32_t ms_until(uint64_t then_ns, uint64_t now_ns)
-{
-	int64_t ms =
-		((int64_t)then_ns - (int64_t)now_ns) / (int64_t)MH_NS_PER_MS;
-
-	if (ms > INT32_MAX)
-		return INT32_MAX;
-	return ms < INT32_MIN ? INT32_MIN : (int32_t)ms;
-}
-
 static void send_slot_request(struct mh_slot_client *sc,
 			      const struct request *req)
 {
-	const struct mh_slot_request *slot_req = &req->slot_req;
-	uint64_t now_ns = now_of(sc);
-	int32_t left_ms = ms_until(slot_req->deadline_ns, now_ns);
-	Mh__PlaceAsk msg = MH__PLACE_ASK__INIT;
-	Mh__Frame frame = MH__FRAME__INIT;
-
-	msg.id = req->id;
-	msg.service = (char *)slot_req->service;
-	msg.account = (char *)slot_req->account;
-	msg.tier = slot_req->tier;
-	msg.units = slot_req->units;
-	msg.prompt_tokens = slot_req->prompt_tokens;
-	msg.output_tokens = slot_req->output_tokens;
-	msg.aim_in_ms = ms_until(slot_req->target_ns, now_ns);
-	msg.deadline_in_ms = left_ms > 0 ? (uint32_t)left_ms : 0;
-	msg.start_in_ms = ms_until(slot_req->start_by_ns, now_ns);
-	msg.fingerprint = slot_req->fingerprint;
-	msg.is_repeat = slot_req->is_repeat;
-	msg.is_repeatable = slot_req->is_repeatable;
-	msg.is_moved = slot_req->is_moved;
-	msg.n_avoid = slot_req->n_avoid;
-	msg.avoid = (char **)slot_req->avoid;
-	if (req->server) {
-		msg.server = req->server;
-		msg.age_ms = (uint32_t)ms_until(now_ns, req->granted_ns);
-	}
-	frame.body_case = MH__FRAME__BODY_PLACE_ASK;
-	frame.place_ask = &msg;
-	mh_links_send(sc->links, sc->current->link, &frame);
-}
-
-static void send_release(struct mh_slot_client *sc,
-			 const struct mh_candidate *to, uint64_t id,
-			 enum mh_slot_outcome outcome, uint32_t total_ms)
-{
-	Mh__PlaceDone msg = MH__PLACE_DONE__INIT;
-	Mh__Frame frame = MH__FRAME__INIT;
-
-	msg.id = id;
-	msg.outcome = outcome;
-	msg.total_ms = total_ms;
-	frame.body_case = MH__FRAME__BODY_PLACE_DONE;
-	frame.place_done = &msg;
-	mh_links_send(sc->links, to->link, &frame);
+	mh_slot_frames_send_request(sc->links, sc->current->link,
+				    &req->slot_req, req->server,
+				    req->granted_ns, now_of(sc));
 }
 
 static void request_local_slot(struct mh_slot_client *sc,
@@ -132,7 +85,8 @@
 	if (req->server)
 		mh_dispatch_adopt_slot(
 			sc->local, &req->slot_req, req->server,
-			(uint32_t)ms_until(now_of(sc), req->granted_ns));
+			(uint32_t)((now_of(sc) - req->granted_ns) /
+				   MH_NS_PER_MS));
 	else
 		mh_dispatch_request_slot(sc->local, &req->slot_req);
 }
@@ -194,7 +148,9 @@
 			mh_dispatch_done(sc->local, 0, req->id,
 					 MH_SLOT_CANCELLED, 0);
 		else if (old->up)
-			send_release(sc, old, req->id, MH_SLOT_CANCELLED, 0);
+			mh_slot_frames_send_release(sc->links, old->link,
+						    req->id, MH_SLOT_CANCELLED,
+						    0);
 	}
 	mh_count(sc->counters, MH_C_DISPATCHER_CHANGES);
 	mh_event(sc->log, MH_EV_DEPENDENCY,
@@ -267,6 +223,7 @@
 	mh_ledger_cache_each(sc->ledger_cache, now_of(sc),
 			     mh_link_peer_send_record,
 			     &(struct mh_link_peer){ sc->links, link });
+	mh_suspect_relay_send_all(&sc->suspects, link);
 	mh_event(sc->log, MH_EV_DEPENDENCY, "event=link_up peer=%s", c->name);
 }
 
@@ -329,7 +286,8 @@
 	/* Nobody uses this slot: the request was withdrawn, or the entry has
 	 * switched to another dispatcher. */
 	if (!req || c != sc->current)
-		send_release(sc, c, msg->id, MH_SLOT_UNUSED, 0);
+		mh_slot_frames_send_release(sc->links, c->link, msg->id,
+					    MH_SLOT_UNUSED, 0);
 }
 
 static void refuse_request(struct mh_slot_client *sc, uint64_t id,
@@ -396,6 +354,10 @@
 			frame->ledger_record->bytes.data,
 			frame->ledger_record->bytes.len, now_of(sc));
 		break;
+	case MH__FRAME__BODY_CRASH_SUSPECT:
+		mh_suspect_relay_receive(&sc->suspects, frame->crash_suspect,
+					 c);
+		break;
 	case MH__FRAME__BODY_STANDING:
 		on_heartbeat(sc, c, frame->standing);
 		break;
@@ -437,23 +399,14 @@
 {
 	struct mh_slot_client *sc = data;
 
-	mh_event(sc->log, MH_EV_CRASH,
-		 "event=run_lost request=%llu server=%s fingerprint=%016llx "
-		 "verdict=%s answering=%d held=%u crashes=%u",
-		 (unsigned long long)run->id, run->server,
-		 (unsigned long long)run->fingerprint,
-		 mh_lost_verdict_name(run->verdict), run->answering, run->held,
-		 run->crashes);
+	mh_crash_log_lost_run(sc->log, "own", run);
 }
 
 static void local_suspect(void *data, const struct mh_suspect *suspect)
 {
 	struct mh_slot_client *sc = data;
 
-	mh_event(sc->log, MH_EV_CRASH,
-		 "event=suspect fingerprint=%016llx crashes=%u refused=%d",
-		 (unsigned long long)suspect->fingerprint,
-		 mh_suspect_crashes(suspect), mh_suspect_is_refused(suspect));
+	mh_suspect_relay_forward(&sc->suspects, suspect, NULL);
 }
 
 static const struct mh_dispatch_ops local_ops = { local_grant, local_refuse,
@@ -517,6 +470,8 @@
 	sc->catalog = mh_catalog_new(on_server, sc);
 	sc->local =
 		mh_dispatch_new(&conf->dispatch, clock, seed, &local_ops, sc);
+	sc->suspects = (struct mh_suspect_relay){ clock, log, sc->links,
+						  &sc->candidates, sc->local };
 	return sc;
 }
 
@@ -641,7 +596,8 @@
 	if (!req)
 		return;
 	if (sc->current)
-		send_release(sc, sc->current, id, outcome, total_ms);
+		mh_slot_frames_send_release(sc->links, sc->current->link, id,
+					    outcome, total_ms);
 	else
 		mh_dispatch_done(sc->local, 0, id, outcome, total_ms);
 	free_request(sc, req);
--- /dev/null
+++ b/proxy/suspect_relay.c
@@ -0,0 +1,56 @@
+#include "proxy/suspect_relay.h"
+
+#include <utlist.h>
+
+#include "net/crash_log.h"
+#include "net/suspect_frames.h"
+
+static uint64_t now_of(const struct mh_suspect_relay *relay)
+{
+	return mh_clock_mono_ns(relay->clock);
+}
+
+void mh_suspect_relay_forward(const struct mh_suspect_relay *relay,
+			      const struct mh_suspect *suspect,
+			      const struct mh_candidate *from)
+{
+	const struct mh_candidate *c;
+
+	mh_crash_log_suspect(relay->log, from ? from->name : "", suspect);
+	DL_FOREACH(relay->candidates->first, c) {
+		if (c->up && c != from)
+			mh_suspect_send(relay->links, c->link, suspect,
+					now_of(relay));
+	}
+}
+
+void mh_suspect_relay_receive(const struct mh_suspect_relay *relay,
+			      const Mh__CrashSuspect *msg,
+			      const struct mh_candidate *from)
+{
+	struct mh_suspect suspect;
+
+	mh_suspect_read(msg, now_of(relay), &suspect);
+	if (mh_dispatch_merge_suspect(relay->local, &suspect))
+		mh_suspect_relay_forward(relay, &suspect, from);
+}
+
+struct recipient {
+	const struct mh_suspect_relay *relay;
+	uint32_t link;
+};
+
+static void send_suspect(void *data, const struct mh_suspect *suspect)
+{
+	const struct recipient *to = data;
+
+	mh_suspect_send(to->relay->links, to->link, suspect, now_of(to->relay));
+}
+
+void mh_suspect_relay_send_all(const struct mh_suspect_relay *relay,
+			       uint32_t link)
+{
+	struct recipient to = { relay, link };
+
+	mh_dispatch_each_suspect(relay->local, send_suspect, &to);
+}
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -45,6 +45,8 @@
 	uint32_t n_back; /* servers that came back after a crash */
 	void (*shares_suspect)(struct fixture *f,
 			       const struct mh_suspect *suspect);
+	struct cluster *cluster; /* of tests with several dispatchers */
+	uint32_t number;	 /* in the cluster */
 };
 
 static inline uint64_t fake_mono(void *data)
--- a/tests/test_proxy.sh
+++ b/tests/test_proxy.sh
@@ -545,6 +545,48 @@
 		! grep -q '^503 fatal' "$DIR/beside"
 }
 
+# Return: whether both proxies refuse a request, and no server ran it.
+is_refused_by_both() { # ID-PART PATH
+	local n before
+	before=$(crashes $1-)
+	for n in 1 2; do
+		[ "$(ID=$1-after-$n status_of $n $2 -d $1)" = 503 ] &&
+			grep -q crashes_servers "$DIR/body" || return 1
+	done
+	[ "$(crashes $1-)" = $before ]
+}
+
+# Each dispatcher sees some of the crashes only, and none sees the next requests.
+t_crashing_request_and_dispatchers() {
+	local i n
+	for i in $(seq 3); do
+		ID=split-$i status_of 1 /fragile-once/split/crash -d split
+		revive_fragile
+		n=$(current_dispatcher)
+		kill_hard dispatcher$n
+		start_dispatcher $n
+		sleep 1.5
+	done
+	[ "$(crashes split-)" = 3 ] &&
+		is_refused_by_both split /fragile-once/split/crash || return 1
+	# An entry that joins, and entries without any dispatcher.
+	kill_hard proxy2
+	start_proxy 2
+	wait_until 5 ready 2 || return 1
+	sleep 1
+	for i in 1 2; do
+		kill_hard dispatcher$i
+	done
+	sleep 1.5
+	is_refused_by_both split /fragile-once/split/crash
+	i=$?
+	for n in 1 2; do
+		start_dispatcher $n
+	done
+	sleep 2
+	[ $i = 0 ] && is_refused_by_both split /fragile-once/split/crash
+}
+
 t_graceful_stop() {
 	local n=1 pid rc
 	call 1 /gen/stream -N >"$DIR/stream" &
@@ -685,6 +727,8 @@
 check "proxy: a request that crashes servers is refused" t_crashing_request
 check "proxy: one that crashes servers and may run once" \
 	t_crashing_request_that_may_run_once
+check "proxy: crashes count over all dispatchers" \
+	t_crashing_request_and_dispatchers
 check "proxy: dispatcher killed" t_dispatcher_killed
 check "proxy: dispatcher frozen" t_dispatcher_frozen
 check "proxy: no dispatcher at all" t_no_dispatcher
