Keep requests that crash servers in the store

Callers saw: after a loss of all processes a request that had crashed three servers crashes three more. Nothing was kept outside the processes.

The ledger's record holds the requests that were lost with two servers or more, the refused ones first; a dispatcher that starts reads them before it grants slots and tells its entries. Requests with a single crash are left out: most are proper ones that end well within a second.

The process test restarts all proxies and dispatchers: the former code runs the request again, now it stays refused.

--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -382,6 +382,14 @@
 bool mh_dispatch_merge_suspect(struct mh_dispatch *d,
 			       const struct mh_suspect *suspect);
 
+/**
+ * mh_dispatch_restore_suspect() - add what was stored, and share it if it is new
+ * @d: dispatcher
+ * @suspect: stored record
+ */
+void mh_dispatch_restore_suspect(struct mh_dispatch *d,
+				 const struct mh_suspect *suspect);
+
 /**
  * mh_dispatch_each_suspect() - walk what other dispatchers should know
  * @d: dispatcher
--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -200,6 +200,13 @@
 	return mh_suspects_merge(d->suspects, suspect, mh_dispatch_now_ns(d));
 }
 
+void mh_dispatch_restore_suspect(struct mh_dispatch *d,
+				 const struct mh_suspect *suspect)
+{
+	if (mh_dispatch_merge_suspect(d, suspect))
+		d->ops->suspect(d->data, suspect);
+}
+
 void mh_dispatch_each_suspect(const struct mh_dispatch *d,
 			      void (*visit)(void *data,
 					    const struct mh_suspect *suspect),
--- a/core/suspects.c
+++ b/core/suspects.c
@@ -15,7 +15,7 @@
 /* How long a suspect is kept after its last crash, and one that is refused
  * after its last crash or refusal. */
 #define SUSPECT_RETENTION_NS (60000 * MH_NS_PER_MS)
-#define REFUSED_RETENTION_NS (600000 * MH_NS_PER_MS)
+#define REFUSED_RETENTION_NS (MH_SUSPECT_RETENTION_MS * MH_NS_PER_MS)
 /* Other processes are told of refusals at this interval. */
 #define REFUSAL_REPORT_NS (30000 * MH_NS_PER_MS)
 /* An equal request that ended well this recently keeps a crash from counting.
--- a/core/suspects.h
+++ b/core/suspects.h
@@ -14,6 +14,9 @@
 /* Crashes that are kept for a fingerprint; a request is refused from fewer on.
  */
 #define MH_SUSPECT_CRASHES 8
+/* Longest time for which a fingerprint is kept after its last crash or refusal.
+ */
+#define MH_SUSPECT_RETENTION_MS 600000
 
 /**
  * struct mh_crash - a server that may have crashed
--- a/tests/test_proxy.sh
+++ b/tests/test_proxy.sh
@@ -587,6 +587,12 @@
 	[ $i = 0 ] && is_refused_by_both split /fragile-once/split/crash
 }
 
+t_crashing_request_and_restart() {
+	sleep 1
+	t_everything_restarts || return 1
+	is_refused_by_both split /fragile-once/split/crash
+}
+
 t_graceful_stop() {
 	local n=1 pid rc
 	call 1 /gen/stream -N >"$DIR/stream" &
@@ -729,6 +735,8 @@
 	t_crashing_request_that_may_run_once
 check "proxy: crashes count over all dispatchers" \
 	t_crashing_request_and_dispatchers
+check "proxy: crashes count after everything restarted" \
+	t_crashing_request_and_restart
 check "proxy: dispatcher killed" t_dispatcher_killed
 check "proxy: dispatcher frozen" t_dispatcher_frozen
 check "proxy: no dispatcher at all" t_no_dispatcher
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -2,6 +2,7 @@
  * Unit tests of how dispatchers tell requests that crash servers from requests
  * that were at a server when it went down.
  */
+#include "platform/ledger.h"
 #include "tests/dispatch_fixture.h"
 
 #define BAD 99 /* fingerprint of a request that crashes servers */
@@ -802,6 +803,57 @@
 	free_cluster(c);
 }
 
+/* Guards against a loss of all processes after which the request crashes servers
+ * anew. */
+static void test_crashes_survive_the_loss_of_all_processes(void **state)
+{
+	struct cluster *c = new_cluster(), *fresh = new_cluster();
+	uint32_t i;
+	char *text;
+
+	(void)state;
+	for (i = 0; i < 3; i++)
+		crash_through(c, c->d[0]);
+	text = mh_ledger_encode(c->d[0]->d, c->d[0]->now_ns / MS);
+	assert_non_null(text);
+	advance_cluster(fresh, 5000);
+	assert_true(mh_ledger_decode(fresh->d[0]->d, (uint8_t *)text,
+				     strlen(text), fresh->d[0]->now_ns / MS));
+	for (i = 0; i < DISPATCHERS; i++)
+		assert_true(refuses_bad(fresh->d[i]));
+	for (i = 0; i < ENTRIES; i++)
+		assert_true(refuses_bad(fresh->e[i]));
+	free(text);
+	free_cluster(c);
+	free_cluster(fresh);
+}
+
+/* Guards against stored records that break a dispatcher which reads them. */
+static void test_malformed_stored_suspects_are_rejected(void **state)
+{
+	static const char *const bad[] = {
+		"{\"wall_ms\":1,\"spent\":[],\"suspects\":1}",
+		"{\"wall_ms\":1,\"spent\":[],\"suspects\":[[]]}",
+		"{\"wall_ms\":1,\"spent\":[],\"suspects\":[[\"a\"]]}",
+		"{\"wall_ms\":1,\"spent\":[],\"suspects\":[[\"a\",-1]]}",
+		"{\"wall_ms\":1,\"spent\":[],\"suspects\":[[\"a\",1,\"b\"]]}",
+		"{\"wall_ms\":1,\"spent\":[],"
+		"\"suspects\":[[\"a\",1,\"b\",\"c\",1,2,false]]}",
+	};
+	static const char old[] = "{\"wall_ms\":1,\"spent\":[]}";
+	struct fixture *f = new_crash_fixture(1);
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(bad) / sizeof(*bad); i++)
+		assert_false(mh_ledger_decode(f->d, (const uint8_t *)bad[i],
+					      strlen(bad[i]), f->now_ns / MS));
+	/* A record of a former version has none. */
+	assert_true(mh_ledger_decode(f->d, (const uint8_t *)old, strlen(old),
+				     f->now_ns / MS));
+	free_fixture(f);
+}
+
 /* Guards against a dispatcher that goes on holding crashes against a request
  * which another one has cleared. */
 static void test_cleared_request_is_cleared_everywhere(void **state)
@@ -883,6 +935,9 @@
 		cmocka_unit_test(test_crashes_count_wherever_they_are_seen),
 		cmocka_unit_test(test_dispatcher_that_starts_knows_the_crashes),
 		cmocka_unit_test(test_entry_that_joins_knows_the_crashes),
+		cmocka_unit_test(
+			test_crashes_survive_the_loss_of_all_processes),
+		cmocka_unit_test(test_malformed_stored_suspects_are_rejected),
 		cmocka_unit_test(test_cleared_request_is_cleared_everywhere),
 		cmocka_unit_test(test_relayed_crash_counts_once),
 	};
