Count a run that is lost while its entry has no dispatcher

Callers saw: a request that ends its server just after the dispatchers were lost is never counted and ends server after server. Until an entry uses its own share it keeps the lost dispatcher as the current one, and the outcome went to a link that was down; without a current one it went to the local dispatcher, which did not know the slot.

The local dispatcher takes the slot over and records the outcome; what it learns reaches the next dispatcher with the link.

Process test: a run ends its server 0.3 s after both dispatchers were killed, three times; before, the next one ran as well, now it is refused.

--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -588,6 +588,17 @@
 	mh_links_send(sc->links, sc->current->link, &frame);
 }
 
+/* The slot may be another dispatcher's that is lost: the local one takes it
+ * over, so that how the run ended is not lost as well. */
+static void release_local_slot(struct mh_slot_client *sc,
+			       const struct request *req,
+			       enum mh_slot_outcome outcome, uint32_t total_ms)
+{
+	if (req->server)
+		request_local_slot(sc, req);
+	mh_dispatch_done(sc->local, 0, req->id, outcome, total_ms);
+}
+
 void mh_slot_client_release(struct mh_slot_client *sc, uint64_t id,
 			    enum mh_slot_outcome outcome, uint32_t total_ms)
 {
@@ -595,11 +606,11 @@
 
 	if (!req)
 		return;
-	if (sc->current)
+	if (sc->current && sc->current->up)
 		mh_slot_frames_send_release(sc->links, sc->current->link, id,
 					    outcome, total_ms);
 	else
-		mh_dispatch_done(sc->local, 0, id, outcome, total_ms);
+		release_local_slot(sc, req, outcome, total_ms);
 	free_request(sc, req);
 }
 
--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -28,8 +28,8 @@
  * The last path segment of a request selects the response: stream, cut, reset,
  * wrongid, unsigned, encoded, reject, fail, busy, unframed, extra, slow; own
  * and ownstream, whose bytes contain the request id; hold, which runs until the
- * client disconnects, at most 3 s; crash, which ends the process; any other,
- * such as ok: "hello".
+ * client disconnects, at most 3 s; crash, which ends the process, and crashlate,
+ * which does so after 400 ms; any other, such as ok: "hello".
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -56,6 +56,7 @@
 #define EVENTS 6
 #define EVENT_GAP_MS 10
 #define HOLD_MS 3000
+#define CRASH_DELAY_MS 400
 #define ID_LINES 50
 
 struct server {
@@ -328,7 +329,9 @@
 		return send_all(c);
 	}
 	record_run(c);
-	if (target_ends_with(c, "crash"))
+	if (target_ends_with(c, "crashlate"))
+		sleep_ms(CRASH_DELAY_MS);
+	if (target_ends_with(c, "crash") || target_ends_with(c, "crashlate"))
 		crash(c);
 	if (target_ends_with(c, "own"))
 		return serve_id_lines(c);
--- a/tests/test_proxy.sh
+++ b/tests/test_proxy.sh
@@ -587,6 +587,27 @@
 	[ $i = 0 ] && is_refused_by_both split /fragile-once/split/crash
 }
 
+# The run's loss is reported while the entry has no dispatcher.
+t_crashing_request_without_dispatcher() {
+	local i n pid
+	for i in $(seq 3); do
+		ID=alone-$i status_of 1 /fragile-once/crashlate -d alone &
+		pid=$!
+		sleep 0.1
+		for n in 1 2; do
+			kill_hard dispatcher$n
+		done
+		wait $pid
+		for n in 1 2; do
+			start_dispatcher $n
+		done
+		revive_fragile
+		sleep 1.5
+	done
+	[ "$(crashes alone-)" = 3 ] &&
+		is_refused_by_both alone /fragile-once/crashlate
+}
+
 t_crashing_request_and_restart() {
 	sleep 1
 	t_everything_restarts || return 1
@@ -735,6 +756,8 @@
 	t_crashing_request_that_may_run_once
 check "proxy: crashes count over all dispatchers" \
 	t_crashing_request_and_dispatchers
+check "proxy: crashes count without a dispatcher" \
+	t_crashing_request_without_dispatcher
 check "proxy: crashes count after everything restarted" \
 	t_crashing_request_and_restart
 check "proxy: dispatcher killed" t_dispatcher_killed
