Quota: a slot taken over returns no units

A slot that a dispatcher takes over from another and that ends unused, rejected or unreachable gave its units back to the usage of the new dispatcher, which never counted them, so that the account could use as much beyond its quota.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -357,6 +357,8 @@
 		return;
 	req = add_request(d, slot_req);
 	req->placed_ns = mh_dispatch_now_ns(d) - age_ms * MH_NS_PER_MS;
+	/* Its units count at the dispatcher that granted it. */
+	req->units = 0;
 	mh_dispatch_take_slot(s, req);
 }
 
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -195,6 +195,33 @@
 	free_fixture(fresh);
 }
 
+/* Guards against a slot that was taken over and not used giving back units that
+ * this dispatcher never counted, so that the account exceeds its quota. */
+static void test_adopted_slot_returns_no_units(void **state)
+{
+	struct fixture *f = new_fixture();
+	uint32_t granted = 0, i;
+
+	(void)state;
+	add_server(f, "a", 1, true);
+	mh_dispatch_set_quota(f->d, "x", 100, 200);
+	while (request_units(f, "x", 50))
+		granted += 50;
+	for (i = 0; i < 20; i++) {
+		struct mh_slot_request a = make_request(f, 0);
+
+		a.account = "x";
+		a.units = 50;
+		mh_dispatch_adopt_slot(f->d, &a, "a", 0);
+		done(f, a.id, MH_SLOT_REJECTED, 1);
+	}
+	advance_clock(f, 1300);
+	while (request_units(f, "x", 50))
+		granted += 50;
+	assert_true(granted <= 2100);
+	free_fixture(f);
+}
+
 /*
  * A hot account bursts between the last stored record and the kill of every
  * process: the record has to include the usage expected until the next one
@@ -543,6 +570,7 @@
 		cmocka_unit_test(test_quota_survives_the_loss_of_all_processes),
 		cmocka_unit_test(
 			test_quota_survives_a_burst_after_the_last_record),
+		cmocka_unit_test(test_adopted_slot_returns_no_units),
 		cmocka_unit_test(test_usage_counts_once_for_each_grantor),
 		cmocka_unit_test(
 			test_usage_is_reported_once_to_each_dispatcher),
