Tell a server that crashed from one that dropped a connection

Callers saw: a request whose connection a sound server dropped three times in a row was refused as one that crashes servers, if nothing else ran there that could show that the server lives on.

An entry tries to connect to a server 50 ms after it lost a run there. A server that crashed refuses; one that accepts did not crash, and what was lost there half a second before no longer counts. A server that is back within 50 ms is not told apart. No request is sent, and no server is probed twice at a time.

--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -429,6 +429,10 @@
 	case MH__FRAME__BODY_CRASH_SUSPECT:
 		receive_suspect(app, link, frame->crash_suspect);
 		break;
+	case MH__FRAME__BODY_SERVER_PROBED:
+		mh_dispatch_server_probed(app->dispatch,
+					  frame->server_probed->server);
+		break;
 	case MH__FRAME__BODY_LEDGER_RECORD:
 		if (!mh_ledger_decode_cached(app->dispatch,
 					     frame->ledger_record->bytes.data,
--- a/proxy/app.c
+++ b/proxy/app.c
@@ -28,6 +28,7 @@
 	struct mh_proxy_settings settings;
 	struct mh_process process;
 	struct mh_upstreams *upstreams;
+	struct mh_probes *probes;
 	struct mh_slot_client *slot_client;
 	struct mh_exchanges *exchanges;
 	struct mh_clients *clients;
@@ -253,6 +254,13 @@
 
 static const struct mh_process_ops process_ops = { reload, on_term, tick };
 
+static void on_server_accepted(void *data, const char *server)
+{
+	struct mh_proxy_app *app = data;
+
+	mh_slot_client_server_probed(app->slot_client, server);
+}
+
 static bool start(struct mh_proxy_app *app)
 {
 	struct mh_client_env client_env = {
@@ -298,7 +306,11 @@
 		mh_slot_client_new(app->process.loop, &mh_system_clock,
 				   &slot_client_conf, &app->process.counters,
 				   app->process.log, &slot_client_ops, app);
+	app->probes = mh_probes_new(app->process.loop, &app->process.timers,
+				    &mh_system_clock, &app->process.counters,
+				    on_server_accepted, app);
 	exchange_env.upstreams = app->upstreams;
+	exchange_env.probes = app->probes;
 	exchange_env.slot_client = app->slot_client;
 	app->exchanges = mh_exchanges_new(&exchange_env);
 	directory_env.catalog = mh_slot_client_catalog(app->slot_client);
@@ -344,6 +356,7 @@
 	mh_directory_free(app->directory);
 	mh_exchanges_free(app->exchanges);
 	mh_clients_free(app->clients);
+	mh_probes_free(app->probes);
 	mh_upstreams_free(app->upstreams);
 	mh_slot_client_free(app->slot_client);
 	mh_routes_unref(app->routes);
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "core/check_alloc.h"
 #include "proxy/exchange_impl.h"
 
 /* For clients that send no deadline. */
@@ -37,6 +38,7 @@
 	for (i = 0; i < x->n_tried; i++)
 		free(x->tried[i]);
 	free(x->server);
+	free(x->address);
 	mh_buffer_release(&x->partial_event);
 	mh_routes_unref(x->routes);
 	free(x);
@@ -265,7 +267,7 @@
 		give_up(x, error, 0);
 }
 
-static void send_request(struct exchange *x, const char *address)
+static void send_request(struct exchange *x)
 {
 	struct mh_exchanges *set = x->set;
 	struct mh_wire_forward add = {
@@ -283,7 +285,7 @@
 	x->phase = PHASE_SENT;
 	x->sent_ns = mh_exchange_now_ns(x);
 	x->upstream =
-		mh_upstream_send(set->env.upstreams, address, &buf,
+		mh_upstream_send(set->env.upstreams, x->address, &buf,
 				 x->head->method.len == 4 &&
 					 !memcmp(x->head->method.p, "HEAD", 4),
 				 &mh_exchange_upstream_ops, x);
@@ -297,7 +299,7 @@
 	mh_event(mh_exchange_log(x), MH_EV_SENT,
 		 "event=sent id=%.*s server=%s address=%s deadline_ms=%u "
 		 "waited_ms=%u servers=%u fingerprint=%016llx",
-		 (int)x->wire.id.len, x->wire.id.p, x->server, address,
+		 (int)x->wire.id.len, x->wire.id.p, x->server, x->address,
 		 add.deadline_ms, mh_exchange_elapsed_ms(x, x->arrived_ns),
 		 x->servers_reached, (unsigned long long)x->fingerprint);
 }
@@ -325,10 +327,10 @@
 	mh_exchange_observe_slot_wait(x);
 	x->quota_charged = true;
 	free(x->server);
-	x->server = strdup(server);
-	if (!x->server)
-		abort();
-	send_request(x, address);
+	free(x->address);
+	x->server = mh_check_alloc(strdup(server));
+	x->address = mh_check_alloc(strdup(address));
+	send_request(x);
 }
 
 void mh_exchange_refused(struct mh_exchanges *set, uint64_t id,
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -9,6 +9,7 @@
 #include "core/metrics.h"
 #include "core/routes.h"
 #include "proxy/client.h"
+#include "proxy/probes.h"
 #include "proxy/slot_client.h"
 #include "proxy/upstream.h"
 
@@ -22,6 +23,7 @@
  * @metrics: metrics that observe durations
  * @log: log
  * @upstreams: connections to servers
+ * @probes: probes of servers at which runs were lost
  * @slot_client: slots at servers
  */
 struct mh_exchange_env {
@@ -31,6 +33,7 @@
 	struct mh_metrics *metrics;
 	struct mh_event_log *log;
 	struct mh_upstreams *upstreams;
+	struct mh_probes *probes;
 	struct mh_slot_client *slot_client;
 };
 
--- a/proxy/exchange_impl.h
+++ b/proxy/exchange_impl.h
@@ -47,6 +47,7 @@
 	enum verdict verdict;
 	struct mh_upstream *upstream;
 	char *server;
+	char *address; /* of the server */
 	uint64_t slot_requested_ns;
 	uint64_t sent_ns;
 	uint64_t last_bytes_ns; /* last bytes of the response */
--- a/proxy/exchange_response.c
+++ b/proxy/exchange_response.c
@@ -281,6 +281,8 @@
 	mh_exchange_release_slot(x, why == MH_UPSTREAM_MALFORMED ?
 					    MH_SLOT_CORRUPT :
 					    MH_SLOT_LOST);
+	if (why == MH_UPSTREAM_LOST)
+		mh_probes_start(x->set->env.probes, x->server, x->address);
 	mh_exchange_on_outcome_unknown(x, why == MH_UPSTREAM_MALFORMED ?
 						  MH_ERR_CORRUPT_ANSWER :
 						  MH_ERR_BACKEND_CUT);
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -614,6 +614,15 @@
 	free_request(sc, req);
 }
 
+void mh_slot_client_server_probed(struct mh_slot_client *sc, const char *server)
+{
+	if (sc->current && sc->current->up)
+		mh_slot_frames_send_probed(sc->links, sc->current->link,
+					   server);
+	else
+		mh_dispatch_server_probed(sc->local, server);
+}
+
 double mh_slot_client_store_readers(const struct mh_slot_client *sc)
 {
 	if (sc->current && sc->current->fit)
--- a/proxy/slot_client.h
+++ b/proxy/slot_client.h
@@ -141,6 +141,15 @@
 void mh_slot_client_release(struct mh_slot_client *sc, uint64_t id,
 			    enum mh_slot_outcome outcome, uint32_t total_ms);
 
+/**
+ * mh_slot_client_server_probed() - report that a server accepts connections
+ *                                  just after a run was lost there
+ * @sc: slot client
+ * @server: identifier of the server
+ */
+void mh_slot_client_server_probed(struct mh_slot_client *sc,
+				  const char *server);
+
 /**
  * mh_slot_client_store_readers() - number of entries that share the reads of
  *                                  the store
--- a/proxy/slot_frames.c
+++ b/proxy/slot_frames.c
@@ -58,3 +58,15 @@
 	frame.place_done = &msg;
 	mh_links_send(links, link, &frame);
 }
+
+void mh_slot_frames_send_probed(struct mh_links *links, uint32_t link,
+				const char *server)
+{
+	Mh__ServerProbed msg = MH__SERVER_PROBED__INIT;
+	Mh__Frame frame = MH__FRAME__INIT;
+
+	msg.server = (char *)server;
+	frame.body_case = MH__FRAME__BODY_SERVER_PROBED;
+	frame.server_probed = &msg;
+	mh_links_send(links, link, &frame);
+}
--- a/proxy/slot_frames.h
+++ b/proxy/slot_frames.h
@@ -33,4 +33,13 @@
 				 uint64_t id, enum mh_slot_outcome outcome,
 				 uint32_t total_ms);
 
+/**
+ * mh_slot_frames_send_probed() - report that a server accepts connections
+ * @links: links
+ * @link: link to the dispatcher
+ * @server: identifier of the server
+ */
+void mh_slot_frames_send_probed(struct mh_links *links, uint32_t link,
+				const char *server);
+
 #endif
--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -28,7 +28,8 @@
  * The last path segment of a request selects the response: stream, cut, reset,
  * wrongid, unsigned, encoded, reject, fail, busy, unframed, extra, slow; own
  * and ownstream, whose bytes contain the request id; hold, which runs until the
- * client disconnects, at most 3 s; crash, which ends the process, and crashlate,
+ * client disconnects, at most 3 s; drop, which closes the connection
+ * without a response; crash, which ends the process, and crashlate,
  * which does so after 400 ms; any other, such as ok: "hello".
  */
 #include <arpa/inet.h>
@@ -329,6 +330,8 @@
 		return send_all(c);
 	}
 	record_run(c);
+	if (target_ends_with(c, "drop"))
+		return false;
 	if (target_ends_with(c, "crashlate"))
 		sleep_ms(CRASH_DELAY_MS);
 	if (target_ends_with(c, "crash") || target_ends_with(c, "crashlate"))
--- a/tests/test_proxy.sh
+++ b/tests/test_proxy.sh
@@ -587,6 +587,18 @@
 	[ $i = 0 ] && is_refused_by_both split /fragile-once/split/crash
 }
 
+# A server that drops connections, also again and again, has not crashed.
+t_dropped_connections() {
+	local i
+	for i in $(seq 6); do
+		[ "$(ID=dropped-$i status_of $((1 + i % 2)) /once/drop -d x)" = \
+			502 ] || return 1
+		sleep 0.3
+	done
+	[ "$(runs | grep -c ' dropped-')" = 6 ] &&
+		! grep -q crashes_servers "$DIR/body"
+}
+
 # The run's loss is reported while the entry has no dispatcher.
 t_crashing_request_without_dispatcher() {
 	local i n pid
@@ -756,6 +768,7 @@
 	t_crashing_request_that_may_run_once
 check "proxy: crashes count over all dispatchers" \
 	t_crashing_request_and_dispatchers
+check "proxy: a server that drops connections" t_dropped_connections
 check "proxy: crashes count without a dispatcher" \
 	t_crashing_request_without_dispatcher
 check "proxy: crashes count after everything restarted" \
