Claims: keep a key that is acquired again for a whole window

A key that was released and acquired again stayed in the generation of its first claim and went with it, so that the call could run twice.

test_key_acquired_again_is_kept_for_a_window, window 10 s: on the former code a key acquired at 20.9 s is given to another entry at 21.0 s.

--- a/core/claims.c
+++ b/core/claims.c
@@ -166,17 +166,18 @@
 			s->owner = 0;
 		return s ? s->owner : 0;
 	}
-	if (s && !s->owner)
-		s->owner = claim->owner;
-	if (s)
+	if (s && s->owner)
 		return s->owner;
+	/* A key that was released before may be in the previous generation: it
+	 * is kept from now on. */
 	if (c->gen[0].n_used * 2 >= c->gen[0].n_slots && !grow(&c->gen[0]))
 		return 0;
 	s = probe(&c->gen[0], &claim->key);
+	if (!s->used)
+		c->gen[0].n_used++;
 	s->used = true;
 	s->key = claim->key;
 	s->owner = claim->owner;
-	c->gen[0].n_used++;
 	return s->owner;
 }
 
--- a/tests/test_unit.c
+++ b/tests/test_unit.c
@@ -189,6 +189,22 @@
 	return mh_claims_holder(c, key);
 }
 
+/* Guards against a key that was released and acquired again being forgotten
+ * before its window ends, so that its call runs twice. */
+static void test_key_acquired_again_is_kept_for_a_window(void **state)
+{
+	struct mh_claims *c = mh_claims_new(10);
+	struct mh_id key = { { 1 } }, other = { { 2 } };
+
+	(void)state;
+	apply_claim(c, MH_CLAIM_ACQUIRE, &key, 7, 1000);
+	apply_claim(c, MH_CLAIM_RELEASE, &key, 7, 10900);
+	apply_claim(c, MH_CLAIM_ACQUIRE, &other, 1, 11000);
+	assert_int_equal(apply_claim(c, MH_CLAIM_ACQUIRE, &key, 8, 20900), 8);
+	assert_int_equal(apply_claim(c, MH_CLAIM_ACQUIRE, &key, 5, 21000), 8);
+	mh_claims_free(c);
+}
+
 static void test_claims(void **state)
 {
 	struct mh_claims *c = mh_claims_new(10);
@@ -960,6 +976,7 @@
 		cmocka_unit_test(test_wait_queue_order),
 		cmocka_unit_test(test_wait_queue_shares),
 		cmocka_unit_test(test_claims),
+		cmocka_unit_test(test_key_acquired_again_is_kept_for_a_window),
 		cmocka_unit_test(test_side_dispatches_once),
 		cmocka_unit_test(test_side_not_found_is_final),
 		cmocka_unit_test(test_side_grant_expires),
