Retry budget: tell a new dispatcher of the whole window

Entries keep the retries that they let through for dispatchers that take over, but for the window of quotas (8 s), which is shorter than that of the retry budget (10 s): a dispatcher that took over did not know a fifth of them and let as many through again.

Each kind of usage is kept for its own window. test_retries_are_reported_for_the_ whole_window (9.5 s old): reported as none with the former window, which is the mutant, killed.

--- a/core/usage_relay.c
+++ b/core/usage_relay.c
@@ -6,6 +6,7 @@
 #include <uthash.h>
 
 #include "core/check_alloc.h"
+#include "core/dispatch.h"
 #include "core/sliding_window.h"
 
 /* Holds an account's name and an incarnation. */
@@ -34,16 +35,19 @@
 };
 
 struct mh_usage_relay {
-	uint32_t window_ms;
+	uint32_t quota_window_ms;
+	uint32_t retry_window_ms;
 	struct row *rows;
 };
 
-struct mh_usage_relay *mh_usage_relay_new(uint32_t window_ms)
+struct mh_usage_relay *mh_usage_relay_new(uint32_t quota_window_ms,
+					  uint32_t retry_window_ms)
 {
 	struct mh_usage_relay *relay =
 		mh_check_alloc(calloc(1, sizeof(*relay)));
 
-	relay->window_ms = window_ms;
+	relay->quota_window_ms = quota_window_ms;
+	relay->retry_window_ms = retry_window_ms;
 	return relay;
 }
 
@@ -68,6 +72,15 @@
 	free(relay);
 }
 
+static uint32_t window_ms(const struct mh_usage_relay *relay,
+			  const char *account)
+{
+	return strncmp(account, MH_RETRY_USAGE_PREFIX,
+		       strlen(MH_RETRY_USAGE_PREFIX)) ?
+		       relay->quota_window_ms :
+		       relay->retry_window_ms;
+}
+
 void mh_usage_relay_add(struct mh_usage_relay *relay, const char *account,
 			uint64_t grantor, uint32_t units, uint64_t now_ns)
 {
@@ -84,7 +97,7 @@
 		r->key = mh_check_alloc(strdup(key));
 		r->account = mh_check_alloc(strdup(account));
 		r->grantor = grantor;
-		mh_usage_init(&r->usage, relay->window_ms);
+		mh_usage_init(&r->usage, window_ms(relay, account));
 		HASH_ADD_KEYPTR(hh, relay->rows, r->key, strlen(r->key), r);
 	}
 	mh_usage_add(&r->usage, units, 0, now_ns);
--- a/core/usage_relay.h
+++ b/core/usage_relay.h
@@ -12,9 +12,11 @@
 
 /**
  * mh_usage_relay_new() - create a relay without usage
- * @window_ms: window over which quotas hold
+ * @quota_window_ms: window over which quotas hold
+ * @retry_window_ms: window over which the retry budget holds
  */
-struct mh_usage_relay *mh_usage_relay_new(uint32_t window_ms);
+struct mh_usage_relay *mh_usage_relay_new(uint32_t quota_window_ms,
+					  uint32_t retry_window_ms);
 
 /**
  * mh_usage_relay_free() - free a relay
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -463,7 +463,8 @@
 	sc->data = data;
 	sc->entries = 1;
 	sc->ledger_cache = mh_ledger_cache_new();
-	sc->usage_relay = mh_usage_relay_new(conf->dispatch.quota_window_ms);
+	sc->usage_relay = mh_usage_relay_new(conf->dispatch.quota_window_ms,
+					     conf->dispatch.retry_window_ms);
 	sc->lost_ns = mh_clock_mono_ns(clock);
 	sc->links = mh_check_alloc(
 		mh_links_new(loop, &link_conf, counters, &link_ops, sc));
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -390,7 +390,7 @@
  */
 static void test_usage_is_reported_once_to_each_dispatcher(void **state)
 {
-	struct mh_usage_relay *relay = mh_usage_relay_new(8000);
+	struct mh_usage_relay *relay = mh_usage_relay_new(8000, 10000);
 	uint64_t now_ns = 1000000 * MH_NS_PER_MS;
 	struct reports got = { 0 };
 
@@ -421,6 +421,33 @@
 	mh_usage_relay_free(relay);
 }
 
+static void on_retries(void *data, const char *account, uint64_t grantor,
+		       uint64_t units, uint32_t age_ms)
+{
+	(void)grantor;
+	(void)age_ms;
+	assert_string_equal(account, MH_RETRY_USAGE_PREFIX "pool");
+	*(uint64_t *)data += units;
+}
+
+/* Guards against a new dispatcher that is not told of retries of the last part of
+ * the budget's window, which is longer than that of quotas. */
+static void test_retries_are_reported_for_the_whole_window(void **state)
+{
+	struct mh_usage_relay *relay = mh_usage_relay_new(8000, 10000);
+	uint64_t now_ns = 1000000 * MH_NS_PER_MS, n = 0;
+
+	(void)state;
+	mh_usage_relay_add(relay, MH_RETRY_USAGE_PREFIX "pool", 7, 30, now_ns);
+	now_ns += 9500 * MH_NS_PER_MS;
+	mh_usage_relay_report(relay, 8, now_ns, on_retries, &n);
+	assert_int_equal(n, 30);
+	now_ns += 1500 * MH_NS_PER_MS;
+	mh_usage_relay_report(relay, 9, now_ns, on_retries, &n);
+	assert_int_equal(n, 30);
+	mh_usage_relay_free(relay);
+}
+
 /*
  * A dispatcher restarts, and only entries know the retries of its predecessor.
  * The budget holds over both.
@@ -574,6 +601,8 @@
 		cmocka_unit_test(test_usage_counts_once_for_each_grantor),
 		cmocka_unit_test(
 			test_usage_is_reported_once_to_each_dispatcher),
+		cmocka_unit_test(
+			test_retries_are_reported_for_the_whole_window),
 		cmocka_unit_test(test_retries_of_another_dispatcher_count),
 		cmocka_unit_test(test_newest_record_of_each_host_is_cached),
 		cmocka_unit_test(test_age_of_cached_record_ignores_wall_clock),
