Entry's own share: a dispatcher with few linked entries does not raise it

Each dispatcher's heartbeat set the number of entries that share slots, quotas and retry budget; one to which a single entry had linked during a cut raised that entry's share to the whole.

A greater number counts at once, a smaller one only if the dispatcher in use goes on reporting it for 3 s. test_few_linked_entries_do_not_raise_the_share is new with the function that it tests; with the former rule, its mutant, it fails.

--- a/core/candidates.c
+++ b/core/candidates.c
@@ -18,6 +18,8 @@
  * switches to it. Switches have to be rare, because entries use different
  * dispatchers while they switch. */
 #define SETTLE_NS (700 * MH_NS_PER_MS)
+/* For how long a number of entries holds that was not reported again. */
+#define ENTRIES_HOLD_NS (3000 * MH_NS_PER_MS)
 
 static int by_score(const struct mh_candidate *a, const struct mh_candidate *b)
 {
@@ -98,6 +100,17 @@
 	c->was_fit = c->was_fit || fit;
 }
 
+void mh_candidates_count_entries(struct mh_candidates *set, uint32_t n,
+				 bool is_used, uint64_t now_ns)
+{
+	bool is_lowered = is_used && now_ns > set->entries_ns + ENTRIES_HOLD_NS;
+
+	if (!n || (n < set->entries && !is_lowered))
+		return;
+	set->entries = n;
+	set->entries_ns = now_ns;
+}
+
 void mh_candidates_dial(struct mh_candidates *set,
 			const struct mh_candidate *used, uint64_t now_ns,
 			void (*change)(void *data, struct mh_candidate *c,
--- a/core/candidates.h
+++ b/core/candidates.h
@@ -44,9 +44,13 @@
 /**
  * struct mh_candidates - all known candidates, sorted by descending score
  * @first: the best one
+ * @entries: number of entries that share the slots
+ * @entries_ns: monotonic time at which a dispatcher last reported as many
  */
 struct mh_candidates {
 	struct mh_candidate *first;
+	uint32_t entries;
+	uint64_t entries_ns;
 };
 
 /**
@@ -108,6 +112,20 @@
  */
 void mh_candidate_heartbeat(struct mh_candidate *c, bool fit, uint64_t now_ns);
 
+/**
+ * mh_candidates_count_entries() - take the number of entries from a heartbeat
+ * @set: set
+ * @n: number of entries that are linked to the dispatcher
+ * @is_used: it is the dispatcher in use
+ * @now_ns: monotonic time
+ *
+ * A dispatcher that is not in use, or has been for a moment only, may be linked
+ * to few of the entries. With too small a number each entry's share of slots and
+ * limits is too large, so a greater number holds for a while.
+ */
+void mh_candidates_count_entries(struct mh_candidates *set, uint32_t n,
+				 bool is_used, uint64_t now_ns);
+
 /**
  * mh_candidates_dial() - open and close links, so that links to the best
  *                        candidates that answer are kept
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -58,7 +58,6 @@
 	uint64_t lost_ns; /* since when no dispatcher is usable, 0 if one is */
 	uint64_t next_scan_ns;
 	uint64_t next_ping_ns;
-	uint32_t entries; /* linked to a dispatcher, by the last heartbeat */
 	uint32_t ready_registrations; /* received so far, never decreases */
 	struct request *requests;
 	struct mh_usage_relay *usage_relay;
@@ -156,7 +155,8 @@
 	mh_event(sc->log, MH_EV_DEPENDENCY,
 		 "event=dispatcher from=%s to=%s fit=%d requests=%u entries=%u",
 		 old ? old->name : "own", next ? next->name : "own",
-		 next ? next->fit : 0, HASH_COUNT(sc->requests), sc->entries);
+		 next ? next->fit : 0, HASH_COUNT(sc->requests),
+		 sc->candidates.entries);
 	sc->current = next;
 	forward_usage(sc);
 	HASH_ITER(hh, sc->requests, req, tmp) {
@@ -304,8 +304,8 @@
 static void on_heartbeat(struct mh_slot_client *sc, struct mh_candidate *c,
 			 const Mh__Standing *msg)
 {
-	if (msg->entries)
-		sc->entries = msg->entries;
+	mh_candidates_count_entries(&sc->candidates, msg->entries,
+				    c == sc->current, now_of(sc));
 	if (c->fit != msg->fit)
 		mh_event(sc->log, MH_EV_DEPENDENCY,
 			 "event=dispatcher_fit peer=%s fit=%d version=%llu",
@@ -461,7 +461,7 @@
 	sc->log = log;
 	sc->ops = ops;
 	sc->data = data;
-	sc->entries = 1;
+	sc->candidates.entries = 1;
 	sc->ledger_cache = mh_ledger_cache_new();
 	sc->usage_relay = mh_usage_relay_new(conf->dispatch.quota_window_ms,
 					     conf->dispatch.retry_window_ms);
@@ -630,8 +630,8 @@
 		return 0;
 	/* The dispatcher passes on to all entries what one of them reads. */
 	if (sc->current)
-		return sc->entries;
-	return sc->entries / FALLBACK_READ_BOOST;
+		return sc->candidates.entries;
+	return sc->candidates.entries / FALLBACK_READ_BOOST;
 }
 
 uint64_t mh_slot_client_heartbeat_ns(const struct mh_slot_client *sc)
@@ -667,7 +667,7 @@
 	if (now_ns >= sc->next_scan_ns) {
 		sc->next_scan_ns = now_ns + SCAN_INTERVAL_NS;
 		next_ns = sc->next_scan_ns;
-		mh_dispatch_set_share(sc->local, sc->entries);
+		mh_dispatch_set_share(sc->local, sc->candidates.entries);
 		mh_candidates_dial(&sc->candidates, sc->current, now_ns,
 				   set_link, sc);
 		select_dispatcher(sc);
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -124,6 +124,33 @@
 	mh_candidates_release(&set);
 }
 
+/* Guards against an entry's share of slots and limits that grows because a
+ * dispatcher to which only some entries are linked reports their number. */
+static void test_few_linked_entries_do_not_raise_the_share(void **state)
+{
+	struct mh_candidates set = { .entries = 1 };
+	uint64_t now_ns = 5000 * MS;
+
+	(void)state;
+	mh_candidates_count_entries(&set, 5, true, now_ns);
+	assert_int_equal(set.entries, 5);
+	now_ns += 10000 * MS;
+	mh_candidates_count_entries(&set, 5, true, now_ns);
+	mh_candidates_count_entries(&set, 1, false, now_ns + 100 * MS);
+	assert_int_equal(set.entries, 5);
+	/* The dispatcher has just come into use: entries are linking to it. */
+	mh_candidates_count_entries(&set, 2, true, now_ns + 200 * MS);
+	assert_int_equal(set.entries, 5);
+	/* Two entries less, and the dispatcher in use goes on saying so. */
+	mh_candidates_count_entries(&set, 3, true, now_ns + 3100 * MS);
+	assert_int_equal(set.entries, 3);
+	mh_candidates_count_entries(&set, 0, true, now_ns + 9000 * MS);
+	assert_int_equal(set.entries, 3);
+	/* One that joined counts at once. */
+	mh_candidates_count_entries(&set, 4, false, now_ns + 9100 * MS);
+	assert_int_equal(set.entries, 4);
+}
+
 static void test_lost_dispatcher_is_left_at_once(void **state)
 {
 	struct mh_candidates set = { 0 };
@@ -334,6 +361,8 @@
 		cmocka_unit_test(test_entries_link_to_two_dispatchers),
 		cmocka_unit_test(test_best_fit_dispatcher_is_used),
 		cmocka_unit_test(test_no_change_while_no_dispatcher_is_fit),
+		cmocka_unit_test(
+			test_few_linked_entries_do_not_raise_the_share),
 		cmocka_unit_test(test_lost_dispatcher_is_left_at_once),
 		cmocka_unit_test(test_old_registrations_change_nothing),
 		cmocka_unit_test(
