Quota: waiting requests of a lost entry use no units

The units of a request that waits are given back when its entry withdraws it, but not when the entry is lost, so that its account was refused below its quota for a window.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -434,6 +434,7 @@
 			free_if_gone(s);
 		} else {
 			mh_dispatch_leave_queue(d, req);
+			mh_dispatch_return_units(d, req);
 		}
 		mh_dispatch_free_request(d, req);
 	}
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -195,6 +195,34 @@
 	free_fixture(fresh);
 }
 
+/* Guards against an account that is refused below its quota because an entry was
+ * lost while its requests waited. */
+static void test_waiting_requests_of_a_lost_entry_use_no_units(void **state)
+{
+	struct fixture *f = new_fixture();
+	uint32_t i;
+
+	(void)state;
+	add_server(f, "a", 1, true);
+	mh_dispatch_set_quota(f->d, "x", 100, 200);
+	request(f, 0);
+	request(f, 0);
+	mh_dispatch_tick(f->d);
+	for (i = 0; i < 30; i++) {
+		struct mh_slot_request a = make_request(f, 0);
+
+		a.owner = 2;
+		a.account = "x";
+		a.units = 50;
+		mh_dispatch_request_slot(f->d, &a);
+	}
+	mh_dispatch_owner_gone(f->d, 2);
+	mh_dispatch_owner_gone(f->d, 1);
+	for (i = 0; i < 20; i++)
+		assert_true(request_units(f, "x", 50));
+	free_fixture(f);
+}
+
 /* Guards against a slot that was taken over and not used giving back units that
  * this dispatcher never counted, so that the account exceeds its quota. */
 static void test_adopted_slot_returns_no_units(void **state)
@@ -597,6 +625,8 @@
 		cmocka_unit_test(test_quota_survives_the_loss_of_all_processes),
 		cmocka_unit_test(
 			test_quota_survives_a_burst_after_the_last_record),
+		cmocka_unit_test(
+			test_waiting_requests_of_a_lost_entry_use_no_units),
 		cmocka_unit_test(test_adopted_slot_returns_no_units),
 		cmocka_unit_test(test_usage_counts_once_for_each_grantor),
 		cmocka_unit_test(
