Quota refusal: say when to return by the usage that all dispatchers granted

A refusal counts what every dispatcher granted, its Retry-After only what this one did: after a change of the dispatcher callers were asked back after 258 ms, to be refused again.

--- a/core/dispatch_quota.c
+++ b/core/dispatch_quota.c
@@ -194,6 +194,27 @@
 	return (double)sum;
 }
 
+/* Usage of the window that any dispatcher granted. */
+static struct mh_usage total_usage(struct quota *q, uint64_t now_ns)
+{
+	struct mh_usage total = q->own;
+	struct grantor *g, *next;
+	uint32_t i, age_ms;
+
+	HASH_ITER(hh, q->grantors, g, next) {
+		struct mh_usage *usage = larger_usage(g, now_ns);
+
+		for (i = 0; i < MH_USAGE_BUCKETS; i++) {
+			uint64_t units =
+				mh_usage_bucket(usage, i, now_ns, &age_ms);
+
+			/* The age is rounded down. */
+			mh_usage_add(&total, units, age_ms + 1, now_ns);
+		}
+	}
+	return total;
+}
+
 /* Usage expected in the next two intervals between stored records, see
  * RESERVE_MIN_FRACTION; 0 for accounts far from their bound. */
 static uint64_t expected_usage(const struct mh_dispatch *d, struct quota *q,
@@ -275,6 +296,7 @@
 {
 	uint64_t now_ns = mh_dispatch_now_ns(d);
 	double sum, bound, max_sum;
+	struct mh_usage total;
 	struct quota *q;
 
 	*over_quota = false;
@@ -291,8 +313,9 @@
 	if (sum > 0 && sum + slot_req->units > bound) {
 		max_sum = bound > slot_req->units ? bound - slot_req->units : 0;
 		why->error = MH_ERR_ACCOUNT_LIMIT;
+		total = total_usage(q, now_ns);
 		why->retry_after_ms =
-			mh_usage_wait_ms(&q->own, (uint64_t)max_sum, now_ns);
+			mh_usage_wait_ms(&total, (uint64_t)max_sum, now_ns);
 		why->spent = (uint64_t)sum;
 		why->limit = (uint64_t)bound;
 		return false;
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -223,6 +223,28 @@
 	free_fixture(f);
 }
 
+/* Guards against a quota refusal that says when to return by the usage of one
+ * dispatcher only, so that the caller comes back just to be refused again. */
+static void test_retry_after_counts_all_usage(void **state)
+{
+	struct fixture *f = new_fixture();
+	struct mh_slot_request a;
+
+	(void)state;
+	add_server(f, "a", 1, true);
+	mh_dispatch_set_quota(f->d, "x", 100, 200);
+	mh_dispatch_add_reported_usage(f->d, "x", 7, 2100, 3000);
+	a = make_request(f, 0);
+	a.account = "x";
+	a.units = 50;
+	mh_dispatch_request_slot(f->d, &a);
+	assert_true(f->results[a.id].refused);
+	/* The usage of 3 s ago leaves the window of 8 s in 5 s; the window
+	 * and the wait are in whole buckets of 258 ms. */
+	assert_in_range(f->results[a.id].retry_ms, 5000, 5000 + 3 * 259);
+	free_fixture(f);
+}
+
 /* Guards against a slot that was taken over and not used giving back units that
  * this dispatcher never counted, so that the account exceeds its quota. */
 static void test_adopted_slot_returns_no_units(void **state)
@@ -627,6 +649,7 @@
 			test_quota_survives_a_burst_after_the_last_record),
 		cmocka_unit_test(
 			test_waiting_requests_of_a_lost_entry_use_no_units),
+		cmocka_unit_test(test_retry_after_counts_all_usage),
 		cmocka_unit_test(test_adopted_slot_returns_no_units),
 		cmocka_unit_test(test_usage_counts_once_for_each_grantor),
 		cmocka_unit_test(
