Back-off: a server's restart clears its lost connections

The losses in a row of a server's former incarnation counted against the next one, which backed off after its first lost connection though it was responding to another request.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -192,6 +192,7 @@
 	s->backoff_until_ns = 0;
 	s->backoff_ms = 0;
 	s->half_open = false;
+	s->lost_in_a_row = 0;
 	s->last_answer_ns = 0;
 	s->lost_ns = 0;
 	s->trial_lost_ns = 0;
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -493,6 +493,33 @@
 	free_fixture(f);
 }
 
+/* Guards against a server that backs off after one lost connection, because its
+ * former incarnation had lost one. */
+static void test_restarted_server_has_lost_no_connection(void **state)
+{
+	struct mh_dispatch_service_conf service = { SERVICE, 6, false };
+	struct fixture *f = new_fixture();
+	uint64_t responding, next;
+	uint32_t i;
+
+	(void)state;
+	mh_dispatch_set_service(f->d, &service);
+	add_server(f, "x", 1, true);
+	responding = request(f, 0);
+	mh_dispatch_tick(f->d);
+	mh_dispatch_first_byte(f->d, 1, responding, 5);
+	for (i = 1; i <= 2; i++) {
+		add_server(f, "x", i, true);
+		next = request(f, 0);
+		mh_dispatch_tick(f->d);
+		done(f, next, MH_SLOT_LOST, 5);
+	}
+	next = request(f, 0);
+	mh_dispatch_tick(f->d);
+	assert_true(f->results[next].placed);
+	free_fixture(f);
+}
+
 static void test_draining_server_gets_no_requests(void **state)
 {
 	struct fixture *f = new_fixture();
@@ -534,39 +561,6 @@
 	free_fixture(f);
 }
 
-static void test_request_that_crashes_servers_is_refused(void **state)
-{
-	struct fixture *f = new_fixture();
-	char name[8];
-	int i;
-
-	(void)state;
-	for (i = 0; i < 4; i++) {
-		struct mh_slot_request bad = make_request(f, 0), next_req;
-
-		bad.fingerprint = 99;
-		snprintf(name, sizeof(name), "s%d", i);
-		add_server(f, name, 1, true);
-		mh_dispatch_request_slot(f->d, &bad);
-		mh_dispatch_tick(f->d);
-		if (i == 3) {
-			assert_true(f->results[bad.id].refused);
-			assert_int_equal(f->results[bad.id].error,
-					 MH_ERR_CRASHES_SERVERS);
-			break;
-		}
-		assert_true(f->results[bad.id].placed);
-		next_req = make_request(f, 0);
-		mh_dispatch_request_slot(f->d, &next_req);
-		mh_dispatch_tick(f->d);
-		/* The server is down: connections fail, and the run is lost. */
-		done(f, next_req.id, MH_SLOT_UNREACHABLE, 0);
-		done(f, bad.id, MH_SLOT_LOST, 10);
-		add_server(f, name, 1, false);
-	}
-	free_fixture(f);
-}
-
 /* ---- entries ---- */
 
 static void test_slots_of_a_lost_entry_are_released(void **state)
@@ -667,9 +661,9 @@
 		cmocka_unit_test(
 			test_crashed_server_gets_a_single_trial_request),
 		cmocka_unit_test(test_restarted_server_has_no_penalty),
+		cmocka_unit_test(test_restarted_server_has_lost_no_connection),
 		cmocka_unit_test(test_draining_server_gets_no_requests),
 		cmocka_unit_test(test_retry_avoids_servers_tried_before),
-		cmocka_unit_test(test_request_that_crashes_servers_is_refused),
 		cmocka_unit_test(test_slots_of_a_lost_entry_are_released),
 		cmocka_unit_test(test_new_dispatcher_adopts_slots_in_use),
 		cmocka_unit_test(
--- /dev/null
+++ b/tests/test_suspect_sharing.c
@@ -0,0 +1,314 @@
+/*
+ * Unit tests of how dispatchers and entries share what they know of requests
+ * that crash servers, also over a loss of all processes.
+ */
+#include "platform/ledger.h"
+#include "tests/suspect_fixture.h"
+
+#define DISPATCHERS 2
+#define ENTRIES 3
+
+/* Dispatchers, and the entries that pass on what they know. An entry's fixture
+ * stands for its own share of the slots. */
+struct cluster {
+	struct fixture *d[DISPATCHERS];
+	struct fixture *e[ENTRIES];
+	bool linked[ENTRIES][DISPATCHERS];
+};
+
+static void share_from_dispatcher(struct cluster *c, uint32_t d,
+				  const struct mh_suspect *suspect,
+				  const struct fixture *sender);
+
+static void share_from_entry(struct cluster *c, uint32_t e,
+			     const struct mh_suspect *suspect,
+			     const struct fixture *sender)
+{
+	uint32_t d;
+
+	for (d = 0; d < DISPATCHERS; d++) {
+		if (c->linked[e][d] && c->d[d] != sender &&
+		    mh_dispatch_merge_suspect(c->d[d]->d, suspect))
+			share_from_dispatcher(c, d, suspect, c->e[e]);
+	}
+}
+
+static void share_from_dispatcher(struct cluster *c, uint32_t d,
+				  const struct mh_suspect *suspect,
+				  const struct fixture *sender)
+{
+	uint32_t e;
+
+	for (e = 0; e < ENTRIES; e++) {
+		if (c->linked[e][d] && c->e[e] != sender &&
+		    mh_dispatch_merge_suspect(c->e[e]->d, suspect))
+			share_from_entry(c, e, suspect, c->d[d]);
+	}
+}
+
+static void dispatcher_shares(struct fixture *f,
+			      const struct mh_suspect *suspect)
+{
+	share_from_dispatcher(f->cluster, f->number, suspect, NULL);
+}
+
+static void entry_shares(struct fixture *f, const struct mh_suspect *suspect)
+{
+	share_from_entry(f->cluster, f->number, suspect, NULL);
+}
+
+static struct fixture *add_member(struct cluster *c, uint32_t number,
+				  void (*shares)(struct fixture *f,
+						 const struct mh_suspect *s))
+{
+	struct fixture *f = new_crash_fixture(9);
+
+	f->cluster = c;
+	f->number = number;
+	f->shares_suspect = shares;
+	return f;
+}
+
+static void send_to(void *data, const struct mh_suspect *suspect)
+{
+	mh_dispatch_merge_suspect(((struct fixture *)data)->d, suspect);
+}
+
+static void link_up(struct cluster *c, uint32_t e, uint32_t d)
+{
+	c->linked[e][d] = true;
+	mh_dispatch_each_suspect(c->d[d]->d, send_to, c->e[e]);
+	mh_dispatch_each_suspect(c->e[e]->d, send_to, c->d[d]);
+}
+
+static void link_down(struct cluster *c, uint32_t d)
+{
+	uint32_t e;
+
+	for (e = 0; e < ENTRIES; e++)
+		c->linked[e][d] = false;
+}
+
+/* Entry 1 is linked to both dispatchers, the others to one each. */
+static struct cluster *new_cluster(void)
+{
+	struct cluster *c = calloc(1, sizeof(*c));
+	uint32_t i;
+
+	assert_non_null(c);
+	for (i = 0; i < DISPATCHERS; i++)
+		c->d[i] = add_member(c, i, dispatcher_shares);
+	for (i = 0; i < ENTRIES; i++)
+		c->e[i] = add_member(c, i, entry_shares);
+	link_up(c, 0, 0);
+	link_up(c, 1, 0);
+	link_up(c, 1, 1);
+	link_up(c, 2, 1);
+	return c;
+}
+
+static void free_cluster(struct cluster *c)
+{
+	uint32_t i;
+
+	for (i = 0; i < DISPATCHERS; i++)
+		free_fixture(c->d[i]);
+	for (i = 0; i < ENTRIES; i++)
+		free_fixture(c->e[i]);
+	free(c);
+}
+
+static void advance_cluster(struct cluster *c, uint64_t ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < DISPATCHERS; i++)
+		advance_clock(c->d[i], ms);
+	for (i = 0; i < ENTRIES; i++)
+		advance_clock(c->e[i], ms);
+}
+
+/* The request crashes a server that this member gave it a slot of. */
+static void crash_through(struct cluster *c, struct fixture *f)
+{
+	uint64_t id = request_equal(f, BAD);
+
+	assert_true(f->results[id].placed);
+	end(f, id, MH_SLOT_LOST);
+	advance_cluster(c, 1000);
+}
+
+static bool refuses_bad(struct fixture *f)
+{
+	return f->results[request_equal(f, BAD)].error ==
+	       MH_ERR_CRASHES_SERVERS;
+}
+
+/* Guards against a third crash that nobody sees, because each dispatcher and
+ * each entry without one counts for itself. */
+static void test_crashes_count_wherever_they_are_seen(void **state)
+{
+	struct cluster *c = new_cluster();
+	uint32_t i;
+
+	(void)state;
+	crash_through(c, c->d[0]);
+	crash_through(c, c->d[1]);
+	crash_through(c, c->e[2]);
+	for (i = 0; i < DISPATCHERS; i++)
+		assert_true(refuses_bad(c->d[i]));
+	for (i = 0; i < ENTRIES; i++)
+		assert_true(refuses_bad(c->e[i]));
+	free_cluster(c);
+}
+
+/* Guards against a restart or change of the dispatcher that forgets crashes. */
+static void test_dispatcher_that_starts_knows_the_crashes(void **state)
+{
+	struct cluster *c = new_cluster();
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 3; i++) {
+		crash_through(c, c->d[0]);
+		link_down(c, 0);
+		free_fixture(c->d[0]);
+		c->d[0] = add_member(c, 0, dispatcher_shares);
+		c->d[0]->now_ns = c->e[0]->now_ns;
+		link_up(c, 0, 0);
+	}
+	assert_true(refuses_bad(c->d[0]));
+	free_cluster(c);
+}
+
+/* Guards against an entry that joins and then has to use its own share. */
+static void test_entry_that_joins_knows_the_crashes(void **state)
+{
+	struct cluster *c = new_cluster();
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 3; i++)
+		crash_through(c, c->d[0]);
+	free_fixture(c->e[2]);
+	c->e[2] = add_member(c, 2, entry_shares);
+	c->e[2]->now_ns = c->e[0]->now_ns;
+	c->linked[2][1] = false;
+	link_up(c, 2, 1);
+	link_down(c, 0);
+	link_down(c, 1);
+	assert_true(refuses_bad(c->e[2]));
+	free_cluster(c);
+}
+
+/* Guards against a loss of all processes after which the request crashes servers
+ * anew. */
+static void test_crashes_survive_the_loss_of_all_processes(void **state)
+{
+	struct cluster *c = new_cluster(), *fresh = new_cluster();
+	uint32_t i;
+	char *text;
+
+	(void)state;
+	for (i = 0; i < 3; i++)
+		crash_through(c, c->d[0]);
+	text = mh_ledger_encode(c->d[0]->d, c->d[0]->now_ns / MS);
+	assert_non_null(text);
+	advance_cluster(fresh, 5000);
+	assert_true(mh_ledger_decode(fresh->d[0]->d, (uint8_t *)text,
+				     strlen(text), fresh->d[0]->now_ns / MS));
+	for (i = 0; i < DISPATCHERS; i++)
+		assert_true(refuses_bad(fresh->d[i]));
+	for (i = 0; i < ENTRIES; i++)
+		assert_true(refuses_bad(fresh->e[i]));
+	free(text);
+	free_cluster(c);
+	free_cluster(fresh);
+}
+
+/* Guards against stored records that break a dispatcher which reads them. */
+static void test_malformed_stored_suspects_are_rejected(void **state)
+{
+	static const char *const bad[] = {
+		"{\"wall_ms\":1,\"spent\":[],\"suspects\":1}",
+		"{\"wall_ms\":1,\"spent\":[],\"suspects\":[[]]}",
+		"{\"wall_ms\":1,\"spent\":[],\"suspects\":[[\"a\"]]}",
+		"{\"wall_ms\":1,\"spent\":[],\"suspects\":[[\"a\",-1]]}",
+		"{\"wall_ms\":1,\"spent\":[],\"suspects\":[[\"a\",1,\"b\"]]}",
+		"{\"wall_ms\":1,\"spent\":[],"
+		"\"suspects\":[[\"a\",1,\"b\",\"c\",1,2,false]]}",
+	};
+	static const char old[] = "{\"wall_ms\":1,\"spent\":[]}";
+	struct fixture *f = new_crash_fixture(1);
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(bad) / sizeof(*bad); i++)
+		assert_false(mh_ledger_decode(f->d, (const uint8_t *)bad[i],
+					      strlen(bad[i]), f->now_ns / MS));
+	/* A record of a former version has none. */
+	assert_true(mh_ledger_decode(f->d, (const uint8_t *)old, strlen(old),
+				     f->now_ns / MS));
+	free_fixture(f);
+}
+
+/* Guards against a dispatcher that goes on holding crashes against a request
+ * which another one has cleared. */
+static void test_cleared_request_is_cleared_everywhere(void **state)
+{
+	struct cluster *c = new_cluster();
+	uint64_t id;
+
+	(void)state;
+	crash_through(c, c->d[0]);
+	crash_through(c, c->d[0]);
+	id = request_equal(c->d[1], BAD);
+	assert_true(c->d[1]->results[id].placed);
+	end(c->d[1], id, MH_SLOT_OK);
+	assert_true(runs_freely(c->d[0], BAD));
+	assert_true(runs_freely(c->d[1], BAD));
+	assert_true(runs_freely(c->e[0], BAD));
+	free_cluster(c);
+}
+
+/* Guards against one crash that counts several times, because the records of it
+ * took different times to arrive, or two dispatchers saw it. */
+static void test_relayed_crash_counts_once(void **state)
+{
+	struct cluster *c = new_cluster();
+	struct mh_suspect late;
+	uint64_t a, b;
+
+	(void)state;
+	a = request_equal(c->d[0], BAD);
+	b = request_equal(c->d[1], BAD);
+	assert_true(is_at(c->d[0], a, c->d[1]->results[b].server));
+	advance_cluster(c, 10);
+	end(c->d[0], a, MH_SLOT_LOST);
+	advance_cluster(c, 10);
+	end(c->d[1], b, MH_SLOT_LOST);
+	late = c->d[0]->last_suspect;
+	advance_cluster(c, 3000);
+	late.crashes[0].lost_ns += 3000 * MS;
+	assert_false(mh_dispatch_merge_suspect(c->d[1]->d, &late));
+	crash_through(c, c->d[0]);
+	assert_false(refuses_bad(c->d[0]));
+	assert_false(refuses_bad(c->d[1]));
+	free_cluster(c);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_crashes_count_wherever_they_are_seen),
+		cmocka_unit_test(test_dispatcher_that_starts_knows_the_crashes),
+		cmocka_unit_test(test_entry_that_joins_knows_the_crashes),
+		cmocka_unit_test(
+			test_crashes_survive_the_loss_of_all_processes),
+		cmocka_unit_test(test_malformed_stored_suspects_are_rejected),
+		cmocka_unit_test(test_cleared_request_is_cleared_everywhere),
+		cmocka_unit_test(test_relayed_crash_counts_once),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
