--- a/ctl/timeline.c
+++ b/ctl/timeline.c
@@ -169,6 +169,22 @@
 	return false;
 }
 
+/* Marks earlier runs that were lost with their servers and that count against
+ * the request, of equal requests as well. */
+static void show_lost_runs(struct timeline *tl)
+{
+	size_t i;
+
+	for (i = 0; i < tl->n; i++) {
+		struct line *line = &tl->v[i];
+
+		if (field_is(line->text, "event", "run_lost") &&
+		    line->when_ms <= tl->end_ms &&
+		    shares_field(tl, line->text, "fingerprint"))
+			line->shown = true;
+	}
+}
+
 static bool is_context(const struct timeline *tl, const char *text)
 {
 	char kind[VALUE_BYTES];
@@ -290,6 +306,7 @@
 		if (tl.v[k].shown && field_is(tl.v[k].text, "id", id))
 			show_slot_lines(&tl, &tl.v[k]);
 	}
+	show_lost_runs(&tl);
 	show_context(&tl);
 	print_lines(&tl, out);
 	print_cause(&tl, out);
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -17,6 +17,7 @@
 #define RELAY_PORT_OFFSET 40
 #define PROXY_PORT_OFFSET 200
 #define DISPATCHER_PORT_OFFSET 300
+#define CRASH_SERVER_PORT_OFFSET 400
 #define LINK_KEY                                                               \
 	"6d616e676f686561642d736f616b2d6b65792d6f662d7468652d746573747321"
 
@@ -82,6 +83,11 @@
 	return params->ports + DISPATCHER_PORT_OFFSET + 2 * dispatcher;
 }
 
+uint32_t crash_server_port(const struct params *params, uint32_t server)
+{
+	return params->ports + CRASH_SERVER_PORT_OFFSET + server;
+}
+
 uint32_t store_port(const struct params *params)
 {
 	return params->ports;
@@ -157,6 +163,11 @@
 	_exit(127);
 }
 
+pid_t fleet_spawn(char **args, const char *log)
+{
+	return spawn(args, log, NULL);
+}
+
 void fleet_start_process(uint32_t process)
 {
 	char bin[PATH_BYTES], path[PATH_BYTES], log[PATH_BYTES];
@@ -323,7 +334,11 @@
 		"\"route_type\":\"stream\",\"timeout_ms\":5000,"
 		"\"target_latency_ms\":400,\"priority\":0,\"max_attempts\":3,"
 		"\"public\":false,\"service\":\"app\",\"host\":\"h.example\","
-		"\"sticky\":true,\"resumable\":true,\"target_gap_ms\":250}";
+		"\"sticky\":true,\"resumable\":true,\"target_gap_ms\":250},"
+		"{\"name\":\"fragile\",\"path_prefix\":\"/fragile/\","
+		"\"route_type\":\"idempotent\",\"timeout_ms\":4000,"
+		"\"target_latency_ms\":200,\"priority\":1,\"max_attempts\":2,"
+		"\"public\":false,\"service\":\"fragile\",\"host\":\"h.example\"}";
 	struct mh_buffer doc = { 0 };
 	uint32_t i;
 	char *text;
@@ -342,7 +357,8 @@
 	mh_buffer_printf(
 		&doc,
 		"],\"services\":[{\"name\":\"app\",\"health_path\":\"/health\","
-		"\"max_connections\":200}],\"limits\":{\"max_header_bytes\":"
+		"\"max_connections\":200},{\"name\":\"fragile\",\"health_path\":"
+		"\"/health\",\"max_connections\":200}],\"limits\":{\"max_header_bytes\":"
 		"8192,\"max_body_bytes\":100000,\"header_timeout_ms\":2000,"
 		"\"idle_timeout_ms\":3000},\"tenants\":[{\"name\":\"acct\","
 		"\"api_keys\":[\"key-1\"],\"priority\":1,\"unit\":\"requests\","
@@ -359,8 +375,8 @@
 static bool start_platform(const struct params *params)
 {
 	char bin[PATH_BYTES], port[16], log[PATH_BYTES], *response;
-	char specs[MAX_SERVERS][64];
-	char *args[MAX_SERVERS + 3] = { bin, port };
+	char specs[MAX_SERVERS + CRASH_SERVERS][64];
+	char *args[MAX_SERVERS + CRASH_SERVERS + 3] = { bin, port };
 	uint64_t until_ms = soak_now_ms() + PROCESS_TIMEOUT_MS;
 	uint32_t i;
 
@@ -373,6 +389,13 @@
 			 relay_port(params, relay_of_server(params, i)));
 		args[2 + i] = specs[i];
 	}
+	for (i = 0; i < CRASH_SERVERS; i++) {
+		char *spec = specs[params->servers + i];
+
+		snprintf(spec, sizeof(specs[0]), "0:c%u:fragile:8:%u", i,
+			 crash_server_port(params, i));
+		args[2 + params->servers + i] = spec;
+	}
 	fleet.platform = spawn(args, log, NULL);
 	while (soak_now_ms() < until_ms) {
 		response = fleet_platform_request("GET", "/test/calls", NULL);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -350,14 +350,17 @@
 	mkdir(params.dir, 0700);
 	plan_make(&plan, &params);
 	plan_print(&plan, &params, stdout);
-	if (fleet_start(&params) && clients_start(&calls, &params)) {
+	if (fleet_start(&params) && clients_start(&calls, &params) &&
+	    crashes_start(&params)) {
 		started = true;
 		printf("begun at %llu\n", (unsigned long long)soak_now_ms());
 		run_plan();
 		clients_stop(&calls, &params);
+		crashes_stop();
 		check_recovery();
 		violations += fleet_unexpected_exits();
 		violations += checks_run(&calls, &plan, &params, stdout);
+		violations += crashes_check(stdout);
 	}
 	fleet_stop();
 	free(calls.v);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -148,6 +148,8 @@
 bool fleet_wait_exit(uint32_t process, uint32_t ms);
 void fleet_set_clock_offset(uint32_t process, int32_t offset_ms);
 struct relay *fleet_relay(uint32_t i);
+/* Starts a process that the caller ends; its output is appended to log. */
+pid_t fleet_spawn(char **args, const char *log);
 bool fleet_ready(uint32_t proxy);
 
 /* Sends a request to the platform's stand-in. Return: body, which the caller
@@ -216,6 +218,18 @@
 void call_proxy(struct calls *calls, const struct params *params,
 		uint32_t proxy, enum call_kind kind, struct call *out);
 
+/* ---- crashes.c: requests that crash servers ---- */
+
+#define CRASH_SERVERS 3
+
+uint32_t crash_server_port(const struct params *params, uint32_t server);
+/* Starts servers that such requests end, their callers, and callers of proper
+ * requests at the same servers. */
+bool crashes_start(const struct params *params);
+void crashes_stop(void);
+/* Return: number of violated guarantees; each is printed. */
+uint32_t crashes_check(FILE *out);
+
 /* ---- checks.c ---- */
 
 /* Return: number of violated guarantees; each is printed. */
--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -52,7 +52,7 @@
 
 #define READ_BYTES 16384
 #define HEAD_BYTES 32768
-#define MAX_SERVERS 16
+#define MAX_SERVERS 32
 #define HEARTBEAT_MS 300
 #define EVENTS 6
 #define EVENT_GAP_MS 10
--- a/tests/test_proxy.sh
+++ b/tests/test_proxy.sh
@@ -538,6 +538,17 @@
 		! grep -q '^503 poison' "$DIR/beside"
 }
 
+# From a refusal to the crashes that led to it.
+t_explain_crashing_request() {
+	sleep 0.5
+	$BIN/mangoctl explain poison-8 "$DIR"/proxy?.log \
+		"$DIR"/dispatcher?.log >"$DIR/explained" || return 1
+	cat "$DIR/explained"
+	[ $(grep -c 'event=run_lost .*verdict=counted' "$DIR/explained") = 3 ] &&
+		grep -q '^cause: refused, crashes_servers, answered with 503' \
+			"$DIR/explained"
+}
+
 t_crashing_request_that_may_run_once() {
 	crash_servers fatal /fragile-once/crash 8
 	[ "$(crashes fatal-)" = 3 ] &&
@@ -764,6 +775,8 @@
 check "proxy: a silent server" t_silent_server
 check "proxy: the store is down" t_store_down
 check "proxy: a request that crashes servers is refused" t_crashing_request
+check "proxy: explain why a request crashes servers" \
+	t_explain_crashing_request
 check "proxy: one that crashes servers and may run once" \
 	t_crashing_request_that_may_run_once
 check "proxy: crashes count over all dispatchers" \
