Suspects go to servers that are up

A suspect went to the server with the fewest runs, which after a crash is the one that crashed: a proper request that was lost with it was sent there first as soon as its back-off ended, and had to be sent on again.

The crashes that a lost run's line reports are read after the run is judged, not in an order that C leaves open.

--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -162,9 +162,9 @@
 		.verdict = judge(d, req, now_ns),
 		.answering = req->answering,
 		.held = req->server->held - 1,
-		.crashes = crashes_of(d, req, now_ns),
 	};
 
+	run.crashes = crashes_of(d, req, now_ns);
 	d->ops->lost(d->data, &run);
 }
 
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -27,6 +27,9 @@
 /* Step of the random part of a server's cost, up to a tenth of an idle server's
  * cost. */
 #define COST_NOISE_STEP (0.1 / 64)
+/* Cost of a full server to a suspect, which goes where few runs would be lost
+ * with it. */
+#define SUSPECT_LOAD_COST 2.0
 /* Failure rate above the mean of the pool beyond which a server is grey: it
  * responds, but fails more often than others. */
 #define GREY_MARGIN 0.15
@@ -175,14 +178,16 @@
 			continue;
 		if (suspect && !mh_dispatch_may_run_at(d, s, req, now_ns))
 			continue;
-		if (avoids(req, s)) {
+		if (avoids(req, s) || (suspect && s->half_open)) {
 			fallback = s;
 			continue;
 		}
-		/* The random part spreads work over servers of similar cost. A
-		 * suspect goes where the fewest runs would be lost with it. */
-		c = (suspect ? s->held : cost(d, s)) +
+		/* The random part spreads work over servers of similar cost. */
+		c = cost(d, s) +
 		    (double)(mh_rng_next(&d->rng) % 64) * COST_NOISE_STEP;
+		if (suspect)
+			c += SUSPECT_LOAD_COST * s->held /
+			     mh_dispatch_server_slots(d, s);
 		if (best && c >= best_cost)
 			continue;
 		best = s;
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -377,6 +377,36 @@
 	free_fixture(f);
 }
 
+/* Guards against proper requests that were lost with a server being sent to it
+ * again first, because nothing else runs there. */
+static void test_suspect_prefers_a_server_that_is_up(void **state)
+{
+	struct fixture *f = new_crash_fixture(2);
+	uint64_t lost, probe, other, again;
+	char down[32];
+
+	(void)state;
+	lost = request_equal(f, 5);
+	snprintf(down, sizeof(down), "%s", f->results[lost].server);
+	end(f, lost, MH_SLOT_LOST);
+	advance_clock(f, 300);
+	/* The other server runs something; this one may be tried again. */
+	do {
+		other = request_equal(f, 0);
+		assert_true(f->results[other].placed);
+	} while (is_at(f, other, down));
+	for (probe = 0; probe < other; probe++) {
+		if (is_at(f, probe, down))
+			end(f, probe, MH_SLOT_UNREACHABLE);
+	}
+	mh_dispatch_first_byte(f->d, 1, other, 5);
+	advance_clock(f, 1300);
+	again = request_equal(f, 5);
+	assert_true(f->results[again].placed);
+	assert_string_not_equal(f->results[again].server, down);
+	free_fixture(f);
+}
+
 /* Guards against a content that was served until several servers went down at
  * once, and one more a moment later. */
 static void test_equal_request_that_ended_well_before_counts(void **state)
@@ -580,6 +610,7 @@
 			test_requests_beside_the_crashing_one_are_served),
 		cmocka_unit_test(test_known_suspect_takes_the_blame),
 		cmocka_unit_test(test_suspect_lost_twice_is_kept_apart),
+		cmocka_unit_test(test_suspect_prefers_a_server_that_is_up),
 		cmocka_unit_test(
 			test_equal_request_that_ended_well_before_counts),
 		cmocka_unit_test(test_unreachable_server_is_no_crash),
