Count servers that fall silent under a request once they are gone

A server that crashes may stop responding without breaking a connection. Its run ends when the client leaves or the dispatcher moves it, and counted nothing. Silence alone tells nothing: slow servers and those that are cut off are silent, too. The end of the server's registration without draining, or a new start, does: the runs that it never responded to since count then, unless an equal request ended well meanwhile. A slot that another dispatcher takes over is reported as such, not as cancelled: its run goes on.

test_suspect_silence: a request under which three servers fell silent and went is refused; before, nothing was counted.

--- a/Makefile
+++ b/Makefile
@@ -113,7 +113,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ -lcmocka $(LIBS)
 
-SMALL_TESTS = test_dispatch test_suspects test_suspect_sharing \
+SMALL_TESTS = test_dispatch test_suspects test_suspect_sharing test_suspect_silence \
 	      test_entry_keys test_config_state test_metrics test_quota test_routing test_store \
 	      test_wire test_log
 
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -198,6 +198,7 @@
 	s->last_answer_ns = 0;
 	s->lost_ns = 0;
 	s->trial_lost_ns = 0;
+	s->n_silent = 0;
 }
 
 static struct server *add_server(struct mh_dispatch *d,
@@ -234,6 +235,11 @@
 		return;
 	if (!s)
 		s = add_server(d, info);
+	if (info->is_gone ||
+	    (s->incarnation && s->info.born_ms != info->born_ms))
+		mh_dispatch_record_gone(d, s);
+	else if (!info->takes_work)
+		s->n_silent = 0;
 	if (s->info.born_ms != info->born_ms)
 		reset_server(s);
 	s->info.born_ms = info->born_ms;
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -81,6 +81,7 @@
 	MH_SLOT_CANCELLED,   /* the client left; no failure of the server */
 	MH_SLOT_UNUSED,	     /* the request was never sent */
 	MH_SLOT_CORRUPT,     /* the server sent an invalid response */
+	MH_SLOT_HANDED_OVER, /* another dispatcher has taken the slot over */
 	MH_SLOT_OUTCOMES,
 };
 
@@ -104,6 +105,7 @@
  * @places: slots, the number of requests that it runs at a time
  * @born_ms: Unix time of its start
  * @takes_work: it is neither draining nor gone
+ * @is_gone: its registration was removed
  */
 struct mh_backend_server {
 	const char *id;
@@ -112,6 +114,7 @@
 	uint32_t places;
 	uint64_t born_ms;
 	bool takes_work;
+	bool is_gone;
 };
 
 /**
--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -168,6 +168,36 @@
 	d->ops->lost(d->data, &run);
 }
 
+/* A server that crashes may fall silent instead of breaking its connections, as
+ * does one that is slow or cut off: only its end tells which. */
+void mh_dispatch_record_unanswered(const struct request *req)
+{
+	struct server *s = req->server;
+
+	if (!req->fingerprint || req->answering || !s->takes_work ||
+	    s->last_answer_ns > req->placed_ns)
+		return;
+	s->silent[s->n_silent++ % MAX_SILENT_RUNS] =
+		(struct unanswered_run){ req->fingerprint, req->placed_ns };
+}
+
+void mh_dispatch_record_gone(struct mh_dispatch *d, struct server *s)
+{
+	uint32_t n =
+		s->n_silent < MAX_SILENT_RUNS ? s->n_silent : MAX_SILENT_RUNS;
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		const struct unanswered_run *run = &s->silent[i];
+
+		if (s->last_answer_ns <= run->placed_ns)
+			mh_suspects_add_crash(d->suspects, run->fingerprint,
+					      s->incarnation, run->placed_ns,
+					      mh_dispatch_now_ns(d));
+	}
+	s->n_silent = 0;
+}
+
 void mh_dispatch_record_response(struct mh_dispatch *d,
 				 const struct request *req, uint64_t now_ns)
 {
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -52,6 +52,14 @@
 	UT_hash_handle hh;
 };
 
+/* A run that ended without a response of its server. */
+struct unanswered_run {
+	uint64_t fingerprint;
+	uint64_t placed_ns;
+};
+
+#define MAX_SILENT_RUNS 16
+
 struct server {
 	struct mh_backend_server info; /* owns its strings */
 	struct pool *pool;
@@ -73,6 +81,9 @@
 	uint64_t incarnation;	/* hash of its identifier and start */
 	uint64_t lost_ns;	/* when a run was last lost with it */
 	uint64_t trial_lost_ns; /* when a suspect was last lost with it */
+	/* Runs that it did not respond to, the newest ones. */
+	struct unanswered_run silent[MAX_SILENT_RUNS];
+	uint32_t n_silent; /* ever recorded */
 	UT_hash_handle hh;
 };
 
@@ -191,6 +202,8 @@
 				 uint64_t now_ns);
 void mh_dispatch_record_lost(struct mh_dispatch *d, struct request *req,
 			     uint64_t now_ns);
+void mh_dispatch_record_unanswered(const struct request *req);
+void mh_dispatch_record_gone(struct mh_dispatch *d, struct server *s);
 void mh_dispatch_record_response(struct mh_dispatch *d,
 				 const struct request *req, uint64_t now_ns);
 
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -164,6 +164,7 @@
 		.places = reg->places,
 		.born_ms = reg->born_ms,
 		.takes_work = reg->state == MH_SERVER_READY,
+		.is_gone = reg->state == MH_SERVER_GONE,
 	};
 	struct linked_entry *entry, *tmp;
 
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -145,11 +145,11 @@
 	HASH_ITER(hh, sc->requests, req, tmp) {
 		if (!old)
 			mh_dispatch_done(sc->local, 0, req->id,
-					 MH_SLOT_CANCELLED, 0);
+					 MH_SLOT_HANDED_OVER, 0);
 		else if (old->up)
 			mh_slot_frames_send_release(sc->links, old->link,
-						    req->id, MH_SLOT_CANCELLED,
-						    0);
+						    req->id,
+						    MH_SLOT_HANDED_OVER, 0);
 	}
 	mh_count(sc->counters, MH_C_DISPATCHER_CHANGES);
 	mh_event(sc->log, MH_EV_DEPENDENCY,
@@ -423,6 +423,7 @@
 		.places = reg->places,
 		.born_ms = reg->born_ms,
 		.takes_work = reg->state == MH_SERVER_READY,
+		.is_gone = reg->state == MH_SERVER_GONE,
 	};
 
 	mh_event(sc->log, MH_EV_SERVER,
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -158,8 +158,9 @@
 	free(f);
 }
 
-static inline void add_server(struct fixture *f, const char *id,
-			      uint64_t born_ms, bool takes_work)
+static inline void update_server(struct fixture *f, const char *id,
+				 uint64_t born_ms, bool takes_work,
+				 bool is_gone)
 {
 	struct mh_backend_server s = {
 		.id = id,
@@ -168,11 +169,24 @@
 		.places = 2,
 		.born_ms = born_ms,
 		.takes_work = takes_work,
+		.is_gone = is_gone,
 	};
 
 	mh_dispatch_update_server(f->d, &s);
 }
 
+/* Adds a server, or sets whether it is ready or draining. */
+static inline void add_server(struct fixture *f, const char *id,
+			      uint64_t born_ms, bool takes_work)
+{
+	update_server(f, id, born_ms, takes_work, false);
+}
+
+static inline void remove_server(struct fixture *f, const char *id)
+{
+	update_server(f, id, 1, false, true);
+}
+
 /* A request with a target latency of 100 ms and a deadline of 1 s. */
 static inline struct mh_slot_request make_request(struct fixture *f,
 						  uint8_t tier)
