Suspects: plainer names for a recent success

The log's verdict of a lost run whose equal request ended well shortly before is succeeded, as are the names around it.

--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -136,10 +136,10 @@
 /* Whether a lost run counts against its request, and if not, why. */
 enum mh_lost_verdict {
 	MH_LOST_COUNTED,
-	MH_LOST_ALIBI,	  /* an equal request ended well shortly before */
-	MH_LOST_BESIDE,	  /* a suspect that has just begun was lost as well */
-	MH_LOST_LEAVING,  /* the server was draining or gone */
-	MH_LOST_UNMARKED, /* the request has no fingerprint */
+	MH_LOST_SUCCEEDED, /* an equal request ended well shortly before */
+	MH_LOST_BESIDE,	   /* a suspect that has just begun was lost as well */
+	MH_LOST_LEAVING,   /* the server was draining or gone */
+	MH_LOST_UNMARKED,  /* the request has no fingerprint */
 	MH_LOST_VERDICTS,
 };
 
--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -21,8 +21,10 @@
 const char *mh_lost_verdict_name(enum mh_lost_verdict verdict)
 {
 	static const char *const names[MH_LOST_VERDICTS] = {
-		[MH_LOST_COUNTED] = "counted",	 [MH_LOST_ALIBI] = "alibi",
-		[MH_LOST_BESIDE] = "beside",	 [MH_LOST_LEAVING] = "leaving",
+		[MH_LOST_COUNTED] = "counted",
+		[MH_LOST_SUCCEEDED] = "succeeded",
+		[MH_LOST_BESIDE] = "beside",
+		[MH_LOST_LEAVING] = "leaving",
 		[MH_LOST_UNMARKED] = "unmarked",
 	};
 
@@ -148,7 +150,7 @@
 	return mh_suspects_add_crash(d->suspects, req->fingerprint,
 				     s->incarnation, req->placed_ns, now_ns) ?
 		       MH_LOST_COUNTED :
-		       MH_LOST_ALIBI;
+		       MH_LOST_SUCCEEDED;
 }
 
 void mh_dispatch_record_lost(struct mh_dispatch *d, struct request *req,
--- a/core/suspects.c
+++ b/core/suspects.c
@@ -20,7 +20,7 @@
 #define REFUSAL_REPORT_NS (30000 * MH_NS_PER_MS)
 /* An equal request that ended well this recently keeps a crash from counting.
  */
-#define ALIBI_NS (10000 * MH_NS_PER_MS)
+#define RECENT_SUCCESS_NS (10000 * MH_NS_PER_MS)
 /* Runs that are lost with a server are reported within this time. */
 #define REPORTS_NS (100 * MH_NS_PER_MS)
 /* Two processes that see the same crash see it within this time; a server takes
@@ -28,7 +28,7 @@
 #define SAME_CRASH_NS (1000 * MH_NS_PER_MS)
 #define MAX_SUSPECTS 1024
 /* Fingerprints whose last good end is remembered; a power of two. */
-#define ALIBI_SLOTS 4096
+#define SUCCESS_SLOTS 4096
 
 struct row {
 	struct mh_suspect suspect;
@@ -36,14 +36,14 @@
 	UT_hash_handle hh;
 };
 
-struct alibi {
+struct success {
 	uint64_t fingerprint;
 	uint64_t ended_ns;
 };
 
 struct mh_suspects {
 	struct row *rows; /* in the order in which they were added */
-	struct alibi alibis[ALIBI_SLOTS];
+	struct success successes[SUCCESS_SLOTS];
 	void (*changed)(void *data, const struct mh_suspect *suspect);
 	void *data;
 };
@@ -157,23 +157,23 @@
 		set->changed(set->data, &r->suspect);
 }
 
-static struct alibi *alibi_of(struct mh_suspects *set, uint64_t fingerprint)
+static struct success *success_of(struct mh_suspects *set, uint64_t fingerprint)
 {
-	return &set->alibis[fingerprint & (ALIBI_SLOTS - 1)];
+	return &set->successes[fingerprint & (SUCCESS_SLOTS - 1)];
 }
 
 /* Whether an equal request ended well shortly before a crash, or since. */
-static bool has_alibi(struct mh_suspects *set, uint64_t fingerprint,
-		      uint64_t lost_ns)
+static bool succeeded_recently(struct mh_suspects *set, uint64_t fingerprint,
+			       uint64_t lost_ns)
 {
-	const struct alibi *a = alibi_of(set, fingerprint);
+	const struct success *ok = success_of(set, fingerprint);
 	const struct row *r = find(set, fingerprint);
 
-	if (a->fingerprint == fingerprint && a->ended_ns &&
-	    lost_ns < a->ended_ns + ALIBI_NS)
+	if (ok->fingerprint == fingerprint && ok->ended_ns &&
+	    lost_ns < ok->ended_ns + RECENT_SUCCESS_NS)
 		return true;
 	return r && r->suspect.cleared_ns &&
-	       lost_ns < r->suspect.cleared_ns + ALIBI_NS;
+	       lost_ns < r->suspect.cleared_ns + RECENT_SUCCESS_NS;
 }
 
 static uint64_t distance(uint64_t a, uint64_t b)
@@ -234,7 +234,7 @@
 	struct row *r;
 	uint32_t i;
 
-	if (!fingerprint || has_alibi(set, fingerprint, now_ns))
+	if (!fingerprint || succeeded_recently(set, fingerprint, now_ns))
 		return false;
 	r = get(set, fingerprint, now_ns);
 	suspect = &r->suspect;
@@ -296,13 +296,13 @@
 void mh_suspects_clear(struct mh_suspects *set, uint64_t fingerprint,
 		       uint64_t now_ns)
 {
-	struct alibi *a = alibi_of(set, fingerprint);
+	struct success *ok = success_of(set, fingerprint);
 	struct row *r = find(set, fingerprint);
 
 	if (!fingerprint)
 		return;
-	a->fingerprint = fingerprint;
-	a->ended_ns = now_ns;
+	ok->fingerprint = fingerprint;
+	ok->ended_ns = now_ns;
 	if (!r)
 		return;
 	r->suspect.cleared_ns = now_ns;
@@ -364,7 +364,7 @@
 		crash->on_trial = crash->on_trial || other->on_trial;
 		return true;
 	}
-	if (has_alibi(set, suspect->fingerprint, other->lost_ns))
+	if (succeeded_recently(set, suspect->fingerprint, other->lost_ns))
 		return false;
 	return append_crash(suspect, other);
 }
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -422,7 +422,7 @@
 	advance_clock(f, 10);
 	for (i = 0; i < 4; i++) {
 		end(f, ids[i], MH_SLOT_LOST);
-		assert_int_equal(f->last_lost.verdict, MH_LOST_ALIBI);
+		assert_int_equal(f->last_lost.verdict, MH_LOST_SUCCEEDED);
 		advance_clock(f, 300);
 	}
 	add_server(f, "fresh", 1, true);
@@ -454,7 +454,7 @@
 
 /* Guards against requests that many clients send at the same time being refused
  * because several servers go down at once (srv_crash domain). */
-static void test_servers_that_go_down_at_once_convict_no_request(void **state)
+static void test_servers_that_go_down_at_once_refuse_no_request(void **state)
 {
 	struct fixture *f = new_crash_fixture(6);
 	uint64_t ids[6], id, i;
@@ -615,7 +615,7 @@
 			test_equal_request_that_ended_well_before_counts),
 		cmocka_unit_test(test_unreachable_server_is_no_crash),
 		cmocka_unit_test(
-			test_servers_that_go_down_at_once_convict_no_request),
+			test_servers_that_go_down_at_once_refuse_no_request),
 		cmocka_unit_test(test_equal_request_that_ended_well_clears),
 		cmocka_unit_test(test_server_that_survives_did_not_crash),
 		cmocka_unit_test(
