--- a/core/suspects.h
+++ b/core/suspects.h
@@ -24,7 +24,8 @@
  * @server: the server's incarnation
  * @lost_ns: monotonic time at which the run was lost
  * @on_trial: the run began when its fingerprint was a suspect already
- * @refuted: the server did not crash
+ * @refuted: it does not count: the server did not crash, or did by another
+ *           request
  */
 struct mh_crash {
 	uint64_t id;
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -553,7 +553,7 @@
   uint32_t age_ms;
   protobuf_c_boolean on_trial;
   /*
-   * it did not go down
+   * it did not go down, or by another request
    */
   protobuf_c_boolean refuted;
 };
