--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -10,6 +10,8 @@
  * The store listens on PORT. Control requests of tests:
  *   POST /test/config           publishes a configuration
  *   POST /test/server?id=&state=  sets a server to ready, draining or gone
+ *   POST /test/register?id=&service=&slots=&port=  registers a further server
+ *                               that another process serves
  *   POST /test/hosts            replaces the host list: {"hosts": [{"name",
  *                               "address", "role", "state"}]}
  *   POST /test/down?ms=         the store answers 503 for that time
@@ -29,8 +31,8 @@
  * wrongid, unsigned, encoded, reject, fail, busy, unframed, extra, slow; own
  * and ownstream, whose bytes contain the request id; hold, which runs until the
  * client disconnects, at most 3 s; drop, which closes the connection
- * without a response; crash, which ends the process, and crashlate,
- * which does so after 400 ms; any other, such as ok: "hello".
+ * without a response; crash, which ends the process, crashsoon and crashlate,
+ * which do so after 60 and 400 ms; any other, such as ok: "hello".
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -52,12 +54,13 @@
 
 #define READ_BYTES 16384
 #define HEAD_BYTES 32768
-#define MAX_SERVERS 32
+#define MAX_SERVERS 256
 #define HEARTBEAT_MS 300
 #define EVENTS 6
 #define EVENT_GAP_MS 10
 #define HOLD_MS 3000
-#define CRASH_DELAY_MS 400
+#define CRASH_SOON_MS 60
+#define CRASH_LATE_MS 400
 #define ID_LINES 50
 
 struct server {
@@ -119,6 +122,19 @@
 	return NULL;
 }
 
+static void register_server(const struct conn *c)
+{
+	struct server *s = &servers[n_servers++];
+
+	snprintf(s->id, sizeof(s->id), "%s", query_param(c, "id"));
+	snprintf(s->service, sizeof(s->service), "%s",
+		 query_param(c, "service"));
+	s->slots = atoi(query_param(c, "slots"));
+	s->registered_port = atoi(query_param(c, "port"));
+	snprintf(s->state, sizeof(s->state), "ready");
+	put_registration(s);
+}
+
 static void handle_server_control(struct conn *c)
 {
 	struct server *s;
@@ -137,6 +153,9 @@
 		if (!strcmp(s->state, "gone"))
 			store_put("keyed.servers", s->id, NULL, 0);
 		put_registration(s);
+	} else if (path_is(c, "/test/register") && !s &&
+		   n_servers < MAX_SERVERS) {
+		register_server(c);
 	} else if (path_is(c, "/test/runs")) {
 		write_response(c, 200, "text/plain", mh_buffer_front(&runs),
 			       runs.len);
@@ -306,7 +325,8 @@
 {
 	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
 
-	printf("crashed server=%s id=%.*s\n", c->server->id, (int)id.len, id.p);
+	printf("crashed server=%s id=%.*s at_ms=%llu\n", c->server->id,
+	       (int)id.len, id.p, (unsigned long long)mono_now_ms());
 	fflush(stdout);
 	_exit(1);
 }
@@ -332,10 +352,16 @@
 	record_run(c);
 	if (target_ends_with(c, "drop"))
 		return false;
-	if (target_ends_with(c, "crashlate"))
-		sleep_ms(CRASH_DELAY_MS);
-	if (target_ends_with(c, "crash") || target_ends_with(c, "crashlate"))
+	if (target_ends_with(c, "crash"))
+		crash(c);
+	if (target_ends_with(c, "crashsoon")) {
+		sleep_ms(CRASH_SOON_MS);
 		crash(c);
+	}
+	if (target_ends_with(c, "crashlate")) {
+		sleep_ms(CRASH_LATE_MS);
+		crash(c);
+	}
 	if (target_ends_with(c, "own"))
 		return serve_id_lines(c);
 	if (target_ends_with(c, "hold"))
