Suspects: count runs that end after their server's registration did

A server whose registration ends without draining has most likely crashed, but a run that an entry reported as lost or timed out only then was taken for one at a server that leaves, and did not count: a request that crashes servers was sent on when its entry was frozen or slow over the crash. Such a server is kept as vanished now, and what ends there without a response counts.

test_run_reported_after_its_server_is_gone_counts failed before (the fourth request was placed); test_run_lost_after_draining_is_no_crash holds the other side and passed.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -245,6 +245,7 @@
 	s->info.born_ms = info->born_ms;
 	s->incarnation = s->id_hash ^ mh_dispatch_mix(info->born_ms);
 	s->info.places = info->places;
+	s->vanished = info->is_gone && (s->takes_work || s->vanished);
 	s->takes_work = info->takes_work;
 	if (!s->takes_work && !s->held)
 		mh_dispatch_free_server(s->pool, s);
--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -137,7 +137,7 @@
 
 	if (!req->fingerprint)
 		return MH_LOST_UNMARKED;
-	if (!s->takes_work)
+	if (!s->takes_work && !s->vanished)
 		return MH_LOST_LEAVING;
 	if (is_on_trial(d, req, now_ns)) {
 		s->trial_lost_ns = now_ns;
@@ -172,13 +172,19 @@
 
 /* A server that crashes may fall silent instead of breaking its connections, as
  * does one that is slow or cut off: only its end tells which. */
-void mh_dispatch_record_unanswered(const struct request *req)
+void mh_dispatch_record_unanswered(struct mh_dispatch *d,
+				   const struct request *req, uint64_t now_ns)
 {
 	struct server *s = req->server;
 
-	if (!req->fingerprint || req->answering || !s->takes_work ||
+	if (!req->fingerprint || req->answering ||
 	    s->last_answer_ns > req->placed_ns)
 		return;
+	if (s->vanished)
+		mh_suspects_add_crash(d->suspects, req->fingerprint,
+				      s->incarnation, req->placed_ns, now_ns);
+	if (!s->takes_work)
+		return;
 	s->silent[s->n_silent++ % MAX_SILENT_RUNS] =
 		(struct unanswered_run){ req->fingerprint, req->placed_ns };
 }
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -65,6 +65,7 @@
 	struct pool *pool;
 	uint64_t id_hash;
 	bool takes_work;
+	bool vanished; /* its registration ended, and it was not draining */
 	uint32_t held;
 	uint32_t unanswered; /* held requests without a first byte */
 	struct request *requests;
@@ -202,7 +203,8 @@
 				 uint64_t now_ns);
 void mh_dispatch_record_lost(struct mh_dispatch *d, struct request *req,
 			     uint64_t now_ns);
-void mh_dispatch_record_unanswered(const struct request *req);
+void mh_dispatch_record_unanswered(struct mh_dispatch *d,
+				   const struct request *req, uint64_t now_ns);
 void mh_dispatch_record_gone(struct mh_dispatch *d, struct server *s);
 void mh_dispatch_record_response(struct mh_dispatch *d,
 				 const struct request *req, uint64_t now_ns);
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -356,7 +356,7 @@
 		 outcome == MH_SLOT_CORRUPT)
 		mh_dispatch_record_response(d, req, now_ns);
 	else if (outcome == MH_SLOT_TIMED_OUT || outcome == MH_SLOT_CANCELLED)
-		mh_dispatch_record_unanswered(req);
+		mh_dispatch_record_unanswered(d, req, now_ns);
 	switch (outcome) {
 	case MH_SLOT_OK:
 		mh_suspects_clear(d->suspects, req->fingerprint, now_ns);
--- a/tests/test_suspect_silence.c
+++ b/tests/test_suspect_silence.c
@@ -74,6 +74,56 @@
 	free_fixture(f);
 }
 
+/* Guards against a crash not counting because the entry reports the end of the
+ * run after the server's registration has ended, as one that was frozen does. */
+static void test_run_reported_after_its_server_is_gone_counts(void **state)
+{
+	static const enum mh_slot_outcome outcomes[] = {
+		MH_SLOT_LOST,
+		MH_SLOT_TIMED_OUT,
+		MH_SLOT_LOST,
+	};
+	struct fixture *f = new_crash_fixture(9);
+	char server[32];
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 3; i++) {
+		uint64_t id = request_equal(f, BAD);
+
+		assert_true(f->results[id].placed);
+		snprintf(server, sizeof(server), "%s", f->results[id].server);
+		advance_clock(f, 1500);
+		remove_server(f, server);
+		end(f, id, outcomes[i]);
+		advance_clock(f, 1000);
+	}
+	assert_int_equal(f->results[request_equal(f, BAD)].error,
+			 MH_ERR_CRASHES_SERVERS);
+	free_fixture(f);
+}
+
+/* Guards against the same being counted at a server that left as planned. */
+static void test_run_lost_after_draining_is_no_crash(void **state)
+{
+	struct fixture *f = new_crash_fixture(9);
+	char server[32];
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 4; i++) {
+		uint64_t id = request_equal(f, BAD);
+
+		assert_true(f->results[id].placed);
+		snprintf(server, sizeof(server), "%s", f->results[id].server);
+		add_server(f, server, 1, false);
+		remove_server(f, server);
+		end(f, id, MH_SLOT_LOST);
+	}
+	assert_true(runs_freely(f, BAD));
+	free_fixture(f);
+}
+
 /* Guards against a run at a server that drains and goes being counted, because
  * another one holds a slot there. */
 static void test_silent_run_at_a_draining_server_is_no_crash(void **state)
@@ -127,6 +177,9 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_request_that_silences_servers_is_refused),
 		cmocka_unit_test(test_silent_servers_that_live_did_not_crash),
+		cmocka_unit_test(
+			test_run_reported_after_its_server_is_gone_counts),
+		cmocka_unit_test(test_run_lost_after_draining_is_no_crash),
 		cmocka_unit_test(
 			test_silent_run_at_a_draining_server_is_no_crash),
 		cmocka_unit_test(test_silent_server_that_restarts_counts),
