--- a/core/counter_names.h
+++ b/core/counter_names.h
@@ -57,6 +57,14 @@
 	X(BAD_ANSWERS, bad_answers, "answers of servers that were spoiled")    \
 	X(DISPATCHER_CHANGES, dispatcher_changes,                              \
 	  "changes of the dispatcher that is asked for places")                \
+	X(SERVERS_LEAVING, servers_leaving,                                    \
+	  "backend servers that said that they leave")                         \
+	X(SERVER_PAUSES, server_pauses,                                        \
+	  "pauses that backend servers asked for")                             \
+	X(HELD_BACK, held_back,                                                \
+	  "slots not used, as the server leaves or asked for a pause")         \
+	X(BAD_NOTICES, bad_notices,                                            \
+	  "responses whose field on leaving or a pause was malformed")         \
 	X(STORE_CALLS, store_calls, "calls to the platform's store")           \
 	X(LOG_DROPPED, log_lines_dropped, "log lines left out or dropped")
 
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -199,6 +199,8 @@
 	s->lost_ns = 0;
 	s->trial_lost_ns = 0;
 	s->n_silent = 0;
+	s->is_leaving = false;
+	mh_dispatch_drop_pauses(s);
 }
 
 static struct server *add_server(struct mh_dispatch *d,
@@ -420,12 +422,15 @@
 		mh_dispatch_record_outcome(d, req, outcome, total_ms,
 					   mh_dispatch_now_ns(d));
 		mh_dispatch_release_slot(req);
+		/* Requests held back by pauses are due again. */
+		if (mh_dispatch_now_ns(d) < s->pool->pauses_end_ns)
+			d->review = true;
 		free_if_gone(s);
 	} else {
 		mh_dispatch_leave_queue(d, req);
 	}
 	if (!s || outcome == MH_SLOT_UNUSED || outcome == MH_SLOT_REJECTED ||
-	    outcome == MH_SLOT_UNREACHABLE)
+	    outcome == MH_SLOT_UNREACHABLE || outcome == MH_SLOT_HELD_BACK)
 		mh_dispatch_return_units(d, req);
 	mh_dispatch_free_request(d, req);
 }
@@ -434,6 +439,7 @@
 {
 	struct request *req, *tmp;
 
+	mh_dispatch_drop_owner_pauses(d, owner);
 	HASH_ITER(hh, d->requests, req, tmp) {
 		struct server *s = req->server;
 
@@ -503,7 +509,7 @@
 				place(d, req, s, now_ns);
 			else if (mh_dispatch_is_suspect(d, req, now_ns))
 				mh_dispatch_park(d, req);
-			else
+			else if (!mh_dispatch_hold_back(d, req, now_ns))
 				return;
 		}
 	}
@@ -559,6 +565,8 @@
 		if (!has_waiting(p))
 			continue;
 		place_waiting(d, p, now_ns);
+		if (due && d->parked)
+			mh_dispatch_review_parked(d, p, now_ns);
 		if (due && has_waiting(p))
 			mh_dispatch_review(d, p, now_ns);
 		any = any || has_waiting(p);
@@ -583,7 +591,7 @@
 	if (!p)
 		return;
 	HASH_ITER(hh, p->servers, s, tmp) {
-		if (!s->takes_work)
+		if (!mh_dispatch_server_takes_work(s))
 			continue;
 		view->servers++;
 		view->places += mh_dispatch_server_slots(d, s);
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -16,6 +16,7 @@
 #include "core/clock.h"
 #include "core/err.h"
 #include "core/routes.h"
+#include "core/server_notices.h"
 #include "core/sliding_window.h"
 #include "core/suspects.h"
 
@@ -82,6 +83,7 @@
 	MH_SLOT_UNUSED,	     /* the request was never sent */
 	MH_SLOT_CORRUPT,     /* the server sent an invalid response */
 	MH_SLOT_HANDED_OVER, /* another dispatcher has taken the slot over */
+	MH_SLOT_HELD_BACK,   /* not sent: the server leaves or wants a pause */
 	MH_SLOT_OUTCOMES,
 };
 
@@ -375,6 +377,39 @@
  */
 void mh_dispatch_server_probed(struct mh_dispatch *d, const char *server);
 
+/**
+ * mh_dispatch_server_leaving() - place no further requests at a server
+ * @d: dispatcher
+ * @server: server that said that it leaves; ignored if another incarnation of
+ *          it is registered
+ *
+ * Return: whether this is new.
+ */
+bool mh_dispatch_server_leaving(struct mh_dispatch *d,
+				const struct mh_server_ref *server);
+
+/**
+ * mh_dispatch_server_pause() - place no requests of an entry at a server for a
+ *                              while, and few for a moment after that
+ * @d: dispatcher
+ * @owner: entry that the server asked for it
+ * @server: server; ignored if another incarnation of it is registered
+ * @ms: for how long, at most MH_PAUSE_MAX_MS
+ */
+void mh_dispatch_server_pause(struct mh_dispatch *d, uint32_t owner,
+			      const struct mh_server_ref *server, uint32_t ms);
+
+/**
+ * mh_dispatch_each_leaving() - walk the servers that said that they leave
+ * @d: dispatcher
+ * @visit: called for each
+ * @data: first argument of @visit
+ */
+void mh_dispatch_each_leaving(const struct mh_dispatch *d,
+			      void (*visit)(void *data,
+					    const struct mh_server_ref *server),
+			      void *data);
+
 /**
  * mh_dispatch_merge_suspect() - add what another dispatcher knows
  * @d: dispatcher
--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -137,7 +137,7 @@
 
 	if (!req->fingerprint)
 		return MH_LOST_UNMARKED;
-	if (!s->takes_work && !s->vanished)
+	if ((!s->takes_work && !s->vanished) || s->is_leaving)
 		return MH_LOST_LEAVING;
 	if (is_on_trial(d, req, now_ns)) {
 		s->trial_lost_ns = now_ns;
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -6,6 +6,7 @@
 
 #include <uthash.h>
 
+#include "core/check_alloc.h"
 #include "core/dispatch.h"
 #include "core/heap.h"
 #include "core/sliding_window.h"
@@ -60,12 +61,21 @@
 
 #define MAX_SILENT_RUNS 16
 
+/* A server wants no requests of an entry until then. */
+struct pause {
+	uint32_t owner;
+	uint64_t until_ns;
+	struct pause *prev, *next;
+};
+
 struct server {
 	struct mh_backend_server info; /* owns its strings */
 	struct pool *pool;
 	uint64_t id_hash;
 	bool takes_work;
-	bool vanished; /* its registration ended, and it was not draining */
+	bool vanished;	 /* its registration ended, and it was not draining */
+	bool is_leaving; /* it said so in a response */
+	struct pause *pauses;
 	uint32_t held;
 	uint32_t unanswered; /* held requests without a first byte */
 	struct request *requests;
@@ -106,6 +116,7 @@
 	struct queue queues[MH_TIERS];
 	struct mh_retry_window retry_window;
 	uint32_t held;
+	uint64_t pauses_end_ns; /* from then on no pause has an effect */
 	double failure_rate;
 	/* Mean run time of a service without a model; means of engine runs
 	 * relative to the nominal engine. */
@@ -147,7 +158,8 @@
 	struct quota *quotas;
 	struct mh_suspects *suspects;
 	uint64_t suspect_changes;
-	struct request *parked; /* suspects that can't run now */
+	/* Suspects, and requests held back by pauses, that can't run now. */
+	struct request *parked;
 	uint64_t began_ns;
 	uint64_t total_granted_units;
 	uint64_t near_limit_ns; /* when an account was last near its quota */
@@ -178,6 +190,7 @@
 double mh_dispatch_expected_ms(const struct pool *p, const struct request *req);
 uint32_t mh_dispatch_server_slots(const struct mh_dispatch *d,
 				  const struct server *s);
+bool mh_dispatch_server_takes_work(const struct server *s);
 void mh_dispatch_decay_stats(struct pool *p);
 void mh_dispatch_free_server(struct pool *p, struct server *s);
 
@@ -209,7 +222,21 @@
 void mh_dispatch_record_response(struct mh_dispatch *d,
 				 const struct request *req, uint64_t now_ns);
 
+/* Servers that leave or ask for a pause: dispatch_notice.c */
+bool mh_dispatch_is_paused(const struct server *s, uint32_t owner,
+			   uint64_t now_ns);
+bool mh_dispatch_allows(const struct mh_dispatch *d, const struct server *s,
+			uint32_t owner, uint64_t now_ns);
+bool mh_dispatch_hold_back(struct mh_dispatch *d, struct request *req,
+			   uint64_t now_ns);
+void mh_dispatch_review_parked(struct mh_dispatch *d, struct pool *p,
+			       uint64_t now_ns);
+void mh_dispatch_drop_pauses(struct server *s);
+void mh_dispatch_drop_owner_pauses(struct mh_dispatch *d, uint32_t owner);
+
 /* Refusals: dispatch_review.c */
+bool mh_dispatch_is_too_late(const struct request *req, double wait_ms,
+			     uint64_t now_ns);
 void mh_dispatch_refuse(struct mh_dispatch *d, struct request *req,
 			const struct mh_slot_refusal *why);
 void mh_dispatch_refuse_late(struct mh_dispatch *d, struct request *req,
--- a/core/dispatch_review.c
+++ b/core/dispatch_review.c
@@ -53,7 +53,7 @@
 		double latency_ratio =
 			s->latency_ratio > 1 ? s->latency_ratio : 1;
 
-		if (s->takes_work)
+		if (mh_dispatch_server_takes_work(s))
 			n += mh_dispatch_server_slots(d, s) / latency_ratio;
 	}
 	return n;
@@ -81,6 +81,16 @@
 	return now_ns + (uint64_t)(in_ms * MH_NS_PER_MS) > limit_ns;
 }
 
+bool mh_dispatch_is_too_late(const struct request *req, double wait_ms,
+			     uint64_t now_ns)
+{
+	double run_ms = mh_dispatch_expected_ms(req->pool, req);
+	double first_ms = mh_dispatch_expected_first_ms(req->pool, req);
+
+	return is_past(now_ns, wait_ms + run_ms, req->deadline_ns) ||
+	       is_past(now_ns, wait_ms + first_ms, req->start_by_ns);
+}
+
 /* Return: @ahead_ms plus the expected run times, in ms, of the requests that
  * remain in this heap. */
 static double review_heap(struct mh_dispatch *d, struct mh_heap *heap,
@@ -97,16 +107,13 @@
 	qsort(v, n, sizeof(*v), order);
 	for (i = 0; i < n; i++) {
 		struct request *req = v[i];
-		double run_ms = mh_dispatch_expected_ms(req->pool, req);
 		double wait_ms =
 			places > 0 ? ahead_ms / places : NO_CAPACITY_WAIT_MS;
-		double first_ms = mh_dispatch_expected_first_ms(req->pool, req);
 
-		if (is_past(now_ns, wait_ms + run_ms, req->deadline_ns) ||
-		    is_past(now_ns, wait_ms + first_ms, req->start_by_ns))
+		if (mh_dispatch_is_too_late(req, wait_ms, now_ns))
 			mh_dispatch_refuse_late(d, req, wait_ms);
 		else
-			ahead_ms += run_ms;
+			ahead_ms += mh_dispatch_expected_ms(req->pool, req);
 	}
 	free(v);
 	return ahead_ms;
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -97,6 +97,11 @@
 	return (uint64_t)((FIRST_BYTE_SLACK_MS + ms) * MH_NS_PER_MS);
 }
 
+bool mh_dispatch_server_takes_work(const struct server *s)
+{
+	return s->takes_work && !s->is_leaving;
+}
+
 static bool is_silent(const struct server *s, uint64_t now_ns)
 {
 	const struct request *req = s->requests;
@@ -116,7 +121,7 @@
 {
 	uint32_t places = mh_dispatch_server_slots(d, s);
 
-	if (!s->takes_work || now_ns < s->backoff_until_ns ||
+	if (!mh_dispatch_server_takes_work(s) || now_ns < s->backoff_until_ns ||
 	    is_silent(s, now_ns))
 		return 0;
 	/* A half-open server gets one trial request at a time; requests that it
@@ -178,6 +183,8 @@
 			continue;
 		if (suspect && !mh_dispatch_may_run_at(d, s, req, now_ns))
 			continue;
+		if (!mh_dispatch_allows(d, s, (uint32_t)req->key.owner, now_ns))
+			continue;
 		if (avoids(req, s) || (suspect && s->half_open)) {
 			fallback = s;
 			continue;
@@ -314,7 +321,7 @@
 	uint32_t n = 0;
 
 	HASH_ITER(hh, s->pool->servers, other, tmp) {
-		if (other == s || !other->takes_work)
+		if (other == s || !mh_dispatch_server_takes_work(other))
 			continue;
 		sum += other->failure_rate;
 		n++;
@@ -385,9 +392,11 @@
 		back_off(s, now_ns);
 		break;
 	case MH_SLOT_REJECTED:
-		/* Its queue is full, or it is draining. */
+		/* Its queue is full, or it is draining. A pause concerns one
+		 * entry only. */
 		s->last_answer_ns = now_ns;
-		back_off(s, now_ns);
+		if (!mh_dispatch_is_paused(s, (uint32_t)req->key.owner, now_ns))
+			back_off(s, now_ns);
 		break;
 	case MH_SLOT_TIMED_OUT:
 		update_latency_ratio(s, MAX_LATENCY_RATIO / 4, LATENCY_GAIN);
@@ -417,6 +426,7 @@
 void mh_dispatch_free_server(struct pool *p, struct server *s)
 {
 	HASH_DEL(p->servers, s);
+	mh_dispatch_drop_pauses(s);
 	free((char *)s->info.id);
 	free((char *)s->info.service);
 	free((char *)s->info.address);
--- a/core/err.c
+++ b/core/err.c
@@ -83,6 +83,8 @@
 			       "The request was cancelled" },
 	[MH_ERR_INTERNAL] = { "internal", 500, UNKNOWN, false,
 			      "Internal error" },
+	[MH_ERR_SERVERS_PAUSED] = { "servers_paused", 503, NOT_RUN, true,
+				    "All backend servers asked for a pause" },
 };
 
 const struct mh_error_info *mh_error_info(enum mh_error err)
--- a/core/err.h
+++ b/core/err.h
@@ -49,6 +49,7 @@
 	MH_ERR_TIMEOUT,
 	MH_ERR_CANCELLED,
 	MH_ERR_INTERNAL,
+	MH_ERR_SERVERS_PAUSED, /* not run */
 	MH_ERR_COUNT,
 };
 
--- a/ctl/timeline.c
+++ b/ctl/timeline.c
@@ -185,6 +185,28 @@
 	}
 }
 
+/* Marks the pauses that servers had asked the request's host for, and that had
+ * not ended, if it was refused for them. */
+static void show_pauses(struct timeline *tl)
+{
+	char host[VALUE_BYTES], ms[VALUE_BYTES];
+	size_t i;
+
+	if (!field_is(tl->last->text, "error", "servers_paused") ||
+	    !get_field(tl->last->text, "host", host))
+		return;
+	for (i = 0; i < tl->n; i++) {
+		struct line *line = &tl->v[i];
+
+		if (field_is(line->text, "event", "server_pause") &&
+		    field_is(line->text, "host", host) &&
+		    get_field(line->text, "pause_ms", ms) &&
+		    line->when_ms <= tl->end_ms &&
+		    line->when_ms + strtoull(ms, NULL, 10) >= tl->begin_ms)
+			line->shown = true;
+	}
+}
+
 static bool is_context(const struct timeline *tl, const char *text)
 {
 	char kind[VALUE_BYTES];
@@ -307,6 +329,7 @@
 			show_slot_lines(&tl, &tl.v[k]);
 	}
 	show_lost_runs(&tl);
+	show_pauses(&tl);
 	show_context(&tl);
 	print_lines(&tl, out);
 	print_cause(&tl, out);
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -8,9 +8,12 @@
 
 #include "config/bounds.h"
 #include "core/dispatch.h"
+#include "dispatcher/pool_log.h"
+#include "dispatcher/slot_frames.h"
 #include "net/crash_log.h"
 #include "net/link.h"
 #include "net/link_peer.h"
+#include "net/notice_frames.h"
 #include "net/process.h"
 #include "net/registrations.h"
 #include "net/suspect_frames.h"
@@ -64,17 +67,9 @@
 		       const struct mh_backend_server *server)
 {
 	struct mh_dispatcher_app *app = data;
-	Mh__PlaceGiven msg = MH__PLACE_GIVEN__INIT;
-	Mh__Frame frame = MH__FRAME__INIT;
-
-	msg.id = id;
-	msg.server = (char *)server->id;
-	msg.address = (char *)server->address;
-	msg.born_ms = server->born_ms;
-	frame.body_case = MH__FRAME__BODY_PLACE_GIVEN;
-	frame.place_given = &msg;
+
 	mh_count(&app->process.counters, MH_C_GRANTS);
-	mh_links_send(app->links, owner, &frame);
+	mh_slot_frames_send_grant(app->links, owner, id, server);
 }
 
 static const char *entry_host(const struct mh_dispatcher_app *app,
@@ -90,14 +85,7 @@
 			const struct mh_slot_refusal *why)
 {
 	struct mh_dispatcher_app *app = data;
-	Mh__PlaceRefused msg = MH__PLACE_REFUSED__INIT;
-	Mh__Frame frame = MH__FRAME__INIT;
-
-	msg.id = id;
-	msg.error = why->error;
-	msg.retry_after_ms = why->retry_after_ms;
-	frame.body_case = MH__FRAME__BODY_PLACE_REFUSED;
-	frame.place_refused = &msg;
+
 	mh_count(&app->process.counters, MH_C_REFUSED);
 	mh_event(app->process.log, MH_EV_REFUSED,
 		 "event=no_place entry=%s request=%llu error=%s wait_ms=%u "
@@ -106,19 +94,14 @@
 		 mh_error_info(why->error)->name, why->wait_ms,
 		 (unsigned long long)why->spent, (unsigned long long)why->limit,
 		 why->retry_after_ms);
-	mh_links_send(app->links, owner, &frame);
+	mh_slot_frames_send_refusal(app->links, owner, id, why);
 }
 
 static void move_request(void *data, uint32_t owner, uint64_t id)
 {
 	struct mh_dispatcher_app *app = data;
-	Mh__PlaceMove msg = MH__PLACE_MOVE__INIT;
-	Mh__Frame frame = MH__FRAME__INIT;
 
-	msg.id = id;
-	frame.body_case = MH__FRAME__BODY_PLACE_MOVE;
-	frame.place_move = &msg;
-	mh_links_send(app->links, owner, &frame);
+	mh_slot_frames_send_move(app->links, owner, id);
 }
 
 static void log_lost_run(void *data, const struct mh_lost_run *run)
@@ -255,20 +238,46 @@
 		share_suspect(app, &suspect, link);
 }
 
+/* A pause concerns the entry that was asked for it; that a server leaves
+ * concerns all. */
+static void receive_notice(struct mh_dispatcher_app *app, uint32_t link,
+			   const Mh__ServerNotice *msg)
+{
+	struct linked_entry *entry, *tmp;
+	struct mh_server_ref server;
+	uint32_t pause_ms = mh_notice_read(msg, &server);
+
+	if (pause_ms) {
+		mh_dispatch_server_pause(app->dispatch, link, &server,
+					 pause_ms);
+		mh_event(app->process.log, MH_EV_SERVER,
+			 "event=server_pause server=%s born=%llu pause_ms=%u "
+			 "entry=%s",
+			 server.id, (unsigned long long)server.born_ms,
+			 pause_ms, entry_host(app, link));
+	}
+	if (!msg->is_leaving ||
+	    !mh_dispatch_server_leaving(app->dispatch, &server))
+		return;
+	mh_event(app->process.log, MH_EV_SERVER,
+		 "event=server_leaving server=%s born=%llu from=%s", server.id,
+		 (unsigned long long)server.born_ms, entry_host(app, link));
+	HASH_ITER(hh, app->linked_entries, entry, tmp) {
+		struct mh_link_peer to = { app->links, entry->link };
+
+		if (entry->link != link)
+			mh_notice_send_leaving(&to, &server);
+	}
+}
+
 static void send_heartbeat(struct mh_dispatcher_app *app, uint32_t link)
 {
-	Mh__Standing msg = MH__STANDING__INIT;
-	Mh__Frame frame = MH__FRAME__INIT;
 	uint64_t version;
 	size_t len;
 
 	mh_directory_document(app->directory, &version, &len);
-	msg.fit = app->fit;
-	msg.version = version;
-	msg.entries = HASH_COUNT(app->linked_entries);
-	frame.body_case = MH__FRAME__BODY_STANDING;
-	frame.standing = &msg;
-	mh_links_send(app->links, link, &frame);
+	mh_slot_frames_send_heartbeat(app->links, link, app->fit, version,
+				      HASH_COUNT(app->linked_entries));
 }
 
 /* A standby dispatcher reads the store less often than the active one. */
@@ -298,6 +307,8 @@
 	send_document(app, link);
 	mh_catalog_each(app->catalog, send_registration, &to);
 	mh_dispatch_each_suspect(app->dispatch, send_suspect, &to);
+	mh_dispatch_each_leaving(app->dispatch, mh_notice_send_leaving,
+				 &(struct mh_link_peer){ app->links, link });
 	send_heartbeat(app, link);
 }
 
@@ -401,6 +412,16 @@
 	}
 }
 
+static void receive_record(struct mh_dispatcher_app *app,
+			   const Mh__LedgerRecord *msg)
+{
+	if (!mh_ledger_decode_cached(app->dispatch, msg->bytes.data,
+				     msg->bytes.len, msg->age_ms))
+		mh_event(app->process.log, MH_EV_DEPENDENCY,
+			 "event=ledger_record_rejected bytes=%zu",
+			 msg->bytes.len);
+}
+
 static void on_frame(void *data, uint32_t link, const Mh__Frame *frame)
 {
 	struct mh_dispatcher_app *app = data;
@@ -434,14 +455,11 @@
 		mh_dispatch_server_probed(app->dispatch,
 					  frame->server_probed->server);
 		break;
+	case MH__FRAME__BODY_SERVER_NOTICE:
+		receive_notice(app, link, frame->server_notice);
+		break;
 	case MH__FRAME__BODY_LEDGER_RECORD:
-		if (!mh_ledger_decode_cached(app->dispatch,
-					     frame->ledger_record->bytes.data,
-					     frame->ledger_record->bytes.len,
-					     frame->ledger_record->age_ms))
-			mh_event(app->process.log, MH_EV_DEPENDENCY,
-				 "event=ledger_record_rejected bytes=%zu",
-				 frame->ledger_record->bytes.len);
+		receive_record(app, frame->ledger_record);
 		break;
 	case MH__FRAME__BODY_DOCUMENT:
 		mh_directory_apply_document(app->directory,
@@ -490,23 +508,6 @@
 	mh_dispatcher_settings_release(&updated);
 }
 
-static void log_pool(struct mh_dispatcher_app *app, const char *name)
-{
-	struct mh_dispatch_view v;
-	char waiting[MH_TIERS * 12] = "";
-	size_t at = 0;
-	int t;
-
-	mh_dispatch_view(app->dispatch, name, &v);
-	for (t = 0; t < MH_TIERS; t++)
-		at += (size_t)snprintf(waiting + at, sizeof(waiting) - at,
-				       "%s%u", t ? "," : "", v.waiting[t]);
-	mh_event(app->process.log, MH_EV_POOL,
-		 "event=pool service=%s servers=%u places=%u held=%u "
-		 "waiting=%s pace=%s",
-		 name, v.servers, v.places, v.held, waiting, v.server_stats);
-}
-
 static bool is_fit(const struct mh_dispatcher_app *app)
 {
 	return !app->process.leaving && mh_directory_is_fresh(app->directory) &&
@@ -547,7 +548,7 @@
 	for (i = 0; app->routes && app->linked_entries &&
 		    (service = mh_routes_service_at(app->routes, i));
 	     i++)
-		log_pool(app, service->name);
+		mh_pool_log(app->process.log, app->dispatch, service->name);
 }
 
 static uint64_t tick(void *data)
--- /dev/null
+++ b/dispatcher/pool_log.c
@@ -0,0 +1,21 @@
+#include "dispatcher/pool_log.h"
+
+#include <stdio.h>
+
+void mh_pool_log(struct mh_event_log *log, const struct mh_dispatch *d,
+		 const char *service)
+{
+	struct mh_dispatch_view v;
+	char waiting[MH_TIERS * 12] = "";
+	size_t at = 0;
+	int t;
+
+	mh_dispatch_view(d, service, &v);
+	for (t = 0; t < MH_TIERS; t++)
+		at += (size_t)snprintf(waiting + at, sizeof(waiting) - at,
+				       "%s%u", t ? "," : "", v.waiting[t]);
+	mh_event(log, MH_EV_POOL,
+		 "event=pool service=%s servers=%u places=%u held=%u "
+		 "waiting=%s pace=%s",
+		 service, v.servers, v.places, v.held, waiting, v.server_stats);
+}
--- /dev/null
+++ b/dispatcher/slot_frames.h
@@ -0,0 +1,53 @@
+/*
+ * Frames that a dispatcher sends to an entry about its requests.
+ */
+#ifndef MH_DISPATCHER_SLOT_FRAMES_H
+#define MH_DISPATCHER_SLOT_FRAMES_H
+
+#include "core/dispatch.h"
+#include "net/link.h"
+
+/**
+ * mh_slot_frames_send_grant() - a request got a slot
+ * @links: links
+ * @link: link to the entry
+ * @id: request
+ * @server: server of the slot
+ */
+void mh_slot_frames_send_grant(struct mh_links *links, uint32_t link,
+			       uint64_t id,
+			       const struct mh_backend_server *server);
+
+/**
+ * mh_slot_frames_send_refusal() - a request gets no slot
+ * @links: links
+ * @link: link to the entry
+ * @id: request
+ * @why: reason
+ */
+void mh_slot_frames_send_refusal(struct mh_links *links, uint32_t link,
+				 uint64_t id,
+				 const struct mh_slot_refusal *why);
+
+/**
+ * mh_slot_frames_send_move() - a request should leave its server
+ * @links: links
+ * @link: link to the entry
+ * @id: request
+ */
+void mh_slot_frames_send_move(struct mh_links *links, uint32_t link,
+			      uint64_t id);
+
+/**
+ * mh_slot_frames_send_heartbeat() - state of the dispatcher
+ * @links: links
+ * @link: link to an entry
+ * @fit: it can reach the store
+ * @version: version of its configuration
+ * @entries: number of linked entries
+ */
+void mh_slot_frames_send_heartbeat(struct mh_links *links, uint32_t link,
+				   bool fit, uint64_t version,
+				   uint32_t entries);
+
+#endif
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -1402,6 +1402,51 @@
   assert(message->base.descriptor == &mh__server_probed__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mh__server_notice__init
+                     (Mh__ServerNotice         *message)
+{
+  static const Mh__ServerNotice init_value = MH__SERVER_NOTICE__INIT;
+  *message = init_value;
+}
+size_t mh__server_notice__get_packed_size
+                     (const Mh__ServerNotice *message)
+{
+  assert(message->base.descriptor == &mh__server_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__server_notice__pack
+                     (const Mh__ServerNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__server_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__server_notice__pack_to_buffer
+                     (const Mh__ServerNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__server_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__ServerNotice *
+       mh__server_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__ServerNotice *)
+     protobuf_c_message_unpack (&mh__server_notice__descriptor,
+                                allocator, len, data);
+}
+void   mh__server_notice__free_unpacked
+                     (Mh__ServerNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__server_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mh__server_word__init
                      (Mh__ServerWord         *message)
 {
@@ -4001,6 +4046,83 @@
   (ProtobufCMessageInit) mh__server_probed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mh__server_notice__field_descriptors[4] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ServerNotice, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ServerNotice, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_leaving",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ServerNotice, is_leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pause_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ServerNotice, pause_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__server_notice__field_indices_by_name[] = {
+  1,   /* field[1] = born_ms */
+  2,   /* field[2] = is_leaving */
+  3,   /* field[3] = pause_ms */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange mh__server_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mh__server_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.ServerNotice",
+  "ServerNotice",
+  "Mh__ServerNotice",
+  "mh",
+  sizeof(Mh__ServerNotice),
+  4,
+  mh__server_notice__field_descriptors,
+  mh__server_notice__field_indices_by_name,
+  1,  mh__server_notice__number_ranges,
+  (ProtobufCMessageInit) mh__server_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mh__server_word__field_descriptors[8] =
 {
   {
@@ -4283,7 +4405,7 @@
   (ProtobufCMessageInit) mh__standing__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__frame__field_descriptors[33] =
+static const ProtobufCFieldDescriptor mh__frame__field_descriptors[34] =
 {
   {
     "hello",
@@ -4681,6 +4803,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "server_notice",
+    34,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, server_notice),
+    &mh__server_notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__frame__field_indices_by_name[] = {
   7,   /* field[7] = attach */
@@ -4709,6 +4843,7 @@
   1,   /* field[1] = proof */
   8,   /* field[8] = refused */
   5,   /* field[5] = ret */
+  33,   /* field[33] = server_notice */
   32,   /* field[32] = server_probed */
   26,   /* field[26] = server_words */
   18,   /* field[18] = side_config */
@@ -4720,7 +4855,7 @@
 static const ProtobufCIntRange mh__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 33 }
+  { 0, 34 }
 };
 const ProtobufCMessageDescriptor mh__frame__descriptor =
 {
@@ -4730,7 +4865,7 @@
   "Mh__Frame",
   "mh",
   sizeof(Mh__Frame),
-  33,
+  34,
   mh__frame__field_descriptors,
   mh__frame__field_indices_by_name,
   1,  mh__frame__number_ranges,
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -46,6 +46,7 @@
 typedef struct Mh__Crash Mh__Crash;
 typedef struct Mh__CrashSuspect Mh__CrashSuspect;
 typedef struct Mh__ServerProbed Mh__ServerProbed;
+typedef struct Mh__ServerNotice Mh__ServerNotice;
 typedef struct Mh__ServerWord Mh__ServerWord;
 typedef struct Mh__ServerWords Mh__ServerWords;
 typedef struct Mh__Document Mh__Document;
@@ -599,6 +600,26 @@
     , (char *)protobuf_c_empty_string }
 
 
+/*
+ * What a server asked of the sender in a response: no further requests as it
+ * leaves, or none for a while. To entries, only that a server leaves.
+ */
+struct  Mh__ServerNotice
+{
+  ProtobufCMessage base;
+  char *server;
+  uint64_t born_ms;
+  protobuf_c_boolean is_leaving;
+  /*
+   * rest of the pause
+   */
+  uint32_t pause_ms;
+};
+#define MH__SERVER_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__server_notice__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 struct  Mh__ServerWord
 {
   ProtobufCMessage base;
@@ -693,7 +714,8 @@
   MH__FRAME__BODY_PLACE_MOVE = 30,
   MH__FRAME__BODY_LEDGER_RECORD = 31,
   MH__FRAME__BODY_CRASH_SUSPECT = 32,
-  MH__FRAME__BODY_SERVER_PROBED = 33
+  MH__FRAME__BODY_SERVER_PROBED = 33,
+  MH__FRAME__BODY_SERVER_NOTICE = 34
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MH__FRAME__BODY__CASE)
 } Mh__Frame__BodyCase;
 
@@ -735,6 +757,7 @@
     Mh__LedgerRecord *ledger_record;
     Mh__CrashSuspect *crash_suspect;
     Mh__ServerProbed *server_probed;
+    Mh__ServerNotice *server_notice;
   };
 };
 #define MH__FRAME__INIT \
@@ -1331,6 +1354,25 @@
 void   mh__server_probed__free_unpacked
                      (Mh__ServerProbed *message,
                       ProtobufCAllocator *allocator);
+/* Mh__ServerNotice methods */
+void   mh__server_notice__init
+                     (Mh__ServerNotice         *message);
+size_t mh__server_notice__get_packed_size
+                     (const Mh__ServerNotice   *message);
+size_t mh__server_notice__pack
+                     (const Mh__ServerNotice   *message,
+                      uint8_t             *out);
+size_t mh__server_notice__pack_to_buffer
+                     (const Mh__ServerNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__ServerNotice *
+       mh__server_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__server_notice__free_unpacked
+                     (Mh__ServerNotice *message,
+                      ProtobufCAllocator *allocator);
 /* Mh__ServerWord methods */
 void   mh__server_word__init
                      (Mh__ServerWord         *message);
@@ -1521,6 +1563,9 @@
 typedef void (*Mh__ServerProbed_Closure)
                  (const Mh__ServerProbed *message,
                   void *closure_data);
+typedef void (*Mh__ServerNotice_Closure)
+                 (const Mh__ServerNotice *message,
+                  void *closure_data);
 typedef void (*Mh__ServerWord_Closure)
                  (const Mh__ServerWord *message,
                   void *closure_data);
@@ -1573,6 +1618,7 @@
 extern const ProtobufCMessageDescriptor mh__crash__descriptor;
 extern const ProtobufCMessageDescriptor mh__crash_suspect__descriptor;
 extern const ProtobufCMessageDescriptor mh__server_probed__descriptor;
+extern const ProtobufCMessageDescriptor mh__server_notice__descriptor;
 extern const ProtobufCMessageDescriptor mh__server_word__descriptor;
 extern const ProtobufCMessageDescriptor mh__server_words__descriptor;
 extern const ProtobufCMessageDescriptor mh__document__descriptor;
--- a/proxy/app.c
+++ b/proxy/app.c
@@ -27,6 +27,7 @@
 struct mh_proxy_app {
 	struct mh_proxy_settings settings;
 	struct mh_process process;
+	struct mh_server_notices *notices;
 	struct mh_upstreams *upstreams;
 	struct mh_probes *probes;
 	struct mh_slot_client *slot_client;
@@ -68,12 +69,12 @@
 	on_drained,
 };
 
-static void on_granted(void *data, uint64_t id, const char *server,
-		       const char *address)
+static void on_granted(void *data, uint64_t id,
+		       const struct mh_server_ref *server)
 {
 	struct mh_proxy_app *app = data;
 
-	mh_exchange_granted(app->exchanges, id, server, address);
+	mh_exchange_granted(app->exchanges, id, server);
 }
 
 static void on_refused(void *data, uint64_t id, enum mh_error error,
@@ -299,16 +300,19 @@
 			 "event=no_listen address=%s", app->settings.callers);
 		return false;
 	}
-	app->upstreams =
-		mh_upstreams_new(app->process.loop, &app->process.timers,
-				 &mh_system_clock, &app->process.counters);
+	app->notices = mh_server_notices_new(&mh_system_clock);
+	slot_client_conf.notices = app->notices;
+	app->upstreams = mh_upstreams_new(
+		app->process.loop, &app->process.timers, &mh_system_clock,
+		&app->process.counters, app->notices);
 	app->slot_client =
 		mh_slot_client_new(app->process.loop, &mh_system_clock,
 				   &slot_client_conf, &app->process.counters,
 				   app->process.log, &slot_client_ops, app);
 	app->probes = mh_probes_new(app->process.loop, &app->process.timers,
 				    &mh_system_clock, &app->process.counters,
-				    on_server_accepted, app);
+				    app->notices, on_server_accepted, app);
+	exchange_env.notices = app->notices;
 	exchange_env.upstreams = app->upstreams;
 	exchange_env.probes = app->probes;
 	exchange_env.slot_client = app->slot_client;
@@ -359,6 +363,7 @@
 	mh_probes_free(app->probes);
 	mh_upstreams_free(app->upstreams);
 	mh_slot_client_free(app->slot_client);
+	mh_server_notices_free(app->notices);
 	mh_routes_unref(app->routes);
 	mh_process_release(&app->process);
 	mh_proxy_settings_release(&app->settings);
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -14,6 +14,9 @@
 /* Retries after servers that did not run the request. They do not count as
  * attempts of the route. */
 #define MAX_NOT_RUN_RETRIES 4
+/* Slots that a server's notice forbade to use, each of which the dispatcher was
+ * told of; more than this and it does not listen. */
+#define MAX_HELD_BACK_RETRIES 16
 /* A request with less time left is not sent. */
 #define MIN_REMAINING_MS 5
 /* Retry-After where no estimate of the wait is available. */
@@ -251,6 +254,31 @@
 		give_up(x, MH_ERR_UNREACHABLE, DEFAULT_RETRY_AFTER_MS);
 }
 
+/* The server said meanwhile that it leaves or wants a pause: ask for another
+ * slot, once the dispatcher knows as well. */
+void mh_exchange_on_held_back(struct exchange *x)
+{
+	struct mh_server_ref server = mh_exchange_server(x);
+	enum mh_send_verdict verdict =
+		mh_server_notices_check(x->set->env.notices, &server);
+
+	mh_count(x->set->env.counters, MH_C_HELD_BACK);
+	mh_event(mh_exchange_log(x), MH_EV_RETRIED,
+		 "event=held_back id=%.*s why=%s route=%s server=%s left_ms=%u",
+		 (int)x->wire.id.len, x->wire.id.p,
+		 mh_send_verdict_name(verdict), x->route->name, x->server,
+		 remaining_ms(x));
+	mh_notice_relay_repeat(mh_slot_client_notices(x->set->env.slot_client),
+			       &server);
+	mh_exchange_release_slot(x, MH_SLOT_HELD_BACK);
+	x->sent_ns = 0;
+	if (x->held_back_count++ < MAX_HELD_BACK_RETRIES &&
+	    remaining_ms(x) > MIN_REMAINING_MS)
+		request_slot(x);
+	else
+		give_up(x, MH_ERR_SERVERS_PAUSED, DEFAULT_RETRY_AFTER_MS);
+}
+
 /* The server may have run the request and sent no complete response: retry
  * the request only if it is repeatable. */
 void mh_exchange_on_outcome_unknown(struct exchange *x, enum mh_error error)
@@ -277,15 +305,21 @@
 		.body_len = x->body->len,
 		.last_event = x->last_event[0] ? x->last_event : NULL,
 	};
+	struct mh_server_ref server = mh_exchange_server(x);
 	struct mh_buffer buf = { 0 };
 
+	if (mh_server_notices_check(set->env.notices, &server) !=
+	    MH_SEND_ALLOWED) {
+		mh_exchange_on_held_back(x);
+		return;
+	}
 	if (!mh_wire_write_request(&buf, x->head, &add) ||
 	    !mh_buffer_add(&buf, mh_buffer_front(x->body), x->body->len))
 		abort();
 	x->phase = PHASE_SENT;
 	x->sent_ns = mh_exchange_now_ns(x);
 	x->upstream =
-		mh_upstream_send(set->env.upstreams, x->address, &buf,
+		mh_upstream_send(set->env.upstreams, &server, &buf,
 				 x->head->method.len == 4 &&
 					 !memcmp(x->head->method.p, "HEAD", 4),
 				 &mh_exchange_upstream_ops, x);
@@ -313,7 +347,7 @@
 }
 
 void mh_exchange_granted(struct mh_exchanges *set, uint64_t id,
-			 const char *server, const char *address)
+			 const struct mh_server_ref *server)
 {
 	struct exchange *x = find(set, id);
 
@@ -328,8 +362,9 @@
 	x->quota_charged = true;
 	free(x->server);
 	free(x->address);
-	x->server = mh_check_alloc(strdup(server));
-	x->address = mh_check_alloc(strdup(address));
+	x->server = mh_check_alloc(strdup(server->id));
+	x->address = mh_check_alloc(strdup(server->address));
+	x->born_ms = server->born_ms;
 	send_request(x);
 }
 
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -22,6 +22,7 @@
  * @counters: counters to increment
  * @metrics: metrics that observe durations
  * @log: log
+ * @notices: what servers asked for
  * @upstreams: connections to servers
  * @probes: probes of servers at which runs were lost
  * @slot_client: slots at servers
@@ -32,6 +33,7 @@
 	struct mh_counters *counters;
 	struct mh_metrics *metrics;
 	struct mh_event_log *log;
+	const struct mh_server_notices *notices;
 	struct mh_upstreams *upstreams;
 	struct mh_probes *probes;
 	struct mh_slot_client *slot_client;
@@ -92,11 +94,10 @@
  * mh_exchange_granted() - a request was granted a slot
  * @set: set
  * @id: request
- * @server: identifier of the server
- * @address: "ip:port" of the server
+ * @server: server
  */
 void mh_exchange_granted(struct mh_exchanges *set, uint64_t id,
-			 const char *server, const char *address);
+			 const struct mh_server_ref *server);
 
 /**
  * mh_exchange_refused() - a request gets no slot
--- a/proxy/exchange_impl.h
+++ b/proxy/exchange_impl.h
@@ -47,7 +47,8 @@
 	enum verdict verdict;
 	struct mh_upstream *upstream;
 	char *server;
-	char *address; /* of the server */
+	char *address;	  /* of the server */
+	uint64_t born_ms; /* of the server */
 	uint64_t slot_requested_ns;
 	uint64_t sent_ns;
 	uint64_t last_bytes_ns; /* last bytes of the response */
@@ -58,6 +59,7 @@
 	uint32_t attempts;	  /* servers that may have run it */
 	uint32_t servers_reached; /* servers that it may have reached */
 	uint32_t not_run_count;	  /* slots whose server did not run it */
+	uint32_t held_back_count; /* slots that a notice forbade to use */
 	bool may_have_run;
 	bool is_moved; /* last slot released on the dispatcher's request */
 	bool quota_charged;
@@ -92,6 +94,11 @@
 	return (uint32_t)((mh_exchange_now_ns(x) - then_ns) / MH_NS_PER_MS);
 }
 
+static inline struct mh_server_ref mh_exchange_server(const struct exchange *x)
+{
+	return (struct mh_server_ref){ x->server, x->address, x->born_ms };
+}
+
 static inline struct mh_event_log *mh_exchange_log(const struct exchange *x)
 {
 	return x->set->env.log;
@@ -110,6 +117,7 @@
 /* Retries and errors: exchange.c */
 void mh_exchange_release_slot(struct exchange *x, enum mh_slot_outcome outcome);
 void mh_exchange_on_not_run(struct exchange *x, const char *why);
+void mh_exchange_on_held_back(struct exchange *x);
 void mh_exchange_on_outcome_unknown(struct exchange *x, enum mh_error error);
 void mh_exchange_free(struct exchange *x);
 bool mh_exchange_is_repeatable(const struct exchange *x);
--- a/proxy/exchange_response.c
+++ b/proxy/exchange_response.c
@@ -71,12 +71,33 @@
 	x->head_forwarded = true;
 }
 
+/* A server's notices hold whatever becomes of the response. */
+static void take_notices(struct exchange *x,
+			 const struct mh_wire_response *response)
+{
+	const struct mh_notice_relay *relay =
+		mh_slot_client_notices(x->set->env.slot_client);
+	struct mh_server_ref server = mh_exchange_server(x);
+
+	if (response->is_malformed) {
+		mh_count(x->set->env.counters, MH_C_BAD_NOTICES);
+		mh_event(mh_exchange_log(x), MH_EV_SERVER,
+			 "event=notice_rejected server=%s id=%.*s", x->server,
+			 (int)x->wire.id.len, x->wire.id.p);
+	}
+	if (response->is_leaving)
+		mh_notice_relay_leaving(relay, &server, NULL);
+	if (response->pause_ms)
+		mh_notice_relay_pause(relay, &server, response->pause_ms);
+}
+
 static int on_head(void *data, const struct mh_http_head *head)
 {
 	struct exchange *x = data;
 	struct mh_wire_response response;
 
 	mh_wire_read_response(head, &response);
+	take_notices(x, &response);
 	mh_upstream_set_idle_timeout(x->upstream, response.keep_alive_s);
 	/* The response names another request, or it names none although the
 	 * server does not say that it refused the request. */
@@ -266,6 +287,7 @@
 static void on_failed(void *data, enum mh_upstream_failure why)
 {
 	struct exchange *x = data;
+	struct mh_server_ref server = mh_exchange_server(x);
 
 	x->upstream = NULL;
 	if (why == MH_UPSTREAM_UNREACHABLE) {
@@ -273,6 +295,10 @@
 		mh_exchange_on_not_run(x, "unreachable");
 		return;
 	}
+	if (why == MH_UPSTREAM_HELD_BACK) {
+		mh_exchange_on_held_back(x);
+		return;
+	}
 	x->servers_reached++;
 	x->attempts++;
 	if (why == MH_UPSTREAM_MALFORMED)
@@ -282,7 +308,7 @@
 					    MH_SLOT_CORRUPT :
 					    MH_SLOT_LOST);
 	if (why == MH_UPSTREAM_LOST)
-		mh_probes_start(x->set->env.probes, x->server, x->address);
+		mh_probes_start(x->set->env.probes, &server);
 	mh_exchange_on_outcome_unknown(x, why == MH_UPSTREAM_MALFORMED ?
 						  MH_ERR_CORRUPT_ANSWER :
 						  MH_ERR_BACKEND_CUT);
--- /dev/null
+++ b/proxy/notice_relay.c
@@ -0,0 +1,104 @@
+#include "proxy/notice_relay.h"
+
+#include <utlist.h>
+
+#include "net/notice_frames.h"
+
+static uint64_t now_of(const struct mh_notice_relay *relay)
+{
+	return mh_clock_mono_ns(relay->clock);
+}
+
+static uint32_t pause_ms(const struct mh_server_notice *notice, uint64_t now_ns)
+{
+	return notice->pause_until_ns > now_ns ?
+		       (uint32_t)((notice->pause_until_ns - now_ns) /
+				  MH_NS_PER_MS) +
+			       1 :
+		       0;
+}
+
+/* Tells the local dispatcher and all linked ones but one what holds. */
+static void forward(const struct mh_notice_relay *relay,
+		    const struct mh_server_ref *server,
+		    const struct mh_candidate *from)
+{
+	const struct mh_server_notice *notice =
+		mh_server_notices_find(relay->notices, server);
+	uint64_t now_ns = now_of(relay);
+	const struct mh_candidate *c;
+
+	if (!notice)
+		return;
+	if (notice->is_leaving)
+		mh_dispatch_server_leaving(relay->local, server);
+	if (pause_ms(notice, now_ns))
+		mh_dispatch_server_pause(relay->local, 0, server,
+					 pause_ms(notice, now_ns));
+	DL_FOREACH(relay->candidates->first, c) {
+		if (c->up && c != from)
+			mh_notice_send(relay->links, c->link, notice, now_ns);
+	}
+}
+
+void mh_notice_relay_leaving(const struct mh_notice_relay *relay,
+			     const struct mh_server_ref *server,
+			     const struct mh_candidate *from)
+{
+	if (!mh_server_notices_add_leaving(relay->notices, server))
+		return;
+	mh_count(relay->counters, MH_C_SERVERS_LEAVING);
+	mh_event(relay->log, MH_EV_SERVER,
+		 "event=server_leaving server=%s born=%llu from=%s", server->id,
+		 (unsigned long long)server->born_ms, from ? from->name : "");
+	forward(relay, server, from);
+}
+
+void mh_notice_relay_pause(const struct mh_notice_relay *relay,
+			   const struct mh_server_ref *server, uint32_t ms)
+{
+	if (!mh_server_notices_add_pause(relay->notices, server, ms))
+		return;
+	mh_count(relay->counters, MH_C_SERVER_PAUSES);
+	mh_event(relay->log, MH_EV_SERVER,
+		 "event=server_pause server=%s born=%llu pause_ms=%u",
+		 server->id, (unsigned long long)server->born_ms, ms);
+	forward(relay, server, NULL);
+}
+
+void mh_notice_relay_repeat(const struct mh_notice_relay *relay,
+			    const struct mh_server_ref *server)
+{
+	forward(relay, server, NULL);
+}
+
+void mh_notice_relay_receive(const struct mh_notice_relay *relay,
+			     const Mh__ServerNotice *msg,
+			     const struct mh_candidate *from)
+{
+	struct mh_server_ref server;
+
+	mh_notice_read(msg, &server);
+	if (msg->is_leaving)
+		mh_notice_relay_leaving(relay, &server, from);
+}
+
+struct recipient {
+	const struct mh_notice_relay *relay;
+	uint32_t link;
+};
+
+static void send_notice(void *data, const struct mh_server_notice *notice)
+{
+	const struct recipient *to = data;
+
+	mh_notice_send(to->relay->links, to->link, notice, now_of(to->relay));
+}
+
+void mh_notice_relay_send_all(const struct mh_notice_relay *relay,
+			      uint32_t link)
+{
+	struct recipient to = { relay, link };
+
+	mh_server_notices_each(relay->notices, send_notice, &to);
+}
--- a/proxy/probes.c
+++ b/proxy/probes.c
@@ -18,6 +18,7 @@
 	struct mh_probes *set;
 	char *server;
 	char *address;
+	uint64_t born_ms;
 	struct mh_watch watch; /* without a socket during the delay */
 	struct mh_timer timer;
 	UT_hash_handle hh;
@@ -28,6 +29,7 @@
 	struct mh_timers *timers;
 	const struct mh_clock *clock;
 	struct mh_counters *counters;
+	const struct mh_server_notices *notices;
 	void (*accepted)(void *data, const char *server);
 	void *data;
 	struct probe *all;
@@ -36,6 +38,7 @@
 struct mh_probes *
 mh_probes_new(struct mh_loop *loop, struct mh_timers *timers,
 	      const struct mh_clock *clock, struct mh_counters *counters,
+	      const struct mh_server_notices *notices,
 	      void (*accepted)(void *data, const char *server), void *data)
 {
 	struct mh_probes *set = mh_check_alloc(calloc(1, sizeof(*set)));
@@ -44,6 +47,7 @@
 	set->timers = timers;
 	set->clock = clock;
 	set->counters = counters;
+	set->notices = notices;
 	set->accepted = accepted;
 	set->data = data;
 	return set;
@@ -85,12 +89,20 @@
 	free_probe(p);
 }
 
+static bool may_probe(const struct probe *p)
+{
+	struct mh_server_ref server = { p->server, p->address, p->born_ms };
+
+	return mh_server_notices_check(p->set->notices, &server) ==
+	       MH_SEND_ALLOWED;
+}
+
 static void on_timer(void *data)
 {
 	struct probe *p = data;
 	struct mh_probes *set = p->set;
 
-	if (p->watch.fd >= 0) {
+	if (p->watch.fd >= 0 || !may_probe(p)) {
 		free_probe(p);
 		return;
 	}
@@ -110,18 +122,18 @@
 		     mh_clock_mono_ns(set->clock) + CONNECT_TIMEOUT_NS);
 }
 
-void mh_probes_start(struct mh_probes *set, const char *server,
-		     const char *address)
+void mh_probes_start(struct mh_probes *set, const struct mh_server_ref *server)
 {
 	struct probe *p;
 
-	HASH_FIND_STR(set->all, server, p);
+	HASH_FIND_STR(set->all, server->id, p);
 	if (p)
 		return;
 	p = mh_check_alloc(calloc(1, sizeof(*p)));
 	p->set = set;
-	p->server = mh_check_alloc(strdup(server));
-	p->address = mh_check_alloc(strdup(address));
+	p->server = mh_check_alloc(strdup(server->id));
+	p->address = mh_check_alloc(strdup(server->address));
+	p->born_ms = server->born_ms;
 	p->watch.fd = -1;
 	p->watch.ready = on_connected;
 	p->watch.data = p;
--- a/proxy/probes.h
+++ b/proxy/probes.h
@@ -7,6 +7,7 @@
 
 #include "core/clock.h"
 #include "core/counters.h"
+#include "core/server_notices.h"
 #include "net/loop.h"
 #include "net/timers.h"
 
@@ -18,12 +19,14 @@
  * @timers: timers of the loop's thread
  * @clock: clock
  * @counters: counters to increment
+ * @notices: what servers asked for; none that leaves or wants a pause is probed
  * @accepted: a server accepted a connection
  * @data: first argument of @accepted
  */
 struct mh_probes *
 mh_probes_new(struct mh_loop *loop, struct mh_timers *timers,
 	      const struct mh_clock *clock, struct mh_counters *counters,
+	      const struct mh_server_notices *notices,
 	      void (*accepted)(void *data, const char *server), void *data);
 
 /**
@@ -35,12 +38,10 @@
 /**
  * mh_probes_start() - try to connect to a server a moment later
  * @set: set
- * @server: identifier of the server
- * @address: "ip:port" of the server
+ * @server: server
  *
  * A server that is being probed is not probed again at the same time.
  */
-void mh_probes_start(struct mh_probes *set, const char *server,
-		     const char *address);
+void mh_probes_start(struct mh_probes *set, const struct mh_server_ref *server);
 
 #endif
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -63,6 +63,7 @@
 	struct mh_usage_relay *usage_relay;
 	struct mh_ledger_cache *ledger_cache;
 	struct mh_suspect_relay suspects;
+	struct mh_notice_relay notices;
 };
 
 static uint64_t now_of(const struct mh_slot_client *sc)
@@ -133,9 +134,8 @@
 				      report_local_usage, sc);
 }
 
-/* Withdraws all requests from the current dispatcher and submits them to the
- * next one, which adopts the slots that they hold. NULL stands for the local
- * dispatcher. */
+/* Moves all requests to the next dispatcher, which adopts the slots that they
+ * hold. NULL stands for the local dispatcher. */
 static void switch_dispatcher(struct mh_slot_client *sc,
 			      struct mh_candidate *next)
 {
@@ -199,15 +199,11 @@
 /* A dispatcher closes the link of an entry that sends nothing. */
 static void send_pings(struct mh_slot_client *sc)
 {
-	Mh__Ping msg = MH__PING__INIT;
-	Mh__Frame frame = MH__FRAME__INIT;
-	struct mh_candidate *c;
+	const struct mh_candidate *c;
 
-	frame.body_case = MH__FRAME__BODY_PING;
-	frame.ping = &msg;
 	DL_FOREACH(sc->candidates.first, c) {
 		if (c->up)
-			mh_links_send(sc->links, c->link, &frame);
+			mh_slot_frames_send_ping(sc->links, c->link);
 	}
 }
 
@@ -224,6 +220,7 @@
 			     mh_link_peer_send_record,
 			     &(struct mh_link_peer){ sc->links, link });
 	mh_suspect_relay_send_all(&sc->suspects, link);
+	mh_notice_relay_send_all(&sc->notices, link);
 	mh_event(sc->log, MH_EV_DEPENDENCY, "event=link_up peer=%s", c->name);
 }
 
@@ -256,9 +253,9 @@
 }
 
 static void accept_grant(struct mh_slot_client *sc, struct request *req,
-			 const char *server, const char *address)
+			 const struct mh_server_ref *server)
 {
-	req->server = mh_check_alloc(strdup(server));
+	req->server = mh_check_alloc(strdup(server->id));
 	req->granted_ns = now_of(sc);
 	mh_usage_relay_add(sc->usage_relay, req->slot_req.account,
 			   current_grantor(sc), req->slot_req.units,
@@ -271,16 +268,18 @@
 		mh_usage_relay_add(sc->usage_relay, name, current_grantor(sc),
 				   1, now_of(sc));
 	}
-	sc->ops->granted(sc->data, req->id, server, address);
+	sc->ops->granted(sc->data, req->id, server);
 }
 
 static void on_granted(struct mh_slot_client *sc, struct mh_candidate *c,
 		       const Mh__PlaceGiven *msg)
 {
+	struct mh_server_ref server = { msg->server, msg->address,
+					msg->born_ms };
 	struct request *req = find_request(sc, msg->id);
 
 	if (req && !req->server && c == sc->current) {
-		accept_grant(sc, req, msg->server, msg->address);
+		accept_grant(sc, req, &server);
 		return;
 	}
 	/* Nobody uses this slot: the request was withdrawn, or the entry has
@@ -358,6 +357,9 @@
 		mh_suspect_relay_receive(&sc->suspects, frame->crash_suspect,
 					 c);
 		break;
+	case MH__FRAME__BODY_SERVER_NOTICE:
+		mh_notice_relay_receive(&sc->notices, frame->server_notice, c);
+		break;
 	case MH__FRAME__BODY_STANDING:
 		on_heartbeat(sc, c, frame->standing);
 		break;
@@ -372,12 +374,14 @@
 static void local_grant(void *data, uint32_t owner, uint64_t id,
 			const struct mh_backend_server *server)
 {
+	struct mh_server_ref ref = { server->id, server->address,
+				     server->born_ms };
 	struct mh_slot_client *sc = data;
 	struct request *req = find_request(sc, id);
 
 	(void)owner;
 	if (req && !req->server)
-		accept_grant(sc, req, server->id, server->address);
+		accept_grant(sc, req, &ref);
 }
 
 static void local_refuse(void *data, uint32_t owner, uint64_t id,
@@ -474,6 +478,10 @@
 		mh_dispatch_new(&conf->dispatch, clock, seed, &local_ops, sc);
 	sc->suspects = (struct mh_suspect_relay){ clock, log, sc->links,
 						  &sc->candidates, sc->local };
+	sc->notices = (struct mh_notice_relay){
+		clock,		 counters,  log,	   sc->links,
+		&sc->candidates, sc->local, conf->notices,
+	};
 	return sc;
 }
 
@@ -512,8 +520,7 @@
 	} else if (address) {
 		mh_candidates_add(&sc->candidates, name, address);
 	}
-	/* Scan at the next tick, when all candidates of the same listing are
-	 * known. */
+	/* At the next tick all candidates of the same listing are known. */
 	sc->next_scan_ns = 0;
 }
 
@@ -576,18 +583,11 @@
 void mh_slot_client_first_byte(struct mh_slot_client *sc, uint64_t id,
 			       uint32_t first_ms)
 {
-	Mh__PlaceFirst msg = MH__PLACE_FIRST__INIT;
-	Mh__Frame frame = MH__FRAME__INIT;
-
-	if (!sc->current) {
+	if (sc->current)
+		mh_slot_frames_send_first_byte(sc->links, sc->current->link, id,
+					       first_ms);
+	else
 		mh_dispatch_first_byte(sc->local, 0, id, first_ms);
-		return;
-	}
-	msg.id = id;
-	msg.first_ms = first_ms;
-	frame.body_case = MH__FRAME__BODY_PLACE_FIRST;
-	frame.place_first = &msg;
-	mh_links_send(sc->links, sc->current->link, &frame);
 }
 
 /* The slot may be another dispatcher's that is lost: the local one takes it
@@ -625,6 +625,12 @@
 		mh_dispatch_server_probed(sc->local, server);
 }
 
+const struct mh_notice_relay *
+mh_slot_client_notices(const struct mh_slot_client *sc)
+{
+	return &sc->notices;
+}
+
 double mh_slot_client_store_readers(const struct mh_slot_client *sc)
 {
 	if (sc->current && sc->current->fit)
@@ -646,8 +652,7 @@
 			     sc->ready_registrations > 0;
 }
 
-/* Submits the requests that arrived during the wait for a dispatcher. The local
- * dispatcher ignores those that it already has. */
+/* The local dispatcher ignores requests that it already has. */
 static void request_local_slots(struct mh_slot_client *sc)
 {
 	struct request *req, *tmp;
--- a/proxy/slot_client.h
+++ b/proxy/slot_client.h
@@ -14,6 +14,7 @@
 #include "core/routes.h"
 #include "net/event_log.h"
 #include "net/link.h"
+#include "proxy/notice_relay.h"
 
 /**
  * struct mh_slot_client_ops - events
@@ -23,8 +24,8 @@
  * @document: a peer sent this configuration document
  */
 struct mh_slot_client_ops {
-	void (*granted)(void *data, uint64_t id, const char *server,
-			const char *address);
+	void (*granted)(void *data, uint64_t id,
+			const struct mh_server_ref *server);
 	void (*refused)(void *data, uint64_t id, enum mh_error error,
 			uint32_t retry_after_ms);
 	void (*move)(void *data, uint64_t id);
@@ -38,12 +39,14 @@
  * @zone: its availability zone
  * @key: shared link key
  * @dispatch: bounds of the local dispatcher
+ * @notices: what servers asked for; the slot client adds to it
  */
 struct mh_slot_client_conf {
 	const char *host;
 	const char *zone;
 	const uint8_t *key;
 	struct mh_dispatch_conf dispatch;
+	struct mh_server_notices *notices;
 };
 
 struct mh_slot_client;
@@ -150,6 +153,13 @@
 void mh_slot_client_server_probed(struct mh_slot_client *sc,
 				  const char *server);
 
+/**
+ * mh_slot_client_notices() - relay of what servers asked for
+ * @sc: slot client
+ */
+const struct mh_notice_relay *
+mh_slot_client_notices(const struct mh_slot_client *sc);
+
 /**
  * mh_slot_client_store_readers() - number of entries that share the reads of
  *                                  the store
--- a/proxy/slot_frames.c
+++ b/proxy/slot_frames.c
@@ -70,3 +70,26 @@
 	frame.server_probed = &msg;
 	mh_links_send(links, link, &frame);
 }
+
+void mh_slot_frames_send_first_byte(struct mh_links *links, uint32_t link,
+				    uint64_t id, uint32_t first_ms)
+{
+	Mh__PlaceFirst msg = MH__PLACE_FIRST__INIT;
+	Mh__Frame frame = MH__FRAME__INIT;
+
+	msg.id = id;
+	msg.first_ms = first_ms;
+	frame.body_case = MH__FRAME__BODY_PLACE_FIRST;
+	frame.place_first = &msg;
+	mh_links_send(links, link, &frame);
+}
+
+void mh_slot_frames_send_ping(struct mh_links *links, uint32_t link)
+{
+	Mh__Ping msg = MH__PING__INIT;
+	Mh__Frame frame = MH__FRAME__INIT;
+
+	frame.body_case = MH__FRAME__BODY_PING;
+	frame.ping = &msg;
+	mh_links_send(links, link, &frame);
+}
--- a/proxy/slot_frames.h
+++ b/proxy/slot_frames.h
@@ -42,4 +42,21 @@
 void mh_slot_frames_send_probed(struct mh_links *links, uint32_t link,
 				const char *server);
 
+/**
+ * mh_slot_frames_send_first_byte() - report the first byte of a response
+ * @links: links
+ * @link: link to the dispatcher
+ * @id: request
+ * @first_ms: time since the request was sent
+ */
+void mh_slot_frames_send_first_byte(struct mh_links *links, uint32_t link,
+				    uint64_t id, uint32_t first_ms);
+
+/**
+ * mh_slot_frames_send_ping() - show a dispatcher that this entry is alive
+ * @links: links
+ * @link: link to the dispatcher
+ */
+void mh_slot_frames_send_ping(struct mh_links *links, uint32_t link);
+
 #endif
--- a/proxy/upstream.c
+++ b/proxy/upstream.c
@@ -44,6 +44,7 @@
 	struct mh_http_reader reader;
 	struct mh_buffer out;
 	struct mh_timer connect_timer;
+	struct mh_server_ref server; /* its strings are the caller's */
 	const struct mh_upstream_ops *ops;
 	void *data;
 	struct mh_upstream *prev, *next;
@@ -54,6 +55,7 @@
 	struct mh_timers *timers;
 	const struct mh_clock *clock;
 	struct mh_counters *counters;
+	const struct mh_server_notices *notices;
 	struct pool *pools;
 	struct mh_upstream *busy;
 };
@@ -83,7 +85,8 @@
 struct mh_upstreams *mh_upstreams_new(struct mh_loop *loop,
 				      struct mh_timers *timers,
 				      const struct mh_clock *clock,
-				      struct mh_counters *counters)
+				      struct mh_counters *counters,
+				      const struct mh_server_notices *notices)
 {
 	struct mh_upstreams *set = calloc(1, sizeof(*set));
 
@@ -93,6 +96,7 @@
 	set->timers = timers;
 	set->clock = clock;
 	set->counters = counters;
+	set->notices = notices;
 	return set;
 }
 
@@ -189,6 +193,12 @@
 	watch_for(u, events);
 }
 
+static bool may_send(const struct mh_upstream *u)
+{
+	return mh_server_notices_check(u->set->notices, &u->server) ==
+	       MH_SEND_ALLOWED;
+}
+
 /* Return: false if the connection broke. */
 static bool write_socket(struct mh_upstream *u)
 {
@@ -284,6 +294,11 @@
 		}
 		u->connecting = false;
 		mh_timer_clear(u->set->timers, &u->connect_timer);
+		/* The server may have asked for it meanwhile. */
+		if (!may_send(u)) {
+			fail(u, MH_UPSTREAM_HELD_BACK);
+			return;
+		}
 	}
 	if ((events & EPOLLOUT) && !write_socket(u)) {
 		/* An early response may be readable although writing failed. */
@@ -366,20 +381,25 @@
 }
 
 struct mh_upstream *mh_upstream_send(struct mh_upstreams *set,
-				     const char *address,
+				     const struct mh_server_ref *server,
 				     struct mh_buffer *request, bool no_body,
 				     const struct mh_upstream_ops *ops,
 				     void *data)
 {
-	struct pool *p = get_pool(set, address);
-	struct mh_upstream *u = take_idle(set, p);
+	struct mh_upstream *u;
+	struct pool *p;
 
+	if (mh_server_notices_check(set->notices, server) != MH_SEND_ALLOWED)
+		return NULL;
+	p = get_pool(set, server->address);
+	u = take_idle(set, p);
 	if (!u)
 		u = open_new(set, p);
 	if (!u)
 		return NULL;
 	u->busy = true;
 	DL_PREPEND(set->busy, u);
+	u->server = *server;
 	u->ops = ops;
 	u->data = data;
 	u->bytes_sent = false;
--- a/proxy/upstream.h
+++ b/proxy/upstream.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "core/counters.h"
+#include "core/server_notices.h"
 #include "net/buffer.h"
 #include "net/http1.h"
 #include "net/loop.h"
@@ -17,8 +18,9 @@
 /* Why no complete response arrived. */
 enum mh_upstream_failure {
 	MH_UPSTREAM_UNREACHABLE, /* no byte of the request was sent */
-	MH_UPSTREAM_LOST,	 /* the request may have run */
-	MH_UPSTREAM_MALFORMED,	 /* the response could not be parsed */
+	MH_UPSTREAM_HELD_BACK, /* the same, since the server's notice forbids it */
+	MH_UPSTREAM_LOST,      /* the request may have run */
+	MH_UPSTREAM_MALFORMED, /* the response could not be parsed */
 };
 
 /**
@@ -47,11 +49,13 @@
  * @timers: timers of the loop's thread
  * @clock: clock
  * @counters: counters to increment
+ * @notices: what servers asked for; no request is sent against it
  */
 struct mh_upstreams *mh_upstreams_new(struct mh_loop *loop,
 				      struct mh_timers *timers,
 				      const struct mh_clock *clock,
-				      struct mh_counters *counters);
+				      struct mh_counters *counters,
+				      const struct mh_server_notices *notices);
 
 /**
  * mh_upstreams_free() - close all connections without further events
@@ -68,17 +72,18 @@
 /**
  * mh_upstream_send() - send a request over an idle or a new connection
  * @set: set
- * @address: "ip:port"
+ * @server: server
  * @request: complete request; ownership is taken unless NULL is returned, and
  *           it is empty afterwards
  * @no_body: the response has no body (HEAD)
  * @ops: events, only after this returns
  * @data: first argument of @ops
  *
- * Return: the connection, or NULL if it could not be opened.
+ * Return: the connection, or NULL if it could not be opened or the server's
+ * notice forbids it.
  */
 struct mh_upstream *mh_upstream_send(struct mh_upstreams *set,
-				     const char *address,
+				     const struct mh_server_ref *server,
 				     struct mh_buffer *request, bool no_body,
 				     const struct mh_upstream_ops *ops,
 				     void *data);
--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -9,7 +9,13 @@
  *
  * The store listens on PORT. Control requests of tests:
  *   POST /test/config           publishes a configuration
- *   POST /test/server?id=&state=  sets a server to ready, draining or gone
+ *   POST /test/server?id=&state=[&born=]  sets a server to ready, draining or
+ *                               gone, of the incarnation that began then
+ *   POST /test/leaving?id=&on=[&text=]  on=1: all responses of a server have
+ *                               Server-Leaving with this text, by default 1
+ *   POST /test/shed?id=&ms=&text=  for that time a server does not run requests
+ *                               and responds with 503 and these header fields,
+ *                               such as Retry-After:1.5; | separates several
  *   POST /test/register?id=&service=&slots=&port=  registers a further server
  *                               that another process serves
  *   POST /test/hosts            replaces the host list: {"hosts": [{"name",
@@ -22,6 +28,9 @@
  *   GET  /test/runs             a line for each run: server, id, method,
  *                               target, account, deadline, event, body length,
  *                               key
+ *   GET  /test/arrivals         a line for each request that reached a server:
+ *                               time (CLOCK_BOOTTIME, ms), server, id, status of
+ *                               a refusal or "run", "leaving" if it said so
  *   GET  /test/ends             a line for each run that has ended: begin and
  *                               end (CLOCK_BOOTTIME, ms), server, id, target,
  *                               account, "whole" (response sent) or "gone"
@@ -73,12 +82,17 @@
 	char state[16];
 	uint64_t silent_until_ms;
 	bool fails_all;
+	unsigned long long born_ms;
+	char leaving[32]; /* value of Server-Leaving, "" without the field */
+	uint64_t sheds_until_ms;
+	char shed_fields[256];
 };
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static struct server servers[MAX_SERVERS];
 static int n_servers;
 static struct mh_buffer runs;
+static struct mh_buffer arrivals;
 static struct mh_buffer ends;
 
 static int on_head(void *data, const struct mh_http_head *head)
@@ -97,16 +111,18 @@
 
 static void put_registration(struct server *s)
 {
-	char text[512];
+	char text[512], born[48] = "";
 
 	if (!strcmp(s->state, "gone"))
 		return;
 	s->sequence++;
+	if (s->born_ms)
+		snprintf(born, sizeof(born), "\"born\":%llu,", s->born_ms);
 	snprintf(text, sizeof(text),
-		 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\","
+		 "{%s\"service\":\"%s\",\"address\":\"127.0.0.1:%d\","
 		 "\"zone\":\"z\",\"version\":\"v1\",\"slots\":%d,"
 		 "\"state\":\"%s\",\"cold_remaining_ms\":0,\"sequence\":%d}",
-		 s->service, s->registered_port, s->slots, s->state,
+		 born, s->service, s->registered_port, s->slots, s->state,
 		 s->sequence);
 	store_put("keyed.servers", s->id, text, strlen(text));
 }
@@ -147,7 +163,20 @@
 	} else if (path_is(c, "/test/silent") && s) {
 		s->silent_until_ms =
 			mono_now_ms() + strtoul(query_param(c, "ms"), NULL, 10);
+	} else if (path_is(c, "/test/leaving") && s) {
+		bool on = !strcmp(query_param(c, "on"), "1");
+		const char *text = query_param(c, "text");
+
+		snprintf(s->leaving, sizeof(s->leaving), "%s",
+			 on ? *text ? text : "1" : "");
+	} else if (path_is(c, "/test/shed") && s) {
+		snprintf(s->shed_fields, sizeof(s->shed_fields), "%s",
+			 query_param(c, "text"));
+		s->sheds_until_ms =
+			mono_now_ms() + strtoul(query_param(c, "ms"), NULL, 10);
 	} else if (path_is(c, "/test/server") && s) {
+		if (*query_param(c, "born"))
+			s->born_ms = strtoull(query_param(c, "born"), NULL, 10);
 		snprintf(s->state, sizeof(s->state), "%s",
 			 query_param(c, "state"));
 		if (!strcmp(s->state, "gone"))
@@ -160,6 +189,10 @@
 		write_response(c, 200, "text/plain", mh_buffer_front(&runs),
 			       runs.len);
 		return;
+	} else if (path_is(c, "/test/arrivals")) {
+		write_response(c, 200, "text/plain", mh_buffer_front(&arrivals),
+			       arrivals.len);
+		return;
 	} else if (path_is(c, "/test/ends")) {
 		write_response(c, 200, "text/plain", mh_buffer_front(&ends),
 			       ends.len);
@@ -229,6 +262,9 @@
 	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
 
 	mh_buffer_printf(&c->out, "HTTP/1.1 %d X\r\n", status);
+	if (*c->server->leaving)
+		mh_buffer_printf(&c->out, "Server-Leaving: %s\r\n",
+				 c->server->leaving);
 	mh_buffer_printf(&c->out,
 			 "X-Mangohead-Request-Id: %.*s\r\n"
 			 "X-Mangohead-Server-Load: 1,0,%d\r\n"
@@ -236,6 +272,32 @@
 			 (int)id.len, id.p, c->server->slots, fields);
 }
 
+static void record_arrival(const struct conn *c, const char *what)
+{
+	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
+
+	pthread_mutex_lock(&lock);
+	mh_buffer_printf(&arrivals, "%llu %s %.*s %s %s\n",
+			 (unsigned long long)mono_now_ms(), c->server->id,
+			 (int)id.len, id.p, what,
+			 strcmp(c->server->leaving, "1") ? "-" : "leaving");
+	pthread_mutex_unlock(&lock);
+}
+
+/* Each field of the list "NAME:VALUE|NAME:VALUE" becomes a line. */
+static bool serve_shed(struct conn *c)
+{
+	char fields[256], *save = NULL, *field;
+
+	begin_response(c, 503, "X-Mangohead-Not-Executed: 1\r\n");
+	snprintf(fields, sizeof(fields), "%s", c->server->shed_fields);
+	for (field = strtok_r(fields, "|", &save); field;
+	     field = strtok_r(NULL, "|", &save))
+		mh_buffer_printf(&c->out, "%s\r\n", field);
+	mh_buffer_printf(&c->out, "Content-Length: 0\r\n\r\n");
+	return send_all(c);
+}
+
 #define SIGNED "X-Mangohead-Response-Signature: sig\r\n"
 
 static void record_run_end(const struct conn *c, uint64_t begin_ms,
@@ -340,9 +402,15 @@
 		sleep_ms(10);
 	if (expected.len != id_len ||
 	    memcmp(expected.p, c->server->id, id_len)) {
+		record_arrival(c, "421");
 		begin_response(c, 421, "Content-Length: 0\r\n\r\n");
 		return send_all(c);
 	}
+	if (mono_now_ms() < c->server->sheds_until_ms) {
+		record_arrival(c, "503");
+		return serve_shed(c);
+	}
+	record_arrival(c, "run");
 	if (target_ends_with(c, "reject")) {
 		begin_response(c, 503,
 			       "X-Mangohead-Not-Executed: 1\r\n"
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -635,6 +635,7 @@
 		fuzz_message(&rng,
 			     "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n"
 			     "Keep-Alive: timeout=3\r\n"
+			     "Retry-After: 2.25\r\nServer-Leaving: 1\r\n"
 			     "X-Mangohead-Server-Load: 1,2,3\r\n\r\n"
 			     "hello, world",
 			     HTTP_RESPONSE);
