Soak: servers that leave, and servers that ask for a pause

Two kinds of fault: a server turns requests away with 503 and a Retry-After of 0.7 to 3 s, or says in all responses that it leaves and starts anew. Both are drawn in a pass of their own, so that the seeds kept for the other faults give the same plans as before. Requests that were turned away count as arrivals for the retry budget, not as runs.

--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -17,18 +17,16 @@
 #define CONFIG_PROPAGATION_MS 2500
 /* Time within which a run ends after its client has disconnected. */
 #define CANCEL_TIMEOUT_MS 1000
-/* Time after a fault during which its effects on requests that were in
- * progress may still be seen. */
-#define FAULT_TAIL_MS 500
 
-/* One run as a server saw it. */
+/* One arrival of a request at a server. */
 struct run {
 	uint64_t begin_ms;
 	uint64_t end_ms;
 	char id[ID_BYTES];
 	char target[64];
 	char account[16];
-	bool first;	  /* first run of its request */
+	bool shed;	  /* it was turned away and did not run */
+	bool first;	  /* first arrival of its request */
 	uint64_t sent_ms; /* time at which its client sent the request */
 	struct run *next; /* next run of the same request */
 };
@@ -37,7 +35,8 @@
 	char id[ID_BYTES];
 	uint64_t sent_ms;
 	struct run *runs;
-	uint32_t n;
+	uint32_t n; /* runs */
+	uint32_t arrivals;
 	UT_hash_handle hh;
 };
 
@@ -108,10 +107,12 @@
 	     line = strtok_r(NULL, "\n", &save)) {
 		unsigned long long begin_ms, end_ms;
 		struct run run = { 0 };
+		char how[8];
 
-		if (sscanf(line, "%llu %llu %*s %23s %63s %15s", &begin_ms,
-			   &end_ms, run.id, run.target, run.account) != 5)
+		if (sscanf(line, "%llu %llu %*s %23s %63s %15s %7s", &begin_ms,
+			   &end_ms, run.id, run.target, run.account, how) != 6)
 			continue;
+		run.shed = !strcmp(how, "shed");
 		run.begin_ms = begin_ms;
 		run.end_ms = end_ms;
 		if (ck->n_runs == cap) {
@@ -131,8 +132,11 @@
 		struct run *run = &ck->runs[i];
 		struct request *r = request_of(ck, run->id);
 
-		run->first = !r->n++;
+		run->first = !r->arrivals++;
 		run->sent_ms = r->sent_ms;
+		if (run->shed)
+			continue;
+		r->n++;
 		run->next = r->runs;
 		r->runs = run;
 	}
@@ -146,12 +150,6 @@
 	return r;
 }
 
-static bool overlaps(const struct fault *f, uint64_t from_ms, uint64_t to_ms)
-{
-	return f->begin_ms && f->begin_ms <= to_ms &&
-	       (!f->end_ms || f->end_ms + FAULT_TAIL_MS >= from_ms);
-}
-
 static bool is_relay_fault(const struct fault *f)
 {
 	return f->kind == FAULT_RESET || f->kind == FAULT_DELAY ||
@@ -169,7 +167,7 @@
 	for (i = 0; i < ck->plan->n; i++) {
 		const struct fault *f = &ck->plan->v[i];
 
-		if (!overlaps(f, from_ms, to_ms))
+		if (!fault_overlaps(f, from_ms, to_ms))
 			continue;
 		if (f->kind == FAULT_KILL_ALL)
 			return true;
@@ -248,11 +246,12 @@
 		uint64_t to_ms = ck->runs[i].begin_ms, from_ms;
 		uint32_t n = 0;
 
-		if (strcmp(ck->runs[i].account, "small"))
+		if (strcmp(ck->runs[i].account, "small") || ck->runs[i].shed)
 			continue;
 		from_ms = to_ms - QUOTA_WINDOW_MS;
 		for (j = i + 1; j-- && ck->runs[j].begin_ms > from_ms;)
 			n += ck->runs[j].sent_ms > from_ms &&
+			     !ck->runs[j].shed &&
 			     !strcmp(ck->runs[j].account, "small");
 		if (n <= most)
 			continue;
@@ -355,14 +354,15 @@
 	for (i = 0; i < ck->plan->n; i++) {
 		const struct fault *f = &ck->plan->v[i];
 
-		if (!overlaps(f, from_ms, to_ms))
+		if (!fault_overlaps(f, from_ms, to_ms))
 			continue;
 		if (is_relay_fault(f) &&
 		    f->target < relay_of_dispatcher(ck->params, 0))
 			continue;
 		if (f->kind == FAULT_CONFIG || f->kind == FAULT_SERVER_LEAVE ||
-		    f->kind == FAULT_RELOAD || f->kind == FAULT_CLOCK ||
-		    f->kind == FAULT_TRUNCATE_LOG)
+		    f->kind == FAULT_SERVER_SHED ||
+		    f->kind == FAULT_SERVER_SAYS || f->kind == FAULT_RELOAD ||
+		    f->kind == FAULT_CLOCK || f->kind == FAULT_TRUNCATE_LOG)
 			continue;
 		if (f->kind == FAULT_TERM && f->target < ck->params->proxies &&
 		    f->target != proxy)
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -13,6 +13,8 @@
 #define EXIT_TIMEOUT_MS 4500
 /* Time after the last fault within which every proxy serves again. */
 #define RECOVERY_MS 4000
+/* A server says that it leaves for this much longer than its fault takes. */
+#define NOTICE_MS 1500
 
 static const struct option options[] = {
 	{ "seed", required_argument, NULL, 's' },
@@ -109,6 +111,38 @@
 	}
 }
 
+static void shed_at_server(const struct fault *f)
+{
+	char target[128];
+
+	snprintf(target, sizeof(target),
+		 "/test/shed?id=s%u&ms=%u&text=Retry-After:%d.%03d", f->target,
+		 f->ms, f->value / 1000, f->value % 1000);
+	free(fleet_platform_request("POST", target, NULL));
+	soak_sleep_ms(f->ms);
+}
+
+/* Says in all responses that it leaves, then starts anew. */
+static void leave_by_notice(const struct fault *f)
+{
+	struct timespec now;
+	char target[128];
+
+	snprintf(target, sizeof(target), "/test/leaving?id=s%u&on=1",
+		 f->target);
+	free(fleet_platform_request("POST", target, NULL));
+	soak_sleep_ms(f->ms + NOTICE_MS);
+	snprintf(target, sizeof(target), "/test/leaving?id=s%u&on=0",
+		 f->target);
+	free(fleet_platform_request("POST", target, NULL));
+	clock_gettime(CLOCK_REALTIME, &now);
+	snprintf(target, sizeof(target),
+		 "/test/server?id=s%u&state=ready&born=%llu", f->target,
+		 (unsigned long long)now.tv_sec * 1000 +
+			 (unsigned long long)now.tv_nsec / 1000000);
+	free(fleet_platform_request("POST", target, NULL));
+}
+
 static void restart_all(const struct fault *f)
 {
 	uint32_t i, n = params.proxies + params.dispatchers;
@@ -202,6 +236,12 @@
 	case FAULT_SERVER_LEAVE:
 		cycle_server(f);
 		break;
+	case FAULT_SERVER_SHED:
+		shed_at_server(f);
+		break;
+	case FAULT_SERVER_SAYS:
+		leave_by_notice(f);
+		break;
 	default:
 		inject_relay_fault(f);
 		break;
@@ -361,6 +401,7 @@
 		violations += fleet_unexpected_exits();
 		violations += checks_run(&calls, &plan, &params, stdout);
 		violations += crashes_check(stdout);
+		violations += notices_check(&calls, &plan, &params, stdout);
 	}
 	fleet_stop();
 	free(calls.v);
--- /dev/null
+++ b/tests/soak/notices.c
@@ -0,0 +1,208 @@
+/*
+ * Checks what reached servers that said that they leave, or that turned requests
+ * away and asked for a pause.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#include "tests/soak/soak.h"
+
+/* The users' rule: from this long after a 503 with Retry-After to the end of
+ * its time, at most this many requests reach the server from that proxy. */
+#define PAUSE_MARGIN_MS 500
+#define MAX_ARRIVALS 2
+/* Requests that were on their way when a server said that it leaves. */
+#define LEAVING_MARGIN_MS 500
+
+struct sent {
+	char id[ID_BYTES];
+	const struct call *call;
+	UT_hash_handle hh;
+};
+
+struct arrival {
+	uint64_t at_ms;
+	char server[16];
+	const struct call *call;
+	bool leaving;
+	unsigned long long born_ms;
+	uint32_t pause_ms; /* that the server asked for, or 0 */
+};
+
+struct notices {
+	const struct plan *plan;
+	const struct params *params;
+	FILE *out;
+	struct arrival *v;
+	size_t n;
+	uint32_t violations;
+};
+
+static void read_arrivals(struct notices *nt, const struct calls *calls,
+			  char *text)
+{
+	struct sent *all = calloc(calls->n, sizeof(*all)), *by_id = NULL, *s;
+	char *save = NULL, *line;
+	size_t i, cap = 0;
+
+	for (i = 0; i < calls->n; i++) {
+		s = &all[i];
+		snprintf(s->id, sizeof(s->id), "%s", calls->v[i].id);
+		s->call = &calls->v[i];
+		HASH_ADD_STR(by_id, id, s);
+	}
+	for (line = strtok_r(text, "\n", &save); line;
+	     line = strtok_r(NULL, "\n", &save)) {
+		struct arrival a = { 0 };
+		unsigned long long at_ms;
+		char id[ID_BYTES], what[8], leaving[8];
+		double pause_s = 0;
+
+		if (sscanf(line, "%llu %15s %23s %7s %7s %llu Retry-After:%lf",
+			   &at_ms, a.server, id, what, leaving, &a.born_ms,
+			   &pause_s) < 6)
+			continue;
+		HASH_FIND_STR(by_id, id, s);
+		if (!s)
+			continue;
+		a.at_ms = at_ms;
+		a.call = s->call;
+		a.leaving = !strcmp(leaving, "leaving");
+		a.pause_ms = (uint32_t)(pause_s * 1000);
+		if (nt->n == cap) {
+			cap = cap ? cap * 2 : 1024;
+			nt->v = realloc(nt->v, cap * sizeof(*nt->v));
+			if (!nt->v)
+				abort();
+		}
+		nt->v[nt->n++] = a;
+	}
+	HASH_CLEAR(hh, by_id);
+	free(all);
+}
+
+/* Whether a restart or a freeze of the proxy excuses it. */
+static bool is_excused(const struct notices *nt, uint32_t proxy,
+		       uint64_t from_ms, uint64_t to_ms)
+{
+	size_t i;
+
+	for (i = 0; i < nt->plan->n; i++) {
+		const struct fault *f = &nt->plan->v[i];
+
+		if (!fault_overlaps(f, from_ms, to_ms))
+			continue;
+		if (f->kind == FAULT_KILL_ALL ||
+		    ((f->kind == FAULT_KILL || f->kind == FAULT_TERM ||
+		      f->kind == FAULT_STOP) &&
+		     f->target == proxy))
+			return true;
+	}
+	return false;
+}
+
+/* Whether the way between the proxies and a server was cut or harmed. */
+static bool was_cut(const struct notices *nt, const char *server,
+		    uint64_t from_ms, uint64_t to_ms)
+{
+	uint32_t relay = relay_of_server(
+		nt->params, (uint32_t)strtoul(server + 1, NULL, 10));
+	size_t i;
+
+	for (i = 0; i < nt->plan->n; i++) {
+		const struct fault *f = &nt->plan->v[i];
+
+		if (f->kind >= FAULT_RESET && f->kind <= FAULT_PARTITION &&
+		    f->target == relay && fault_overlaps(f, from_ms, to_ms))
+			return true;
+	}
+	return false;
+}
+
+static bool same_way(const struct arrival *a, const struct arrival *b)
+{
+	return a->call->proxy == b->call->proxy &&
+	       !strcmp(a->server, b->server) && a->born_ms == b->born_ms;
+}
+
+/* Return: whether the arrival asked for a pause. */
+static bool check_pause(struct notices *nt, size_t i)
+{
+	const struct arrival *a = &nt->v[i];
+	uint64_t end_ms = a->at_ms + a->pause_ms;
+	uint32_t n = 0;
+	size_t j;
+
+	if (!a->pause_ms)
+		return false;
+	for (j = i + 1; j < nt->n && nt->v[j].at_ms < end_ms; j++)
+		n += nt->v[j].at_ms > a->at_ms + PAUSE_MARGIN_MS &&
+		     same_way(a, &nt->v[j]);
+	if (n <= MAX_ARRIVALS ||
+	    is_excused(nt, a->call->proxy, a->at_ms, end_ms) ||
+	    was_cut(nt, a->server, a->at_ms, end_ms))
+		return true;
+	nt->violations++;
+	fprintf(nt->out,
+		"BROKEN pauses: %u requests reached %s from proxy %u within a "
+		"pause of %u ms from %llu\n",
+		n, a->server, a->call->proxy, a->pause_ms,
+		(unsigned long long)a->at_ms);
+	return true;
+}
+
+/* Return: whether the proxy passed on that the server leaves. */
+static bool check_leaving(struct notices *nt, size_t i)
+{
+	const struct arrival *a = &nt->v[i];
+	uint64_t told_ms = a->call->end_ms;
+	size_t j;
+
+	if (!a->leaving || a->call->outcome != CALL_COMPLETE)
+		return false;
+	for (j = i + 1; j < nt->n; j++) {
+		const struct arrival *b = &nt->v[j];
+
+		if (!b->leaving || !same_way(a, b) ||
+		    b->call->sent_ms <= told_ms + LEAVING_MARGIN_MS ||
+		    is_excused(nt, a->call->proxy, a->at_ms, b->at_ms))
+			continue;
+		nt->violations++;
+		fprintf(nt->out,
+			"BROKEN leaving servers: request %s reached %s from "
+			"proxy %u at %llu, which had told of it at %llu\n",
+			b->call->id, b->server, b->call->proxy,
+			(unsigned long long)b->at_ms,
+			(unsigned long long)told_ms);
+		break;
+	}
+	return true;
+}
+
+uint32_t notices_check(const struct calls *calls, const struct plan *plan,
+		       const struct params *params, FILE *out)
+{
+	struct notices nt = { plan, params, out, NULL, 0, 0 };
+	char *text = fleet_platform_request("GET", "/test/arrivals", NULL);
+	uint32_t pauses = 0, leaving = 0;
+	size_t i;
+
+	if (!text) {
+		fprintf(out,
+			"BROKEN soak: the platform stand-in does not answer\n");
+		return 1;
+	}
+	read_arrivals(&nt, calls, text);
+	free(text);
+	for (i = 0; i < nt.n; i++) {
+		pauses += check_pause(&nt, i);
+		leaving += check_leaving(&nt, i);
+	}
+	fprintf(out,
+		"notices: %u pauses asked for, %u responses of servers "
+		"that leave\n",
+		pauses, leaving);
+	free(nt.v);
+	return nt.violations;
+}
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -1,7 +1,16 @@
+#include <stdlib.h>
+
 #include "tests/soak/soak.h"
 
 #define MIN_DURATION_MS 100
 #define MAX_DURATION_MS 1500
+/* Mean time between two notices of servers, in mean gaps between faults. */
+#define NOTICE_GAP 6
+#define MIN_PAUSE_MS 700
+#define MAX_PAUSE_MS 3000
+/* Time after a fault during which its effects on requests that were in
+ * progress may still be seen. */
+#define FAULT_TAIL_MS 500
 
 static const char *const names[FAULT_KINDS] = {
 	[FAULT_TERM] = "term",
@@ -19,9 +28,11 @@
 	[FAULT_CONFIG] = "config",
 	[FAULT_RELOAD] = "reload",
 	[FAULT_SERVER_LEAVE] = "leave",
+	[FAULT_SERVER_SHED] = "shed",
+	[FAULT_SERVER_SAYS] = "says",
 };
 
-/* Relative probability of each kind. */
+/* Relative probability of each kind in the first pass of plan_make(). */
 static const uint32_t weights[FAULT_KINDS] = {
 	[FAULT_TERM] = 12,
 	[FAULT_KILL] = 8,
@@ -45,6 +56,12 @@
 	return names[kind];
 }
 
+bool fault_overlaps(const struct fault *f, uint64_t from_ms, uint64_t to_ms)
+{
+	return f->begin_ms && f->begin_ms <= to_ms &&
+	       (!f->end_ms || f->end_ms + FAULT_TAIL_MS >= from_ms);
+}
+
 static uint32_t draw(struct mh_rng *rng, uint32_t n)
 {
 	return (uint32_t)(mh_rng_next(rng) % n);
@@ -92,10 +109,30 @@
 	}
 }
 
-/* One fault in four begins together with the one before; faults overlap. */
+static void draw_notice(struct fault *f, struct mh_rng *rng,
+			const struct params *params)
+{
+	f->kind = draw(rng, 3) ? FAULT_SERVER_SHED : FAULT_SERVER_SAYS;
+	f->ms = MIN_DURATION_MS + draw(rng, MAX_DURATION_MS - MIN_DURATION_MS);
+	f->target = draw(rng, params->servers);
+	f->value = (int32_t)(MIN_PAUSE_MS +
+			     draw(rng, MAX_PAUSE_MS - MIN_PAUSE_MS));
+}
+
+static int by_start(const void *a, const void *b)
+{
+	const struct fault *x = a, *y = b;
+
+	return (x->at_ms > y->at_ms) - (x->at_ms < y->at_ms);
+}
+
+/* One fault in four begins together with the one before; faults overlap. What
+ * servers ask for is drawn in a pass of its own, so that a seed gives the same
+ * faults of the other kinds as before. */
 void plan_make(struct plan *plan, const struct params *params)
 {
 	struct mh_rng rng = { params->seed };
+	struct mh_rng notices = { params->seed * 31 + 7 };
 	uint32_t at_ms = 0;
 
 	plan->n = 0;
@@ -105,11 +142,21 @@
 		if (draw(&rng, 4))
 			at_ms += draw(&rng, 2 * params->gap_ms);
 		if (at_ms >= params->seconds * 1000 || plan->n == MAX_FAULTS)
-			return;
+			break;
 		*f = (struct fault){ .at_ms = at_ms };
 		draw_fault(f, &rng, params);
 		plan->n++;
 	}
+	for (at_ms = 0; plan->n < MAX_FAULTS; plan->n++) {
+		struct fault *f = &plan->v[plan->n];
+
+		at_ms += draw(&notices, 2 * NOTICE_GAP * params->gap_ms);
+		if (at_ms >= params->seconds * 1000)
+			break;
+		*f = (struct fault){ .at_ms = at_ms };
+		draw_notice(f, &notices, params);
+	}
+	qsort(plan->v, plan->n, sizeof(*plan->v), by_start);
 }
 
 void plan_print(const struct plan *plan, const struct params *params, FILE *out)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -60,6 +60,8 @@
 	FAULT_CONFIG,		 /* a new configuration is published */
 	FAULT_RELOAD,		 /* SIGHUP to a process */
 	FAULT_SERVER_LEAVE,	 /* a server drains, leaves and comes back */
+	FAULT_SERVER_SHED,	 /* a server turns requests away for a while */
+	FAULT_SERVER_SAYS,	 /* a server says that it leaves, starts anew */
 	FAULT_KINDS,
 };
 
@@ -69,8 +71,8 @@
  * @ms: duration
  * @target: index of a process, relay or server, depending on @kind
  * @value: depending on @kind: store failure (index into the modes of
- *         inject_store_fault()), delay in ms, clock offset in ms, or version
- *         of the configuration
+ *         inject_store_fault()), delay in ms, clock offset in ms, pause that a
+ *         server asks for in ms, or version of the configuration
  * @begin_ms: soak_now_ms() when it began, 0: not yet
  * @end_ms: soak_now_ms() when it had ended, 0: not yet
  */
@@ -90,6 +92,8 @@
 };
 
 const char *fault_name(enum fault_kind kind);
+/* Whether a fault may still have had an effect between two times. */
+bool fault_overlaps(const struct fault *f, uint64_t from_ms, uint64_t to_ms);
 void plan_make(struct plan *plan, const struct params *params);
 void plan_print(const struct plan *plan, const struct params *params,
 		FILE *out);
@@ -236,6 +240,12 @@
 uint32_t checks_run(const struct calls *calls, const struct plan *plan,
 		    const struct params *params, FILE *out);
 
+/* ---- notices.c: servers that leave or ask for a pause ---- */
+
+/* Return: number of violated guarantees; each is printed. */
+uint32_t notices_check(const struct calls *calls, const struct plan *plan,
+		       const struct params *params, FILE *out);
+
 static inline uint64_t soak_now_ms(void)
 {
 	struct timespec ts;
--- a/tests/standins/conn.h
+++ b/tests/standins/conn.h
@@ -10,6 +10,7 @@
 struct conn {
 	int fd;
 	struct server *server; /* NULL: the store */
+	bool shed;	       /* the last request was turned away */
 	struct mh_http_reader reader;
 	struct mh_buffer body;
 	struct mh_buffer out;
--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -30,10 +30,12 @@
  *                               key
  *   GET  /test/arrivals         a line for each request that reached a server:
  *                               time (CLOCK_BOOTTIME, ms), server, id, status of
- *                               a refusal or "run", "leaving" if it said so
+ *                               a refusal or "run", "leaving" if it said so,
+ *                               start of the server, header fields of a refusal
  *   GET  /test/ends             a line for each run that has ended: begin and
  *                               end (CLOCK_BOOTTIME, ms), server, id, target,
- *                               account, "whole" (response sent) or "gone"
+ *                               account, "whole" (response sent), "gone", or
+ *                               "shed" (turned away)
  *   GET  /test/calls            number of calls to the store
  *
  * The last path segment of a request selects the response: stream, cut, reset,
@@ -277,10 +279,11 @@
 	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
 
 	pthread_mutex_lock(&lock);
-	mh_buffer_printf(&arrivals, "%llu %s %.*s %s %s\n",
-			 (unsigned long long)mono_now_ms(), c->server->id,
-			 (int)id.len, id.p, what,
-			 strcmp(c->server->leaving, "1") ? "-" : "leaving");
+	mh_buffer_printf(
+		&arrivals, "%llu %s %.*s %s %s %llu %s\n",
+		(unsigned long long)mono_now_ms(), c->server->id, (int)id.len,
+		id.p, what, strcmp(c->server->leaving, "1") ? "-" : "leaving",
+		c->server->born_ms, c->shed ? c->server->shed_fields : "-");
 	pthread_mutex_unlock(&lock);
 }
 
@@ -313,7 +316,9 @@
 			 (unsigned long long)mono_now_ms(), c->server->id,
 			 (int)id.len, id.p, (int)h->target.len, h->target.p,
 			 (int)account.len, account.p,
-			 complete ? "whole" : "gone");
+			 c->shed  ? "shed" :
+			 complete ? "whole" :
+				    "gone");
 	pthread_mutex_unlock(&lock);
 }
 
@@ -406,7 +411,8 @@
 		begin_response(c, 421, "Content-Length: 0\r\n\r\n");
 		return send_all(c);
 	}
-	if (mono_now_ms() < c->server->sheds_until_ms) {
+	c->shed = mono_now_ms() < c->server->sheds_until_ms;
+	if (c->shed) {
 		record_arrival(c, "503");
 		return serve_shed(c);
 	}
