Notices: one place for the rest of a pause, later incarnations count

A dispatcher that has not read a server's new registration yet ignored what the server's new incarnation asked for, and went on granting slots there, each of which the entry handed back. Such a notice holds now until the registration comes.

--- a/Makefile
+++ b/Makefile
@@ -193,6 +193,7 @@
 		mangohead-dispatcher mangoctl standin-platform)
 	set -e; for t in $(UNIT_TESTS); do build-asan/bin/$$t; done
 	BIN=build-asan/bin tests/test_proxy.sh
+	BIN=build-asan/bin tests/test_notices.sh
 	RC_PARAMS="seed=$(SEED) max_success=60 noshrink=1" \
 		build-asan/bin/test_properties
 
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -387,7 +387,7 @@
 /**
  * mh_dispatch_server_leaving() - place no further requests at a server
  * @d: dispatcher
- * @server: server that said that it leaves; ignored if another incarnation of
+ * @server: server that said that it leaves; ignored if a later incarnation of
  *          it is registered
  *
  * Return: whether this is new.
@@ -400,7 +400,7 @@
  *                              while, and few for a moment after that
  * @d: dispatcher
  * @owner: entry that the server asked for it
- * @server: server; ignored if another incarnation of it is registered
+ * @server: server; ignored if a later incarnation of it is registered
  * @ms: for how long, at most MH_PAUSE_MAX_MS
  */
 void mh_dispatch_server_pause(struct mh_dispatch *d, uint32_t owner,
--- a/core/dispatch_notice.c
+++ b/core/dispatch_notice.c
@@ -67,13 +67,14 @@
 	}
 }
 
-/* Return: the server, unless another incarnation is meant. */
+/* Return: the server, unless a former incarnation is meant. A later one may be
+ * registered in a moment. */
 static struct server *find_incarnation(const struct mh_dispatch *d,
 				       const struct mh_server_ref *ref)
 {
 	struct server *s = mh_dispatch_find_server(d, ref->id);
 
-	return s && s->info.born_ms == ref->born_ms ? s : NULL;
+	return s && s->info.born_ms <= ref->born_ms ? s : NULL;
 }
 
 bool mh_dispatch_server_leaving(struct mh_dispatch *d,
--- a/core/server_notices.c
+++ b/core/server_notices.c
@@ -30,6 +30,15 @@
 	return names[verdict];
 }
 
+uint32_t mh_server_notice_pause_ms(const struct mh_server_notice *notice,
+				   uint64_t now_ns)
+{
+	if (notice->pause_until_ns <= now_ns)
+		return 0;
+	return (uint32_t)((notice->pause_until_ns - now_ns + MH_NS_PER_MS - 1) /
+			  MH_NS_PER_MS);
+}
+
 struct mh_server_notices *mh_server_notices_new(const struct mh_clock *clock)
 {
 	struct mh_server_notices *set = mh_check_alloc(calloc(1, sizeof(*set)));
--- a/core/server_notices.h
+++ b/core/server_notices.h
@@ -41,6 +41,16 @@
 	uint64_t pause_until_ns;
 };
 
+/**
+ * mh_server_notice_pause_ms() - rest of a pause
+ * @notice: notice
+ * @now_ns: monotonic time
+ *
+ * Return: time in ms, rounded up; 0 without a pause.
+ */
+uint32_t mh_server_notice_pause_ms(const struct mh_server_notice *notice,
+				   uint64_t now_ns);
+
 /* Whether a request may be sent to a server. */
 enum mh_send_verdict {
 	MH_SEND_ALLOWED,
--- a/net/notice_frames.c
+++ b/net/notice_frames.c
@@ -11,11 +11,7 @@
 	msg.server = (char *)notice->server;
 	msg.born_ms = notice->born_ms;
 	msg.is_leaving = notice->is_leaving;
-	/* Rounded up, so that the receiver's pause does not end before. */
-	if (notice->pause_until_ns > now_ns)
-		msg.pause_ms = (uint32_t)((notice->pause_until_ns - now_ns) /
-					  MH_NS_PER_MS) +
-			       1;
+	msg.pause_ms = mh_server_notice_pause_ms(notice, now_ns);
 	frame.body_case = MH__FRAME__BODY_SERVER_NOTICE;
 	frame.server_notice = &msg;
 	mh_links_send(links, link, &frame);
--- a/proxy/notice_relay.c
+++ b/proxy/notice_relay.c
@@ -9,15 +9,6 @@
 	return mh_clock_mono_ns(relay->clock);
 }
 
-static uint32_t pause_ms(const struct mh_server_notice *notice, uint64_t now_ns)
-{
-	return notice->pause_until_ns > now_ns ?
-		       (uint32_t)((notice->pause_until_ns - now_ns) /
-				  MH_NS_PER_MS) +
-			       1 :
-		       0;
-}
-
 /* Tells the local dispatcher and all linked ones but one what holds. */
 static void forward(const struct mh_notice_relay *relay,
 		    const struct mh_server_ref *server,
@@ -25,16 +16,19 @@
 {
 	const struct mh_server_notice *notice =
 		mh_server_notices_find(relay->notices, server);
-	uint64_t now_ns = now_of(relay);
+	struct mh_server_ref known = *server;
 	const struct mh_candidate *c;
+	uint64_t now_ns = now_of(relay);
+	uint32_t pause_ms;
 
 	if (!notice)
 		return;
+	known.born_ms = notice->born_ms;
+	pause_ms = mh_server_notice_pause_ms(notice, now_ns);
 	if (notice->is_leaving)
-		mh_dispatch_server_leaving(relay->local, server);
-	if (pause_ms(notice, now_ns))
-		mh_dispatch_server_pause(relay->local, 0, server,
-					 pause_ms(notice, now_ns));
+		mh_dispatch_server_leaving(relay->local, &known);
+	if (pause_ms)
+		mh_dispatch_server_pause(relay->local, 0, &known, pause_ms);
 	DL_FOREACH(relay->candidates->first, c) {
 		if (c->up && c != from)
 			mh_notice_send(relay->links, c->link, notice, now_ns);
