--- a/tests/test_notices.c
+++ b/tests/test_notices.c
@@ -345,6 +345,27 @@
 	free_fixture(f);
 }
 
+/* Guards against slots at a server whose new start asked for none, granted by a
+ * dispatcher that has not read its new registration yet. */
+static void test_notice_of_a_start_that_is_not_registered_yet(void **state)
+{
+	struct mh_server_ref later = { "s1", "", BORN + 1 };
+	struct fixture *f = new_fixture();
+	uint64_t id;
+
+	(void)state;
+	add_server(f, "s1", BORN, true);
+	add_server(f, "s2", BORN, true);
+	mh_dispatch_server_pause(f->d, 1, &later, 1000);
+	id = request_of(f, 1, 1000);
+	assert_true(is_placed_at(f, id, "s2"));
+	finish(f, 1, id);
+	assert_true(mh_dispatch_server_leaving(f->d, &later));
+	id = request_of(f, 2, 1000);
+	assert_true(is_placed_at(f, id, "s2"));
+	free_fixture(f);
+}
+
 /* Guards against a quota losing units to slots that were not used. */
 static void test_held_back_slot_returns_its_units(void **state)
 {
@@ -383,6 +404,8 @@
 		cmocka_unit_test(test_held_back_requests_are_refused_early),
 		cmocka_unit_test(test_pause_does_not_back_off_other_entries),
 		cmocka_unit_test(test_leaving_server_gets_no_requests),
+		cmocka_unit_test(
+			test_notice_of_a_start_that_is_not_registered_yet),
 		cmocka_unit_test(test_held_back_slot_returns_its_units),
 	};
 
