--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -14,8 +14,8 @@
 /* Retries after servers that did not run the request. They do not count as
  * attempts of the route. */
 #define MAX_NOT_RUN_RETRIES 4
-/* Slots that a server's notice forbade to use, each of which the dispatcher was
- * told of; more than this and it does not listen. */
+/* Slots that a notice forbids to use, after each of which the dispatcher is told
+ * again. One of an older version does not understand it. */
 #define MAX_HELD_BACK_RETRIES 16
 /* A request with less time left is not sent. */
 #define MIN_REMAINING_MS 5
--- a/proxy/upstream.c
+++ b/proxy/upstream.c
@@ -294,7 +294,7 @@
 		}
 		u->connecting = false;
 		mh_timer_clear(u->set->timers, &u->connect_timer);
-		/* The server may have asked for it meanwhile. */
+		/* The server may have asked for a pause meanwhile. */
 		if (!may_send(u)) {
 			fail(u, MH_UPSTREAM_HELD_BACK);
 			return;
