Log how a response was framed and whether an event was open at its end

The lines done, cut and again now have the framing of the server's response, its length, its events, whether one was open, and the version of the caller's request.

No change of logic.

--- a/net/http1.c
+++ b/net/http1.c
@@ -327,6 +327,28 @@
 	return r->ended;
 }
 
+enum mh_framing mh_http_framing(const struct mh_http_head *head, bool no_body)
+{
+	if (no_body || head->status == 204 || head->status == 304)
+		return MH_FRAMING_NONE;
+	if (head->chunked)
+		return MH_FRAMING_CHUNKED;
+	return head->content_length < 0 ? MH_FRAMING_CLOSE : MH_FRAMING_LENGTH;
+}
+
+bool mh_http_media_type_is(const struct mh_http_head *head, const char *type)
+{
+	struct mh_http_text value = mh_http_header_find(head, "Content-Type");
+	const char *semicolon =
+		value.p ? memchr(value.p, ';', value.len) : NULL;
+
+	if (!value.p)
+		return false;
+	if (semicolon)
+		value = trim(value.p, semicolon);
+	return mh_http_text_is(value, type);
+}
+
 static bool list_has_token(struct mh_http_text list, struct mh_http_text name)
 {
 	const char *p = list.p, *end = list.p + list.len;
--- a/net/http1.h
+++ b/net/http1.h
@@ -12,6 +12,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "core/response_judge.h"
 #include "net/buffer.h"
 
 #define MH_HTTP_HEADERS_MAX 96
@@ -171,6 +172,20 @@
 struct mh_http_text mh_http_header_find(const struct mh_http_head *head,
 					const char *name);
 
+/**
+ * mh_http_framing() - what marks the end of a response's body
+ * @head: head of the response
+ * @no_body: it is the response to a HEAD request
+ */
+enum mh_framing mh_http_framing(const struct mh_http_head *head, bool no_body);
+
+/**
+ * mh_http_media_type_is() - compare the media type of Content-Type
+ * @head: head
+ * @type: "type/subtype"; parameters of the field are left out
+ */
+bool mh_http_media_type_is(const struct mh_http_head *head, const char *type);
+
 /**
  * mh_http_hop_by_hop() - whether a header field is hop-by-hop
  * @head: head, whose Connection fields may list further ones
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -116,16 +116,18 @@
 /* Aborts a response whose head has already been forwarded. */
 static void abort_response(struct exchange *x, const char *why)
 {
+	char frame[MH_EXCHANGE_FRAME_TEXT_BYTES];
 	struct mh_client *cl = x->client;
 
 	mh_count(x->set->env.counters, MH_C_CUT);
 	mh_event(mh_exchange_log(x), MH_EV_FAILED,
 		 "event=cut id=%.*s why=%s route=%s server=%s events=%u "
-		 "held_ms=%u servers=%u fingerprint=%016llx",
+		 "held_ms=%u servers=%u fingerprint=%016llx %s",
 		 (int)x->wire.id.len, x->wire.id.p, why, x->route->name,
 		 x->server ? x->server : "", x->events,
 		 mh_exchange_elapsed_ms(x, x->arrived_ns), x->servers_reached,
-		 (unsigned long long)x->fingerprint);
+		 (unsigned long long)x->fingerprint,
+		 mh_exchange_describe_frame(x, frame));
 	mh_exchange_observe_total(x, "cut");
 	mh_exchange_free(x);
 	mh_client_abort(cl);
@@ -226,13 +228,16 @@
 
 static void retry(struct exchange *x, const char *why)
 {
+	char frame[MH_EXCHANGE_FRAME_TEXT_BYTES];
+
 	mh_count(x->set->env.counters, MH_C_SENT_AGAIN);
 	mh_event(mh_exchange_log(x), MH_EV_RETRIED,
 		 "event=again id=%.*s why=%s route=%s server=%s servers=%u "
-		 "events=%u left_ms=%u fingerprint=%016llx",
+		 "events=%u left_ms=%u fingerprint=%016llx %s",
 		 (int)x->wire.id.len, x->wire.id.p, why, x->route->name,
 		 x->server, x->servers_reached, x->events, remaining_ms(x),
-		 (unsigned long long)x->fingerprint);
+		 (unsigned long long)x->fingerprint,
+		 mh_exchange_describe_frame(x, frame));
 	if (x->n_tried < MH_AVOID_MAX) {
 		x->tried[x->n_tried++] = x->server;
 	} else {
@@ -319,6 +324,7 @@
 	    !mh_buffer_add(&buf, mh_buffer_front(x->body), x->body->len))
 		abort();
 	x->phase = PHASE_SENT;
+	mh_response_judge_begin(&x->judge, MH_FRAMING_NONE, false, false);
 	x->sent_ns = mh_exchange_now_ns(x);
 	x->upstream =
 		mh_upstream_send(set->env.upstreams, &server, &buf,
--- a/proxy/exchange_impl.h
+++ b/proxy/exchange_impl.h
@@ -7,6 +7,7 @@
 #include <uthash.h>
 
 #include "core/metrics.h"
+#include "core/response_judge.h"
 #include "platform/wire.h"
 #include "proxy/exchange.h"
 
@@ -66,6 +67,7 @@
 	bool head_forwarded;
 	bool chunked_response;
 	bool no_response_body;
+	struct mh_response_judge judge; /* of the last server's response */
 	char *tried[MH_AVOID_MAX];
 	uint32_t n_tried;
 	/* Of resumable streams: the incomplete event, the id of the last event
@@ -114,6 +116,11 @@
 void mh_exchange_observe_first_byte(struct exchange *x);
 void mh_exchange_observe_gap(struct exchange *x);
 
+/* Log: exchange_response.c */
+#define MH_EXCHANGE_FRAME_TEXT_BYTES 128
+const char *mh_exchange_describe_frame(const struct exchange *x,
+				       char text[MH_EXCHANGE_FRAME_TEXT_BYTES]);
+
 /* Retries and errors: exchange.c */
 void mh_exchange_release_slot(struct exchange *x, enum mh_slot_outcome outcome);
 void mh_exchange_on_not_run(struct exchange *x, const char *why);
--- a/proxy/exchange_response.c
+++ b/proxy/exchange_response.c
@@ -1,4 +1,5 @@
 /* Handles the responses of backend servers and forwards them to clients. */
+#include <stdio.h>
 #include <string.h>
 
 #include "proxy/exchange_impl.h"
@@ -39,6 +40,38 @@
 	return !is_head && head->status != 204 && head->status != 304;
 }
 
+/* A stream without a Content-Type is one by its route. */
+static bool is_event_stream(const struct exchange *x,
+			    const struct mh_http_head *head)
+{
+	if (mh_http_header_find(head, "Content-Type").p)
+		return mh_http_media_type_is(head, "text/event-stream");
+	return x->route->kind == MH_ROUTE_STREAM && head->status < 300;
+}
+
+static void begin_judging(struct exchange *x, const struct mh_http_head *head)
+{
+	bool resumes = x->wire.last_event.len || x->last_event[0];
+
+	mh_response_judge_begin(&x->judge,
+				mh_http_framing(head, !has_body(x, head)),
+				is_event_stream(x, head), resumes);
+}
+
+const char *mh_exchange_describe_frame(const struct exchange *x,
+				       char text[MH_EXCHANGE_FRAME_TEXT_BYTES])
+{
+	bool is_open = !mh_event_stream_is_between_events(&x->judge.events);
+
+	snprintf(text, MH_EXCHANGE_FRAME_TEXT_BYTES,
+		 "http=1.%u framing=%s bytes=%llu server_events=%u "
+		 "event_open=%d",
+		 x->head->minor, mh_framing_name(x->judge.framing),
+		 (unsigned long long)x->judge.bytes, x->judge.events.events,
+		 is_open);
+	return text;
+}
+
 static void forward_head(struct exchange *x, const struct mh_http_head *head)
 {
 	struct mh_buffer *out = mh_client_out(x->client);
@@ -107,6 +140,7 @@
 			    !response.not_run && x->wire.id.len)
 		return 1;
 	x->status = head->status;
+	begin_judging(x, head);
 	x->verdict = classify(x, head->status, &response);
 	if (x->verdict == VERDICT_FORWARD && head->status < 300 &&
 	    (!response.is_signed || response.is_encoded))
@@ -212,6 +246,7 @@
 {
 	struct exchange *x = data;
 
+	mh_response_judge_read(&x->judge, bytes, len);
 	if (x->verdict != VERDICT_FORWARD)
 		return 0;
 	if (x->route->is_resumable && x->chunked_response)
@@ -237,6 +272,7 @@
 {
 	struct mh_client *cl = x->client;
 	struct mh_buffer *out = mh_client_out(cl);
+	char frame[MH_EXCHANGE_FRAME_TEXT_BYTES];
 	bool close =
 		!x->no_response_body && !x->chunked_response && !x->head->minor;
 
@@ -249,12 +285,13 @@
 	mh_event(mh_exchange_log(x), MH_EV_DONE,
 		 "event=done id=%.*s status=%u route=%s account=%s server=%s "
 		 "total_ms=%u server_ms=%u first_ms=%u gap_ms=%u servers=%u "
-		 "events=%u",
+		 "events=%u %s",
 		 (int)x->wire.id.len, x->wire.id.p, x->status, x->route->name,
 		 x->account ? x->account->name : "", x->server,
 		 mh_exchange_elapsed_ms(x, x->arrived_ns),
 		 mh_exchange_elapsed_ms(x, x->sent_ns), x->first_ms, x->gap_ms,
-		 x->servers_reached, x->events);
+		 x->servers_reached, x->events,
+		 mh_exchange_describe_frame(x, frame));
 	mh_exchange_observe_total(x, "whole");
 	mh_exchange_free(x);
 	mh_client_finish(cl, close);
