--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,7 @@
 		       $(BUILD)/libmangohead.a
 	$(LINK)
 $(BUILD)/bin/standin-platform: $(call objs,$(addprefix tests/standins/, \
-				 standin-platform.c conn.c store.c)) \
+				 standin-platform.c shapes.c conn.c store.c)) \
 			       $(BUILD)/libmangohead.a
 	$(LINK)
 $(BUILD)/bin/standin-%: $(BUILD)/tests/standins/standin-%.o \
--- /dev/null
+++ b/tests/standins/shapes.c
@@ -0,0 +1,204 @@
+/*
+ * Responses of the stand-in's servers that end oddly, or never.
+ *
+ * Streams are cut at the fourth event, unless they resume; a name says how:
+ *   half, lines       in the middle of the event; after its lines, before the
+ *                     empty line
+ *   close, chunk      no framing; chunked
+ *   crlf              lines end with CR LF
+ *   -end, -reset, -exit  orderly end of the frame, reset, end of the process
+ * wholeclose and wholecrlf are whole and without framing. plaincut and
+ * plainreset are no streams and have no framing.
+ *
+ * Without end, until the other side closes: endlessevent, endlesserror (500),
+ * endlessslow (500, a byte at a time), endlesshead, endlessinterim (1xx),
+ * endlesslines (empty lines before a head), endlesstrailer, endlessextension,
+ * endlessnoise.
+ */
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "tests/standins/server.h"
+
+#define CUT_AT 4
+#define BLOCK_BYTES 16384
+#define SLOW_GAP_MS 20
+/* Ends responses whose reader never closes. */
+#define ENDLESS_BYTES (2ULL << 30)
+
+enum cut { CUT_NONE, CUT_HALF, CUT_LINES };
+enum ending { END_FRAME, END_RESET, END_EXIT };
+
+struct stream_shape {
+	const char *name;
+	const char *eol;
+	enum cut cut;
+	enum ending ending;
+	bool chunked;
+};
+
+static const struct stream_shape streams[] = {
+	{ "halfclose-end", "\n", CUT_HALF, END_FRAME, false },
+	{ "linesclose-end", "\n", CUT_LINES, END_FRAME, false },
+	{ "halfcrlf-end", "\r\n", CUT_HALF, END_FRAME, false },
+	{ "linescrlf-end", "\r\n", CUT_LINES, END_FRAME, false },
+	{ "halfchunk-end", "\n", CUT_HALF, END_FRAME, true },
+	{ "lineschunk-end", "\n", CUT_LINES, END_FRAME, true },
+	{ "halfclose-reset", "\n", CUT_HALF, END_RESET, false },
+	{ "halfchunk-reset", "\n", CUT_HALF, END_RESET, true },
+	{ "halfclose-exit", "\n", CUT_HALF, END_EXIT, false },
+	{ "wholeclose", "\n", CUT_NONE, END_FRAME, false },
+	{ "wholecrlf", "\r\n", CUT_NONE, END_FRAME, false },
+};
+
+static bool write_part(struct conn *c, bool chunked, const char *text, int len)
+{
+	if (chunked)
+		mh_buffer_printf(&c->out, "%x\r\n%.*s\r\n", len, len, text);
+	else
+		mh_buffer_add(&c->out, text, (size_t)len);
+	return send_all(c);
+}
+
+/* Return: whether the connection stays open. */
+static bool end_stream(struct conn *c, const struct stream_shape *shape)
+{
+	if (shape->ending == END_EXIT)
+		crash(c);
+	if (shape->ending == END_RESET) {
+		reset_on_close(c);
+		return false;
+	}
+	if (shape->chunked)
+		mh_buffer_printf(&c->out, "0\r\n\r\n");
+	return send_all(c) && shape->chunked;
+}
+
+static bool serve_stream_shape(struct conn *c, const struct stream_shape *shape)
+{
+	struct mh_http_text last = header(c, "Last-Event-Id");
+	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
+	int first = last.p[0] == '-' ? 1 : atoi(last.p) + 1, i;
+	const char *eol = shape->eol;
+
+	begin_response(c, 200, SIGNED "Content-Type: text/event-stream\r\n");
+	mh_buffer_printf(&c->out, "%s\r\n",
+			 shape->chunked ? "Transfer-Encoding: chunked\r\n" :
+					  "Connection: close\r\n");
+	for (i = first; i <= EVENTS; i++) {
+		bool cut = shape->cut != CUT_NONE && i == CUT_AT && first == 1;
+		char event[128];
+		int n = snprintf(event, sizeof(event),
+				 "id: %d%sdata: %.*s %d%s%s", i, eol,
+				 (int)id.len, id.p, i, eol, eol);
+
+		if (cut)
+			n = shape->cut == CUT_HALF ? n / 2 :
+						     n - (int)strlen(eol);
+		if (!write_part(c, shape->chunked, event, n))
+			return false;
+		if (cut)
+			break;
+		sleep_ms(EVENT_GAP_MS);
+	}
+	return end_stream(c, shape);
+}
+
+static bool serve_plain_cut(struct conn *c, bool reset)
+{
+	begin_response(c, 200, SIGNED "Connection: close\r\n\r\n{\"price\": 4");
+	send_all(c);
+	sleep_ms(EVENT_GAP_MS);
+	if (reset)
+		reset_on_close(c);
+	return false;
+}
+
+struct endless_shape {
+	const char *name;
+	int status; /* of the response that begins it, 0: none */
+	const char *fields;
+	const char *begin;
+	const char *repeated;
+	bool slow;
+};
+
+#define STREAM_FIELDS                                                          \
+	SIGNED "Content-Type: text/event-stream\r\n"                           \
+	       "Transfer-Encoding: chunked\r\n\r\n"
+
+static const struct endless_shape endless[] = {
+	{ "endlessevent", 200,
+	  SIGNED "Content-Type: text/event-stream\r\n"
+		 "Connection: close\r\n\r\n",
+	  "id: 1\ndata: e1\n\nid: 2\ndata: ", "xxxxxxxxxxxxxxxx", false },
+	{ "endlesserror", 500, SIGNED "Connection: close\r\n\r\n", "",
+	  "xxxxxxxxxxxxxxxx", false },
+	{ "endlessslow", 500, SIGNED "Connection: close\r\n\r\n", "", "x",
+	  true },
+	{ "endlesshead", 200, SIGNED, "X-Long: ", "xxxxxxxxxxxxxxxx", false },
+	{ "endlessinterim", 0, "", "", "HTTP/1.1 102 X\r\nA: b\r\n\r\n",
+	  false },
+	{ "endlesslines", 0, "", "", "\r\n", false },
+	{ "endlesstrailer", 200, STREAM_FIELDS,
+	  "f\r\nid: 1\ndata: a\n\n\r\n0\r\n", "A: bbbbbbbbbbbb\r\n", false },
+	{ "endlessextension", 200, STREAM_FIELDS, "f", ";name=extension",
+	  false },
+	{ "endlessnoise", 0, "", "", "\x01\xff\x02noise", false },
+};
+
+static bool is_closed(const struct conn *c)
+{
+	struct pollfd p = { .fd = c->fd, .events = POLLIN };
+
+	return poll(&p, 1, SLOW_GAP_MS) > 0;
+}
+
+static void serve_endless(struct conn *c, const struct endless_shape *shape)
+{
+	size_t len = strlen(shape->repeated);
+	struct mh_buffer block = { 0 };
+	uint64_t sent = 0;
+
+	if (shape->status)
+		begin_response(c, shape->status, shape->fields);
+	mh_buffer_add(&c->out, shape->begin, strlen(shape->begin));
+	while (!shape->slow && block.len + len <= BLOCK_BYTES)
+		mh_buffer_add(&block, shape->repeated, len);
+	if (shape->slow)
+		mh_buffer_add(&block, shape->repeated, len);
+	while (sent < ENDLESS_BYTES && send_all(c)) {
+		mh_buffer_add(&c->out, mh_buffer_front(&block), block.len);
+		sent += block.len;
+		if (shape->slow && is_closed(c))
+			break;
+	}
+	mh_buffer_release(&block);
+}
+
+bool serve_shape(struct conn *c, bool *ok)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(streams) / sizeof(streams[0]); i++) {
+		if (!target_ends_with(c, streams[i].name))
+			continue;
+		*ok = serve_stream_shape(c, &streams[i]);
+		return true;
+	}
+	*ok = false;
+	for (i = 0; i < sizeof(endless) / sizeof(endless[0]); i++) {
+		if (!target_ends_with(c, endless[i].name))
+			continue;
+		serve_endless(c, &endless[i]);
+		return true;
+	}
+	if (!target_ends_with(c, "plaincut") &&
+	    !target_ends_with(c, "plainreset"))
+		return false;
+	*ok = serve_plain_cut(c, target_ends_with(c, "plainreset"));
+	return true;
+}
--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -43,7 +43,8 @@
  * and ownstream, whose bytes contain the request id; hold, which runs until the
  * client disconnects, at most 3 s; drop, which closes the connection
  * without a response; crash, which ends the process, crashsoon and crashlate,
- * which do so after 60 and 400 ms; any other, such as ok: "hello".
+ * which do so after 60 and 400 ms; those of shapes.c; any other, such as ok:
+ * "hello".
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -61,14 +62,13 @@
 
 #include "net/buffer.h"
 #include "net/http1.h"
+#include "tests/standins/server.h"
 #include "tests/standins/store.h"
 
 #define READ_BYTES 16384
 #define HEAD_BYTES 32768
 #define MAX_SERVERS 256
 #define HEARTBEAT_MS 300
-#define EVENTS 6
-#define EVENT_GAP_MS 10
 #define HOLD_MS 3000
 #define CRASH_SOON_MS 60
 #define CRASH_LATE_MS 400
@@ -222,7 +222,7 @@
 
 /* ---- servers ---- */
 
-static struct mh_http_text header(const struct conn *c, const char *name)
+struct mh_http_text header(const struct conn *c, const char *name)
 {
 	struct mh_http_text t = mh_http_header_find(&c->reader.head, name);
 
@@ -250,7 +250,7 @@
 	pthread_mutex_unlock(&lock);
 }
 
-static bool target_ends_with(const struct conn *c, const char *what)
+bool target_ends_with(const struct conn *c, const char *what)
 {
 	const struct mh_http_text *t = &c->reader.head.target;
 	size_t len = strlen(what);
@@ -259,7 +259,7 @@
 	       t->p[t->len - len - 1] == '/';
 }
 
-static void begin_response(struct conn *c, int status, const char *fields)
+void begin_response(struct conn *c, int status, const char *fields)
 {
 	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
 
@@ -301,8 +301,6 @@
 	return send_all(c);
 }
 
-#define SIGNED "X-Mangohead-Response-Signature: sig\r\n"
-
 static void record_run_end(const struct conn *c, uint64_t begin_ms,
 			   bool complete)
 {
@@ -349,13 +347,20 @@
 	return send_all(c);
 }
 
+void reset_on_close(const struct conn *c)
+{
+	struct linger abort_on_close = { 1, 0 };
+
+	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &abort_on_close,
+		   sizeof(abort_on_close));
+}
+
 static bool serve_stream(struct conn *c, int cut_at, bool reset)
 {
 	struct mh_http_text last = header(c, "Last-Event-Id");
 	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
 	bool with_id = target_ends_with(c, "ownstream");
 	int i = last.p[0] == '-' ? 0 : atoi(last.p);
-	struct linger abort_on_close = { 1, 0 };
 	bool resumed = i > 0;
 
 	begin_response(c, 200,
@@ -374,9 +379,7 @@
 					 event);
 			send_all(c);
 			if (reset)
-				setsockopt(c->fd, SOL_SOCKET, SO_LINGER,
-					   &abort_on_close,
-					   sizeof(abort_on_close));
+				reset_on_close(c);
 			return false;
 		}
 		mh_buffer_printf(&c->out, "%x\r\n%s\r\n", n, event);
@@ -388,7 +391,7 @@
 	return send_all(c);
 }
 
-static void crash(const struct conn *c)
+void crash(const struct conn *c)
 {
 	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
 
@@ -402,6 +405,7 @@
 {
 	struct mh_http_text expected = header(c, "X-Mangohead-Expect-Instance");
 	size_t id_len = strlen(c->server->id);
+	bool ok;
 
 	while (mono_now_ms() < c->server->silent_until_ms)
 		sleep_ms(10);
@@ -424,6 +428,8 @@
 		return send_all(c);
 	}
 	record_run(c);
+	if (serve_shape(c, &ok))
+		return ok;
 	if (target_ends_with(c, "drop"))
 		return false;
 	if (target_ends_with(c, "crash"))
--- /dev/null
+++ b/tests/test_cut_streams.sh
@@ -0,0 +1,173 @@
+#!/bin/bash
+# Tests of the real proxy and dispatcher processes with servers whose responses
+# end oddly: streams that are cut with and without framing, plain responses
+# without a length, requests that crash servers in the middle of an event.
+# Usage: test_cut_streams.sh [NAME-PART]
+cd "$(dirname "$0")/.." || exit 1
+BASE=${BASE:-23000}
+. tests/site.sh
+. tests/proxy_site.sh
+. tests/checks.sh
+
+CUT_SHAPES='halfclose-end linesclose-end halfcrlf-end linescrlf-end
+	halfchunk-end lineschunk-end halfclose-reset halfchunk-reset'
+
+# Prints the ids and data of the events that a caller got.
+events_of() { # FILE
+	tr -d '\r' <"$1" | sed -n 's/^id: //p; s/^data: [^ ]* /d/p' | tr '\n' ' '
+}
+
+ALL_EVENTS='1 d1 2 d2 3 d3 4 d4 5 d5 6 d6 '
+
+# Checks each cut of a stream that may run once.
+cut_is_visible() { # CURL-OPTION
+	local shape rc
+	for shape in $CUT_SHAPES; do
+		ID=$shape$1 call 1 /gen/$shape $1 -N -o "$DIR/cut"
+		rc=$?
+		[ $rc != 0 ] || return 1
+		[ "$(runs | grep -c " $shape$1 ")" = 1 ] || return 1
+	done
+}
+
+# Guards against a stream that a server broke off inside an event and that
+# reached its caller as complete.
+t_cut_stream_never_looks_complete() {
+	cut_is_visible --http1.1
+}
+
+# The same where the caller's response ends with its connection.
+t_cut_stream_is_visible_with_http_1_0() {
+	cut_is_visible --http1.0
+}
+
+resumes() { # CURL-OPTION
+	local shape
+	for shape in $CUT_SHAPES; do
+		ID=r$shape$1 call 1 /resume/$shape $1 -N -o "$DIR/res" ||
+			return 1
+		[ "$(events_of "$DIR/res")" = "$ALL_EVENTS" ] || return 1
+		[ "$(runs | grep -c " r$shape$1 ")" = 2 ] || return 1
+		# A reset may discard events that the proxy has not read yet.
+		[[ $shape = *-reset ]] || runs | grep " r$shape$1 " |
+			tail -n 1 | grep -q ' 3 0 -$' || return 1
+	done
+}
+
+# Guards against a resumable stream that is not resumed, as its cut was taken
+# for its end.
+t_cut_stream_is_resumed() {
+	resumes --http1.1
+}
+
+t_cut_stream_is_resumed_with_http_1_0() {
+	resumes --http1.0
+}
+
+t_whole_streams() {
+	local shape version
+	for shape in wholeclose wholecrlf; do
+		for version in --http1.0 --http1.1; do
+			for route in gen resume; do
+				ID=w$route$shape$version call 1 \
+					/$route/$shape $version -N \
+					-o "$DIR/whole" || return 1
+				[ "$(events_of "$DIR/whole")" = \
+					"$ALL_EVENTS" ] || return 1
+				[ "$(runs | grep -c \
+					" w$route$shape$version ")" = 1 ] ||
+					return 1
+			done
+		done
+	done
+}
+
+# Guards against a response without a length that gets the end mark of one that
+# is known to be whole: its caller should know as much as we do.
+t_plain_response_without_length_keeps_its_frame() {
+	call 1 /once/plaincut -D "$DIR/head" -o "$DIR/body" || return 1
+	grep -qi '^connection: close' "$DIR/head" &&
+		! grep -qi '^transfer-encoding' "$DIR/head" &&
+		[ "$(cat "$DIR/body")" = '{"price": 4' ]
+}
+
+# Guards against a reset response without a length that ends in order.
+t_plain_response_that_is_reset_looks_cut() {
+	local version
+	for version in --http1.0 --http1.1; do
+		call 1 /once/plainreset $version -o "$DIR/body" && return 1
+	done
+	true
+}
+
+# Guards against logs and metrics that show a cut stream as a success.
+t_cut_stream_is_logged_as_cut() {
+	local before
+	before=$(observed 1 request_ms 'outcome="whole"')
+	ID=logged-cut call 1 /gen/halfclose-end -N -o "$DIR/cut"
+	ID=logged-again call 1 /resume/halfclose-end -N -o "$DIR/cut"
+	sleep 0.5
+	grep -h 'id=logged-' "$DIR/proxy1.log"
+	grep -q 'event=cut id=logged-cut .*end=cut_event' "$DIR/proxy1.log" &&
+		! grep -q 'event=done id=logged-cut ' "$DIR/proxy1.log" &&
+		grep -q 'event=again id=logged-again .*end=cut_event' \
+			"$DIR/proxy1.log" &&
+		[ $(observed 1 request_ms 'outcome="whole"') = \
+			$((before + 1)) ]
+}
+
+revive_fragile() {
+	local i
+	sleep 0.5
+	for i in 1 2 3; do
+		[ -d /proc/$(pid_of fragile$i) ] || start_fragile $i
+	done
+	sleep 0.2
+}
+
+# Guards against a request that crashes servers and is sent on, as the cut of
+# its stream inside an event counts as an end that clears it.
+t_request_that_crashes_inside_an_event() {
+	local i
+	for i in $(seq 8); do
+		ID=inside-$i call 1 /fragile-once/inside/halfclose-exit \
+			-o "$DIR/body" -w '%{http_code}\n' -d inside
+		revive_fragile
+	done >"$DIR/inside"
+	cat "$DIR/inside"
+	[ "$(crashes inside-)" = 3 ] &&
+		[ "$(tail -n 4 "$DIR/inside" | sort -u)" = 503 ]
+}
+
+start platform $BIN/standin-platform $STORE \
+	$(server_port 1):s1:app:4 $(server_port 2):s2:app:4 \
+	$(server_port 3):s3:app:4 0:c1:fragile:4:$(server_port 6) \
+	0:c2:fragile:4:$(server_port 7) 0:c3:fragile:4:$(server_port 8)
+for i in 1 2 3; do
+	start_fragile $i
+done
+wait_until 5 config 10 || exit 1
+start_dispatcher 1
+start_dispatcher 2
+start_proxy 1
+wait_until 10 ready 1 || exit 1
+# The retry budget is small until the dispatcher has run for a window.
+sleep $RETRY_WINDOW_S
+
+check "cut streams: a cut stream never looks complete" \
+	t_cut_stream_never_looks_complete
+check "cut streams: a cut is visible to an HTTP/1.0 caller" \
+	t_cut_stream_is_visible_with_http_1_0
+check "cut streams: a cut stream is resumed" t_cut_stream_is_resumed
+check "cut streams: resumed for an HTTP/1.0 caller" \
+	t_cut_stream_is_resumed_with_http_1_0
+check "cut streams: whole ones stay whole" t_whole_streams
+check "cut streams: a plain answer without a length keeps its frame" \
+	t_plain_response_without_length_keeps_its_frame
+check "cut streams: a plain answer that is reset looks cut" \
+	t_plain_response_that_is_reset_looks_cut
+check "cut streams: logs and metrics" t_cut_stream_is_logged_as_cut
+check "cut streams: a request that crashes servers inside an event" \
+	t_request_that_crashes_inside_an_event
+echo "$passed passed, $failed failed"
+[ $failed = 0 ]
