Runs whose response ended with its connection only prove nothing

A response without a length that ends in order with its connection is whole, or its server crashed at that moment: nothing in its bytes tells. Such a run counted as one that ended well and cleared a request that crashes servers.

The new outcome MH_SLOT_UNPROVEN clears nothing by itself. The dispatcher keeps the newest such runs of a server: once a later run there is responded to, the server lives and the requests are cleared; if its registration ends within 5 s, unplanned, they count as crashes.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -199,6 +199,7 @@
 	s->lost_ns = 0;
 	s->trial_lost_ns = 0;
 	s->n_silent = 0;
+	s->n_unproven = 0;
 	s->is_leaving = false;
 	mh_dispatch_drop_pauses(s);
 }
@@ -241,7 +242,7 @@
 	    (s->incarnation && s->info.born_ms != info->born_ms))
 		mh_dispatch_record_gone(d, s);
 	else if (!info->takes_work)
-		s->n_silent = 0;
+		s->n_silent = s->n_unproven = 0;
 	if (s->info.born_ms != info->born_ms)
 		reset_server(s);
 	s->info.born_ms = info->born_ms;
@@ -383,6 +384,7 @@
 		return;
 	mh_dispatch_record_first_byte(req, first_ms, mh_dispatch_now_ns(d));
 	mh_dispatch_record_response(d, req, mh_dispatch_now_ns(d));
+	mh_dispatch_record_survived(d, req, mh_dispatch_now_ns(d));
 }
 
 void mh_dispatch_enter_queue(struct request *req)
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -84,6 +84,7 @@
 	MH_SLOT_CORRUPT,     /* the server sent an invalid response */
 	MH_SLOT_HANDED_OVER, /* another dispatcher has taken the slot over */
 	MH_SLOT_HELD_BACK,   /* not sent: the server leaves or wants a pause */
+	MH_SLOT_UNPROVEN,    /* the response ended with its connection only */
 	MH_SLOT_OUTCOMES,
 };
 
--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -18,6 +18,9 @@
 /* A server takes longer than this to start again. */
 #define RESTART_NS (500 * MH_NS_PER_MS)
 
+/* The registration of a server that crashed ends within this time. */
+#define REGISTRATION_NS (5000 * MH_NS_PER_MS)
+
 const char *mh_lost_verdict_name(enum mh_lost_verdict verdict)
 {
 	static const char *const names[MH_LOST_VERDICTS] = {
@@ -189,6 +192,58 @@
 		(struct unanswered_run){ req->fingerprint, req->placed_ns };
 }
 
+void mh_dispatch_record_unproven(const struct request *req, uint64_t now_ns)
+{
+	struct server *s = req->server;
+
+	if (!req->fingerprint || !s->takes_work)
+		return;
+	s->unproven[s->n_unproven++ % MAX_UNPROVEN_RUNS] =
+		(struct unproven_run){ req->fingerprint, req->placed_ns,
+				       now_ns };
+}
+
+static uint32_t unproven_count(const struct server *s)
+{
+	return s->n_unproven < MAX_UNPROVEN_RUNS ? s->n_unproven :
+						   MAX_UNPROVEN_RUNS;
+}
+
+/* Runs whose responses had ended when this one began ended well: their server
+ * lives. */
+void mh_dispatch_record_survived(struct mh_dispatch *d,
+				 const struct request *req, uint64_t now_ns)
+{
+	struct server *s = req->server;
+	uint32_t i, n = unproven_count(s), kept = 0;
+
+	for (i = 0; i < n; i++) {
+		struct unproven_run run = s->unproven[i];
+
+		if (run.ended_ns < req->placed_ns)
+			mh_suspects_clear(d->suspects, run.fingerprint, now_ns);
+		else
+			s->unproven[kept++] = run;
+	}
+	s->n_unproven = kept;
+}
+
+static void record_unproven_gone(struct mh_dispatch *d, struct server *s,
+				 uint64_t now_ns)
+{
+	uint32_t i, n = unproven_count(s);
+
+	for (i = 0; i < n; i++) {
+		const struct unproven_run *run = &s->unproven[i];
+
+		if (now_ns < run->ended_ns + REGISTRATION_NS)
+			mh_suspects_add_crash(d->suspects, run->fingerprint,
+					      s->incarnation, run->placed_ns,
+					      now_ns);
+	}
+	s->n_unproven = 0;
+}
+
 void mh_dispatch_record_gone(struct mh_dispatch *d, struct server *s)
 {
 	uint32_t n =
@@ -204,6 +259,7 @@
 					      mh_dispatch_now_ns(d));
 	}
 	s->n_silent = 0;
+	record_unproven_gone(d, s, mh_dispatch_now_ns(d));
 }
 
 void mh_dispatch_record_response(struct mh_dispatch *d,
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -61,6 +61,16 @@
 
 #define MAX_SILENT_RUNS 16
 
+/* A run whose response ended with its connection, in order: it was whole, or its
+ * server crashed at that moment. What the server does next tells which. */
+struct unproven_run {
+	uint64_t fingerprint;
+	uint64_t placed_ns;
+	uint64_t ended_ns;
+};
+
+#define MAX_UNPROVEN_RUNS 16
+
 /* A server wants no requests of an entry until then. */
 struct pause {
 	uint32_t owner;
@@ -95,6 +105,8 @@
 	/* Runs that it did not respond to, the newest ones. */
 	struct unanswered_run silent[MAX_SILENT_RUNS];
 	uint32_t n_silent; /* ever recorded */
+	struct unproven_run unproven[MAX_UNPROVEN_RUNS];
+	uint32_t n_unproven; /* ever recorded */
 	UT_hash_handle hh;
 };
 
@@ -219,6 +231,9 @@
 void mh_dispatch_record_unanswered(struct mh_dispatch *d,
 				   const struct request *req, uint64_t now_ns);
 void mh_dispatch_record_gone(struct mh_dispatch *d, struct server *s);
+void mh_dispatch_record_unproven(const struct request *req, uint64_t now_ns);
+void mh_dispatch_record_survived(struct mh_dispatch *d,
+				 const struct request *req, uint64_t now_ns);
 void mh_dispatch_record_response(struct mh_dispatch *d,
 				 const struct request *req, uint64_t now_ns);
 
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -364,9 +364,13 @@
 		mh_dispatch_record_response(d, req, now_ns);
 	else if (outcome == MH_SLOT_TIMED_OUT || outcome == MH_SLOT_CANCELLED)
 		mh_dispatch_record_unanswered(d, req, now_ns);
+	else if (outcome == MH_SLOT_UNPROVEN)
+		mh_dispatch_record_unproven(req, now_ns);
 	switch (outcome) {
 	case MH_SLOT_OK:
 		mh_suspects_clear(d->suspects, req->fingerprint, now_ns);
+		/* fallthrough */
+	case MH_SLOT_UNPROVEN:
 		s->last_answer_ns = now_ns;
 		record_success(req, total_ms);
 		update_mean(&s->failure_rate, 0, FAILURE_GAIN);
