--- a/tests/test_suspect_unproven.c
+++ b/tests/test_suspect_unproven.c
@@ -80,11 +80,17 @@
 		remove_server(f, name);
 	}
 	for (; i < 8; i++) {
+		uint64_t other;
+
 		snprintf(name, sizeof(name), "s%u", i);
 		add_server(f, name, 1, true);
+		other = request_equal(f, 200 + i);
+		mh_dispatch_first_byte(f->d, 1, other, 5);
+		advance_clock(f, 150);
 		run_unproven(f, 8);
 		add_server(f, name, 1, false);
 		remove_server(f, name);
+		end(f, other, MH_SLOT_OK);
 	}
 	add_server(f, "fresh", 1, true);
 	assert_true(runs_freely(f, 7));
