--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -32,6 +32,7 @@
 static uint64_t down_until_ms;
 static bool outage;
 static long lose_answers, slow_ms, retain;
+static char endless[16]; /* answers without end: "body", "head", "interim" */
 
 static struct topic *get_topic(const char *name)
 {
@@ -227,16 +228,45 @@
 	mh_buffer_release(&buf);
 }
 
+/* Sends until the other side closes. */
+static void serve_endless(struct conn *c, const char *part)
+{
+	static const char block[] = "X-Name: value\r\n";
+	int i;
+
+	if (!strcmp(part, "interim")) {
+		do {
+			for (i = 0; i < 512; i++)
+				mh_buffer_printf(
+					&c->out,
+					"HTTP/1.1 102 X\r\nA: b\r\n\r\n");
+		} while (send_all(c));
+		return;
+	}
+	mh_buffer_printf(&c->out, "HTTP/1.1 200 X\r\n%s",
+			 strcmp(part, "body") ? "" : "\r\n");
+	do {
+		for (i = 0; i < 1024; i++)
+			mh_buffer_add(&c->out, block, sizeof(block) - 1);
+	} while (send_all(c));
+}
+
 bool store_serve(struct conn *c)
 {
 	bool drop_response = false;
+	char part[sizeof(endless)];
 	long delay_ms;
 
 	pthread_mutex_lock(&lock);
 	calls++;
 	delay_ms = slow_ms;
+	memcpy(part, endless, sizeof(part));
 	pthread_mutex_unlock(&lock);
 	sleep_ms((uint32_t)delay_ms);
+	if (part[0]) {
+		serve_endless(c, part);
+		return false;
+	}
 	pthread_mutex_lock(&lock);
 	if (is_down()) {
 		write_text_response(c, 503, "down\n");
@@ -268,6 +298,9 @@
 
 	if (json_object_get(doc, "outage"))
 		outage = json_is_true(json_object_get(doc, "outage"));
+	if (json_is_string(json_object_get(doc, "endless")))
+		snprintf(endless, sizeof(endless), "%s",
+			 json_string_value(json_object_get(doc, "endless")));
 	read_number(doc, "lose_answers", &lose_answers);
 	read_number(doc, "slow_ms", &slow_ms);
 	read_number(doc, "retain", &retain);
--- /dev/null
+++ b/tests/test_endless.sh
@@ -0,0 +1,169 @@
+#!/bin/bash
+# Tests of the real proxy and dispatcher processes with servers and a store that
+# send bytes without end: memory, processor time and the time until a second
+# attempt are bounded, and other callers don't feel it.
+# Usage: test_endless.sh [NAME-PART]
+cd "$(dirname "$0")/.." || exit 1
+BASE=${BASE:-24000}
+. tests/site.sh
+. tests/proxy_site.sh
+. tests/checks.sh
+
+# Sanitizers slow processes down and make them larger.
+SLACK=${SLACK:-1}
+MAX_CPU_MS=$((600 * SLACK))
+MAX_GROWTH_KB=$((8192 * SLACK))
+MAX_BESIDE_MS=$((100 * SLACK))
+MAX_ANSWER_MS=$((1500 * SLACK))
+MAX_RETRY_MS=$((250 * SLACK))
+
+cpu_ms() { # NAME
+	local stat tick_ms
+	stat=$(sed 's/.*) //' /proc/$(pid_of $1)/stat)
+	tick_ms=$((1000 / $(getconf CLK_TCK)))
+	set -- $stat
+	echo $(((${12} + ${13}) * tick_ms))
+}
+
+peak_kb() { # NAME
+	awk '/^VmHWM/ { print $2 }' /proc/$(pid_of $1)/status
+}
+
+# Calls a target beside calls of another route, and prints the response's status.
+# Return: whether the proxy's bounds held and the other callers did not feel it.
+bounded() { # PATH
+	local cpu peak begin end pid slowest
+	cpu=$(cpu_ms proxy1)
+	peak=$(peak_kb proxy1)
+	begin=$(date +%s%3N)
+	ID=bounded-${1##*/} call 1 $1 -N -o "$DIR/endless" \
+		-w '%{http_code}' >"$DIR/status" &
+	pid=$!
+	while [ -d /proc/$pid ]; do
+		call 1 /open/ok -o /dev/null -w '%{time_total}\n'
+	done | sort -n >"$DIR/beside"
+	wait $pid
+	end=$(date +%s%3N)
+	cpu=$(($(cpu_ms proxy1) - cpu))
+	peak=$(($(peak_kb proxy1) - peak))
+	slowest=$(awk 'END { print int($1 * 1000) }' "$DIR/beside")
+	echo "$1: $(cat "$DIR/status") after $((end - begin)) ms, cpu $cpu ms," \
+		"memory +$peak KB, slowest beside it $slowest ms"
+	[ $cpu -le $MAX_CPU_MS ] && [ $peak -le $MAX_GROWTH_KB ] &&
+		[ $slowest -le $MAX_BESIDE_MS ] &&
+		[ $((end - begin)) -le $MAX_ANSWER_MS ]
+}
+
+# Guards against an event without end that is kept and scanned again and again.
+t_event_without_end() {
+	bounded /resume/endlessevent || return 1
+	[ "$(runs | grep -c ' bounded-endlessevent ')" = 2 ]
+}
+
+# Guards against a head without end that is kept.
+t_head_without_end() {
+	bounded /once/endlesshead && [ "$(cat "$DIR/status")" = 502 ] &&
+		[ "$(runs | grep -c ' bounded-endlesshead ')" = 1 ]
+}
+
+# Guards against interim responses, or empty lines, that are read for as long as
+# they come.
+t_interim_responses_without_end() {
+	bounded /once/endlessinterim && [ "$(cat "$DIR/status")" = 502 ]
+}
+
+t_empty_lines_without_end() {
+	bounded /once/endlesslines && [ "$(cat "$DIR/status")" = 502 ]
+}
+
+t_noise_without_end() {
+	bounded /once/endlessnoise && [ "$(cat "$DIR/status")" = 502 ]
+}
+
+t_trailer_without_end() {
+	bounded /gen/endlesstrailer
+	[ $? = 0 ] && ! grep -q 'id=bounded-endlesstrailer .*done' \
+		"$DIR/proxy1.log"
+}
+
+t_chunk_extension_without_end() {
+	bounded /gen/endlessextension
+}
+
+# Prints the time of the first log line of an event of a request.
+log_ms() { # EVENT ID
+	sed -n "s/^t=\([0-9]*\) .*event=$1 id=$2 .*/\1/p" "$DIR/proxy1.log" |
+		head -n 1
+}
+
+# Guards against a second attempt that waits for the end of a body that is not
+# forwarded.
+t_second_attempt_does_not_wait() {
+	local kind waited
+	for kind in endlesserror endlessslow; do
+		ID=again-$kind call 1 /again/$kind --max-time 1 -o /dev/null
+		sleep 0.4
+		waited=$(($(log_ms again again-$kind) - \
+			$(log_ms sent again-$kind)))
+		echo "$kind: second attempt after $waited ms"
+		[ $waited -le $MAX_RETRY_MS ] || return 1
+	done
+}
+
+# Forwards as fast as the caller reads, and keeps no more than that.
+t_body_that_is_forwarded() {
+	local peak
+	peak=$(peak_kb proxy1)
+	call 1 /once/endlesserror --max-time 1 --limit-rate 200k -o /dev/null
+	peak=$(($(peak_kb proxy1) - peak))
+	echo "memory +$peak KB"
+	[ $peak -le $MAX_GROWTH_KB ]
+}
+
+# Guards against answers of the store without end that are kept.
+t_store_without_end() {
+	local name kind
+	for kind in body head interim; do
+		store_control "{\"endless\":\"$kind\"}"
+		for name in proxy1 dispatcher1; do
+			peak_kb $name >"$DIR/peak-$name"
+			cpu_ms $name >"$DIR/cpu-$name"
+		done
+		# Without a dispatcher the proxy reads the store as well.
+		sleep 2
+		call 1 /open/ok -o /dev/null -m 1 || return 1
+		store_control '{"endless":""}'
+		for name in proxy1 dispatcher1; do
+			echo "$kind $name: memory" \
+				+$(($(peak_kb $name) - $(cat "$DIR/peak-$name"))) \
+				cpu $(($(cpu_ms $name) - $(cat "$DIR/cpu-$name")))
+			[ $(($(peak_kb $name) - $(cat "$DIR/peak-$name"))) -le \
+				$MAX_STORE_GROWTH_KB ] || return 1
+		done
+		wait_until 5 ready 1 || return 1
+	done
+}
+MAX_STORE_GROWTH_KB=$((49152 * SLACK))
+
+start platform $BIN/standin-platform $STORE \
+	$(server_port 1):s1:app:4 $(server_port 2):s2:app:4 \
+	$(server_port 3):s3:app:4
+wait_until 5 config 10 || exit 1
+start_dispatcher 1
+start_proxy 1
+wait_until 10 ready 1 || exit 1
+# The retry budget is small until the dispatcher has run for a window.
+sleep $RETRY_WINDOW_S
+
+check "endless: an event" t_event_without_end
+check "endless: a head" t_head_without_end
+check "endless: interim responses" t_interim_responses_without_end
+check "endless: empty lines" t_empty_lines_without_end
+check "endless: bytes that are no HTTP" t_noise_without_end
+check "endless: a trailer" t_trailer_without_end
+check "endless: a chunk extension" t_chunk_extension_without_end
+check "endless: a second attempt does not wait" t_second_attempt_does_not_wait
+check "endless: a body that is forwarded" t_body_that_is_forwarded
+check "endless: the store" t_store_without_end
+echo "$passed passed, $failed failed"
+[ $failed = 0 ]
