HTTP reader: bound interim responses and empty lines before a head

A server that sent either without end kept a core of the proxy busy until the request's time-out (3,000 ms of processor time in 3,027 ms). Both were skipped in a loop without a count. More than 16 interim responses or 64 bytes of empty lines are malformed now: 502 at once.

--- a/net/http1.c
+++ b/net/http1.c
@@ -5,6 +5,9 @@
 
 #define HEAD_END "\r\n\r\n"
 #define HEAD_END_BYTES 4
+/* Without bounds a peer could keep the reader busy for ever. */
+#define MAX_INTERIM_RESPONSES 16
+#define MAX_EMPTY_BYTES 64
 
 static int on_headers_complete(http_parser *p)
 {
@@ -52,7 +55,7 @@
 	mh_buffer_release(&r->raw);
 }
 
-void mh_http_reader_reset(struct mh_http_reader *r)
+static void begin_head(struct mh_http_reader *r)
 {
 	http_parser_init(&r->parser, r->type);
 	r->parser.data = r;
@@ -62,6 +65,13 @@
 	r->head.n_headers = 0;
 }
 
+void mh_http_reader_reset(struct mh_http_reader *r)
+{
+	r->n_interim = 0;
+	r->empty_bytes = 0;
+	begin_head(r);
+}
+
 bool mh_http_reader_idle(const struct mh_http_reader *r)
 {
 	return !r->in_body && !r->ended && !r->raw.len;
@@ -286,10 +296,12 @@
 
 	*used = 0;
 	while (!r->in_body) {
-		/* Empty lines between messages are allowed. */
 		while (!r->raw.len && *used < len &&
-		       (bytes[*used] == '\r' || bytes[*used] == '\n'))
+		       (bytes[*used] == '\r' || bytes[*used] == '\n')) {
+			if (++r->empty_bytes > MAX_EMPTY_BYTES)
+				return MH_HTTP_MALFORMED;
 			++*used;
+		}
 		if (*used == len)
 			return MH_HTTP_MORE;
 		if (!collect_head(r, bytes + *used, len - *used, &n)) {
@@ -305,7 +317,9 @@
 		if (code != MH_HTTP_MORE)
 			return code;
 		if (r->type == HTTP_RESPONSE && r->head.status < 200) {
-			mh_http_reader_reset(r);
+			if (++r->n_interim > MAX_INTERIM_RESPONSES)
+				return MH_HTTP_MALFORMED;
+			begin_head(r);
 			continue;
 		}
 		r->in_body = true;
--- a/net/http1.h
+++ b/net/http1.h
@@ -96,6 +96,8 @@
 	struct mh_buffer raw;
 	bool in_body;
 	bool ended;
+	uint32_t n_interim;   /* interim responses before this one */
+	uint32_t empty_bytes; /* of empty lines before the head */
 	size_t max_head_bytes;
 	struct mh_http_head head;
 	const struct mh_http_ops *ops;
@@ -133,7 +135,8 @@
  * @len: length of @bytes
  * @used: set to the number of bytes consumed
  *
- * Interim responses (status 1xx) are skipped.
+ * A few interim responses (status 1xx) and empty lines before the head are
+ * skipped; more of them are malformed.
  *
  * Return: how far the message was read, or why it was rejected.
  */
