HTTP reader: a 304 has no body, whatever its Content-Length

http-parser waits for the body that the length of a 304 announces; such a response only ended with its connection or the request's time-out. test_framing failed before.

--- a/net/http1.c
+++ b/net/http1.c
@@ -9,11 +9,19 @@
 #define MAX_INTERIM_RESPONSES 16
 #define MAX_EMPTY_BYTES 64
 
+static bool may_have_body(unsigned int status)
+{
+	return status != 204 && status != 304;
+}
+
 static int on_headers_complete(http_parser *p)
 {
 	const struct mh_http_reader *r = p->data;
 
-	return r->no_body ? 1 : 0;
+	if (r->type == HTTP_REQUEST)
+		return 0;
+	/* http-parser waits for the body of a 304 with a Content-Length. */
+	return r->no_body || !may_have_body(p->status_code);
 }
 
 static int on_body(http_parser *p, const char *at, size_t len)
@@ -343,7 +351,7 @@
 
 enum mh_framing mh_http_framing(const struct mh_http_head *head, bool no_body)
 {
-	if (no_body || head->status == 204 || head->status == 304)
+	if (no_body || !may_have_body(head->status))
 		return MH_FRAMING_NONE;
 	if (head->chunked)
 		return MH_FRAMING_CHUNKED;
--- a/tests/test_http_bounds.c
+++ b/tests/test_http_bounds.c
@@ -128,6 +128,10 @@
 			 MH_FRAMING_NONE);
 	assert_int_equal(framing_of("HTTP/1.1 204 X\r\n\r\n", false),
 			 MH_FRAMING_NONE);
+	assert_int_equal(
+		framing_of("HTTP/1.1 304 X\r\nContent-Length: 7\r\n\r\n",
+			   false),
+		MH_FRAMING_NONE);
 	assert_int_equal(
 		framing_of("HTTP/1.1 200 X\r\nContent-Length: 7\r\n\r\nabc",
 			   false),
