--- a/proxy/exchange_response.c
+++ b/proxy/exchange_response.c
@@ -4,6 +4,8 @@
 
 #include "proxy/exchange_impl.h"
 
+/* A longer one is no event: the server's stream is spoiled. */
+#define MAX_EVENT_BYTES (1u << 20)
 /* Hexadecimal digits of a chunk size, CR, LF. */
 #define CHUNK_HEADER_BYTES (2 * sizeof(size_t) + 2)
 
@@ -215,7 +217,7 @@
 
 /* Forwards whole events only, so that another server can continue the stream
  * after the last one: @whole of @bytes end with one.
- * Return: false if memory runs out. */
+ * Return: false if an event is too long or memory runs out. */
 static bool forward_events(struct exchange *x, const uint8_t *bytes, size_t len,
 			   size_t whole)
 {
@@ -232,7 +234,8 @@
 	if (whole && x->judge.events.last_id[0])
 		memcpy(x->last_event, x->judge.events.last_id,
 		       sizeof(x->last_event));
-	return mh_buffer_add(partial, bytes + whole, len - whole);
+	return partial->len + len - whole <= MAX_EVENT_BYTES &&
+	       mh_buffer_add(partial, bytes + whole, len - whole);
 }
 
 static int on_body(void *data, const uint8_t *bytes, size_t len)
