Proxy: a second attempt does not wait for a body that is not forwarded

It is read for 16 KiB and 20 ms at most, so that the connection of a usual error can still be reused; then the connection is closed and the head decides.

--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -38,6 +38,7 @@
 
 	HASH_DEL(x->set->all, x);
 	mh_timer_clear(x->set->env.timers, &x->timer);
+	mh_timer_clear(x->set->env.timers, &x->discard_timer);
 	for (i = 0; i < x->n_tried; i++)
 		free(x->tried[i]);
 	free(x->server);
@@ -76,6 +77,7 @@
 	if (x->upstream)
 		mh_upstream_cancel(x->upstream);
 	x->upstream = NULL;
+	mh_timer_clear(x->set->env.timers, &x->discard_timer);
 	if (mh_slot_is_uncharged(outcome))
 		x->quota_charged = false;
 	mh_slot_client_release(
--- a/proxy/exchange_impl.h
+++ b/proxy/exchange_impl.h
@@ -65,6 +65,8 @@
 	bool head_forwarded;
 	enum mh_framing client_framing; /* of the response to the client */
 	bool by_events; /* it is forwarded by whole events, to be resumed */
+	bool discarded; /* enough was read of a response not forwarded */
+	struct mh_timer discard_timer;
 	struct mh_response_judge judge; /* of the last server's response */
 	enum mh_response_end end;	/* of the same */
 	char *tried[MH_AVOID_MAX];
--- a/proxy/exchange_response.c
+++ b/proxy/exchange_response.c
@@ -6,6 +6,10 @@
 
 /* A longer one is no event: the server's stream is spoiled. */
 #define MAX_EVENT_BYTES (1u << 20)
+/* A response that is not forwarded is read to its end, so that its connection
+ * can be used again, unless it is longer or takes longer. */
+#define MAX_DISCARDED_BYTES 16384
+#define DISCARD_TIMEOUT_NS (20 * MH_NS_PER_MS)
 /* Hexadecimal digits of a chunk size, CR, LF. */
 #define CHUNK_HEADER_BYTES (2 * sizeof(size_t) + 2)
 
@@ -174,8 +178,11 @@
 	    (head->status >= 300 || !x->judge.is_event_stream ||
 	     x->judge.framing == MH_FRAMING_NONE))
 		x->verdict = VERDICT_REPLACE;
-	if (x->verdict != VERDICT_FORWARD)
+	if (x->verdict != VERDICT_FORWARD) {
+		mh_timer_set(x->set->env.timers, &x->discard_timer,
+			     mh_exchange_now_ns(x) + DISCARD_TIMEOUT_NS);
 		return 0;
+	}
 	/* The latency of an error does not measure the server's speed. */
 	if (!is_server_error(x->status))
 		mh_slot_client_first_byte(
@@ -244,8 +251,10 @@
 	uint32_t events = x->judge.events.events;
 	size_t whole = mh_response_judge_read(&x->judge, bytes, len);
 
-	if (x->verdict != VERDICT_FORWARD)
-		return 0;
+	if (x->verdict != VERDICT_FORWARD) {
+		x->discarded = x->judge.bytes > MAX_DISCARDED_BYTES;
+		return x->discarded;
+	}
 	x->events += x->judge.events.events - events;
 	if (x->by_events)
 		return !forward_events(x, bytes, len, whole);
@@ -304,6 +313,11 @@
 	mh_exchange_on_outcome_unknown(x, MH_ERR_BACKEND_FAILED);
 }
 
+static void on_discard_timeout(void *data)
+{
+	end_discarded(data);
+}
+
 /* The response is known not to be whole. */
 static void end_cut(struct exchange *x)
 {
@@ -365,6 +379,10 @@
 	case MH_UPSTREAM_MALFORMED:
 		break;
 	}
+	if (x->discarded) {
+		end_discarded(x);
+		return;
+	}
 	x->servers_reached++;
 	x->attempts++;
 	mh_count(x->set->env.counters, MH_C_BAD_ANSWERS);
@@ -377,6 +395,8 @@
 {
 	mh_response_judge_begin(&x->judge, MH_FRAMING_NONE, false, false);
 	x->end = MH_RESPONSE_CUT;
+	x->discarded = false;
+	mh_timer_init(&x->discard_timer, on_discard_timeout, x);
 }
 
 const struct mh_upstream_ops mh_exchange_upstream_ops = {
