Side: judge streams by their events, and bound responses

A stream whose last bytes were its end marker passed for whole without the end of that event, and a service's stream always did. The side asks the same judge as the proxy. A response without end was kept as long as the caller read it; over 16 MiB the run is cut.

test_stream_that_ends_inside_an_event_is_cut and test_response_without_end_is_given_up failed before.

--- a/side/backend.c
+++ b/side/backend.c
@@ -10,10 +10,13 @@
 #include <utlist.h>
 
 #include "config/logging.h"
+#include "core/response_judge.h"
 #include "net/http_client.h"
 #include "net/loop.h"
 
 #define READ_BLOCK_BYTES 16384
+/* The side keeps the whole response, for entries that attach again. */
+#define MAX_RESPONSE_BYTES (16u << 20)
 #define HEALTH_INTERVAL_MS 500
 /* Interval at which a failed cancel is retried. */
 #define CANCEL_RETRY_MS HEALTH_INTERVAL_MS
@@ -101,8 +104,8 @@
 	tail->bytes[tail->len] = '\0';
 }
 
-/* A stream without its end marker was cut off, even if the HTTP response ended
- * without an error. */
+/* A stream without its end marker was cut off, even if it ended between two
+ * events. */
 static bool engine_complete(const char *content_type, const struct tail *tail)
 {
 	return !is_event_stream(content_type) ||
@@ -157,17 +160,20 @@
 	return cancelled;
 }
 
-/* Without Content-Length or chunked encoding, a response that was cut off looks
- * complete. */
-static bool has_framing(ne_request *req, int status)
+static enum mh_framing framing_of(ne_request *req, int status)
 {
-	return status == 204 || status == 304 ||
-	       ne_get_response_header(req, "Content-Length") ||
-	       ne_get_response_header(req, "Transfer-Encoding");
+	if (status == 204 || status == 304)
+		return MH_FRAMING_NONE;
+	if (ne_get_response_header(req, "Transfer-Encoding"))
+		return MH_FRAMING_CHUNKED;
+	return ne_get_response_header(req, "Content-Length") ?
+		       MH_FRAMING_LENGTH :
+		       MH_FRAMING_CLOSE;
 }
 
 static enum mh_error relay_body(struct mh_backend *b, const struct job *job,
-				ne_request *req, const char *content_type)
+				ne_request *req, const char *content_type,
+				struct mh_response_judge *judge)
 {
 	char block[READ_BLOCK_BYTES];
 	struct tail tail = { .len = 0 };
@@ -181,11 +187,17 @@
 			return MH_ERR_BACKEND_CUT;
 		if (!n)
 			break;
+		mh_response_judge_read(judge, (const uint8_t *)block,
+				       (size_t)n);
+		if (judge->bytes > MAX_RESPONSE_BYTES)
+			return MH_ERR_BACKEND_CUT;
 		append_tail(&tail, block, (size_t)n);
 		b->events->data(b->data, &job->id, (const uint8_t *)block,
 				(size_t)n);
 	}
-	if (ne_end_request(req) != NE_OK)
+	/* The side's protocol has no end that proves nothing. */
+	if (mh_response_judge_end(judge, ne_end_request(req) == NE_OK) !=
+	    MH_RESPONSE_WHOLE)
 		return MH_ERR_BACKEND_CUT;
 	if (!b->ops->is_complete(content_type, &tail))
 		return MH_ERR_BACKEND_CUT;
@@ -197,13 +209,16 @@
 {
 	const char *type = ne_get_response_header(req, "Content-Type");
 	int status = ne_get_status(req)->code;
+	struct mh_response_judge judge;
 
 	if (!type)
 		type = "";
-	if (!has_framing(req, status))
+	mh_response_judge_begin(&judge, framing_of(req, status),
+				is_event_stream(type), false);
+	if (judge.framing == MH_FRAMING_CLOSE)
 		return MH_ERR_BACKEND_CUT;
 	b->events->head(b->data, &job->id, (uint32_t)status, type);
-	return relay_body(b, job, req, type);
+	return relay_body(b, job, req, type, &judge);
 }
 
 static ne_request *build_request(ne_session *sess, const struct job *job,
--- a/tests/test_backend.c
+++ b/tests/test_backend.c
@@ -13,6 +13,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "net/http_client.h"
 #include "net/http_server.h"
 #include "side/backend.h"
 
@@ -34,6 +35,9 @@
 	unsigned int n_stopped;
 	unsigned int n_started;
 	unsigned int n_ended;
+	enum mh_error last_error;
+	const char *stream; /* sent instead of events without end */
+	bool endless;	    /* bytes without end and without events */
 } engine = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
 static void pause_ms(unsigned int ms)
@@ -56,10 +60,36 @@
 	return sizeof(event) - 1;
 }
 
+static ssize_t next_bytes(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	(void)cls;
+	(void)pos;
+	memset(buf, 'x', max);
+	return (ssize_t)max;
+}
+
+/* Chunked, and ended as it should be. */
+static ssize_t rest_of_stream(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	size_t len = strlen(engine.stream) - pos;
+
+	(void)cls;
+	if (!len)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	if (len > max)
+		len = max;
+	memcpy(buf, engine.stream + pos, len);
+	return (ssize_t)len;
+}
+
 static enum MHD_Result reply_stream(struct MHD_Connection *conn)
 {
 	struct MHD_Response *r = MHD_create_response_from_callback(
-		MHD_SIZE_UNKNOWN, 64, next_event, NULL, NULL);
+		MHD_SIZE_UNKNOWN, engine.endless ? 65536 : 64,
+		engine.endless ? next_bytes :
+		engine.stream  ? rest_of_stream :
+				 next_event,
+		NULL, NULL);
 	enum MHD_Result result;
 
 	MHD_add_response_header(r, "Content-Type", "text/event-stream");
@@ -101,7 +131,7 @@
 	}
 	if (!strcmp(method, "DELETE"))
 		return cancel(conn, url + strlen("/v1/requests/"));
-	if (!strcmp(method, "POST"))
+	if (!strcmp(method, "POST") || engine.endless)
 		return reply_stream(conn);
 	return mh_http_reply_text(conn, 200, "text/plain", "ok\n");
 }
@@ -116,6 +146,8 @@
 	engine.n_stopped = 0;
 	engine.n_started = 0;
 	engine.n_ended = 0;
+	engine.stream = NULL;
+	engine.endless = false;
 	engine.daemon = MHD_start_daemon(
 		MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
 		0, NULL, NULL, on_request, NULL, MHD_OPTION_END);
@@ -179,7 +211,7 @@
 {
 	(void)data;
 	(void)run;
-	(void)error;
+	engine.last_error = error;
 	increment(&engine.n_ended);
 }
 
@@ -202,14 +234,15 @@
 	.health = on_health,
 };
 
-static struct mh_backend *start_runs(struct mh_run_call *calls, unsigned int n)
+static struct mh_backend *
+start_runs_at(const char *kind, struct mh_run_call *calls, unsigned int n)
 {
 	struct mh_backend *b;
 	unsigned int i;
 	char url[64];
 
 	snprintf(url, sizeof(url), "http://127.0.0.1:%u", engine.port);
-	b = mh_backend_start("engine", url, n, 5, &events, NULL);
+	b = mh_backend_start(kind, url, n, 5, &events, NULL);
 	assert_non_null(b);
 	for (i = 0; i < n; i++) {
 		calls[i] = (struct mh_run_call){
@@ -227,6 +260,26 @@
 	return b;
 }
 
+static struct mh_backend *start_runs(struct mh_run_call *calls, unsigned int n)
+{
+	return start_runs_at("engine", calls, n);
+}
+
+/* Return: how a run ends whose backend sends this stream. */
+static enum mh_error end_of_stream(const char *kind, const char *stream)
+{
+	unsigned int ended = engine.n_ended;
+	struct mh_run_call call;
+	struct mh_backend *b;
+
+	engine.stream = stream;
+	engine.n_started = 0;
+	b = start_runs_at(kind, &call, 1);
+	assert_true(wait_for_count(&engine.n_ended, ended + 1));
+	mh_backend_stop(b);
+	return engine.last_error;
+}
+
 static bool was_stopped(const struct mh_id *id)
 {
 	char text[MH_ID_TEXT_BYTES];
@@ -291,6 +344,36 @@
 	assert_int_equal(engine.n_stopped, 0);
 }
 
+/* Guards against a stream that ended inside an event being taken for whole. */
+static void test_stream_that_ends_inside_an_event_is_cut(void **state)
+{
+	(void)state;
+	assert_int_equal(end_of_stream("engine", "data: a\n\ndata: [DONE]\n\n"),
+			 MH_OK);
+	assert_int_equal(end_of_stream("engine", "data: a\n\ndata: [DONE]"),
+			 MH_ERR_BACKEND_CUT);
+	assert_int_equal(end_of_stream("engine", "data: a\n\n"),
+			 MH_ERR_BACKEND_CUT);
+	assert_int_equal(end_of_stream("service", "data: a\n\ndata: b\n\n"),
+			 MH_OK);
+	assert_int_equal(end_of_stream("service", "data: a\n\ndata: b\n"),
+			 MH_ERR_BACKEND_CUT);
+}
+
+/* Guards against a response without end that is kept. */
+static void test_response_without_end_is_given_up(void **state)
+{
+	struct mh_run_call call;
+	struct mh_backend *b;
+
+	(void)state;
+	engine.endless = true;
+	b = start_runs(&call, 1);
+	assert_true(wait_for_count(&engine.n_ended, 1));
+	assert_int_equal(engine.last_error, MH_ERR_BACKEND_CUT);
+	mh_backend_stop(b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -302,6 +385,12 @@
 		cmocka_unit_test_setup_teardown(
 			test_stop_does_not_wait_for_failing_cancels,
 			start_engine, stop_engine),
+		cmocka_unit_test_setup_teardown(
+			test_stream_that_ends_inside_an_event_is_cut,
+			start_engine, stop_engine),
+		cmocka_unit_test_setup_teardown(
+			test_response_without_end_is_given_up, start_engine,
+			stop_engine),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
