HTTP client: bound the body of a health check and a cancel

A body without end kept the side's health thread reading for ever, as each block renewed the time-out, so that the health of its backend stayed as it was. It is read for 64 KiB and the time-out in all.

test_health_check_without_end_fails did not end before (30 s).

--- a/net/http_client.c
+++ b/net/http_client.c
@@ -6,7 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "net/loop.h"
+
 #define READ_BYTES 16384
+/* A longer body, or one that takes longer than the timeout in all, is not read
+ * to its end. */
+#define MAX_SKIPPED_BYTES 65536
 
 ne_session *mh_http_session(const char *url, int timeout_s, char **path)
 {
@@ -33,13 +38,18 @@
 	return sess;
 }
 
-static int skip_body(ne_request *req)
+static int skip_body(ne_request *req, uint64_t deadline_ns)
 {
 	char block[READ_BYTES];
+	size_t len = 0;
 	ssize_t n;
 
 	do {
 		n = ne_read_response_block(req, block, sizeof(block));
+		if (n > 0)
+			len += (size_t)n;
+		if (len > MAX_SKIPPED_BYTES || mh_now_ns() > deadline_ns)
+			return NE_TIMEOUT;
 	} while (n > 0);
 	return n < 0 ? NE_ERROR : ne_end_request(req);
 }
@@ -47,6 +57,8 @@
 int mh_http_request(const char *url, const char *method, const char *path,
 		    int timeout_s)
 {
+	uint64_t deadline_ns =
+		mh_now_ns() + (uint64_t)timeout_s * MH_MS_PER_S * MH_NS_PER_MS;
 	char *base, *full = NULL;
 	ne_session *sess = mh_http_session(url, timeout_s, &base);
 	ne_request *req = NULL;
@@ -56,7 +68,8 @@
 		goto out;
 	req = ne_request_create(sess, method, full);
 	ne_set_request_flag(req, NE_REQFLAG_IDEMPOTENT, 0);
-	if (ne_begin_request(req) == NE_OK && skip_body(req) == NE_OK)
+	if (ne_begin_request(req) == NE_OK &&
+	    skip_body(req, deadline_ns) == NE_OK)
 		status = ne_get_status(req)->code;
 out:
 	if (req)
--- a/tests/test_backend.c
+++ b/tests/test_backend.c
@@ -374,6 +374,17 @@
 	mh_backend_stop(b);
 }
 
+/* Guards against a health check that reads for as long as bytes come. */
+static void test_health_check_without_end_fails(void **state)
+{
+	char url[64];
+
+	(void)state;
+	engine.endless = true;
+	snprintf(url, sizeof(url), "http://127.0.0.1:%u", engine.port);
+	assert_int_equal(mh_http_request(url, "GET", "/health", 2), 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -391,6 +402,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_response_without_end_is_given_up, start_engine,
 			stop_engine),
+		cmocka_unit_test_setup_teardown(
+			test_health_check_without_end_fails, start_engine,
+			stop_engine),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
