Soak: streams cut inside an event, bytes without end, resets that are resets

One of three streams is asked for with a shape that its server cuts, for HTTP/1.0 and 1.1 callers, or that has an event without end; bad responses have heads, interim responses, lines and noise without end; one of the requests that crash servers does so inside an event without framing. Checks: a response that is framed as complete and cut inside an event breaks "cut streams"; no process uses more than 64 MiB; streams that may run once do.

The relays ended connections in order where they should have reset them, and so did they where a server had: with cut streams that made ends that nothing shows. They pass resets on now.

--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -15,6 +15,8 @@
 #define RETRY_BUDGET_EXTRA 12
 /* Time within which a connected process applies a new configuration. */
 #define CONFIG_PROPAGATION_MS 2500
+/* A third of what the smallest host of the users' sites has. */
+#define MAX_PEAK_KB (64u << 10)
 /* Time within which a run ends after its client has disconnected. */
 #define CANCEL_TIMEOUT_MS 1000
 
@@ -190,16 +192,25 @@
 		const struct request *r = runs_of(ck, c->id);
 		uint32_t n = r ? r->n : 0;
 
+		if (c->outcome == CALL_FRAMED_CUT ||
+		    (c->outcome == CALL_COMPLETE && c->kind == CALL_CUT_STREAM))
+			report(ck, "cut streams", c,
+			       "framed as complete, and cut inside an event");
 		if (c->outcome == CALL_MISMATCHED)
 			report(ck, "own answers", c,
 			       "the response is not that of the request");
-		if (c->kind == CALL_NON_IDEMPOTENT && n > 1)
+		if ((c->kind == CALL_NON_IDEMPOTENT || c->kind == CALL_STREAM ||
+		     c->kind == CALL_CUT_STREAM) &&
+		    n > 1)
 			report(ck, "one run", c, "%u runs", n);
 		if (c->outcome == CALL_REFUSED && n)
 			report(ck, "true refusals", c, "%u runs", n);
 		if (c->outcome == CALL_COMPLETE && !n)
 			report(ck, "own answers", c, "no server ran it");
 		if (c->kind == CALL_BAD_RESPONSE ||
+		    ((c->kind == CALL_CUT_STREAM ||
+		      c->kind == CALL_CUT_RESUMABLE) &&
+		     n) ||
 		    c->outcome == CALL_COMPLETE || c->outcome == CALL_REFUSED ||
 		    c->outcome == CALL_CANCELLED)
 			continue;
@@ -435,6 +446,16 @@
 	}
 }
 
+static void check_memory(struct checks *ck)
+{
+	uint32_t peak_kb = fleet_peak_kb();
+
+	fprintf(ck->out, "memory: at most %u KiB\n", peak_kb);
+	if (peak_kb > MAX_PEAK_KB)
+		report(ck, "bounded memory", NULL, "a process used %u KiB",
+		       peak_kb);
+}
+
 static void print_outcomes(const struct checks *ck)
 {
 	uint32_t n[CALL_KINDS][CALL_NOT_CONNECTED + 1] = { 0 };
@@ -487,6 +508,7 @@
 	check_quota(&ck);
 	check_retries(&ck);
 	check_configuration(&ck);
+	check_memory(&ck);
 	HASH_ITER(hh, ck.requests, r, tmp) {
 		HASH_DEL(ck.requests, r);
 		free(r);
--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -12,11 +12,14 @@
 #define CALL_TIMEOUT_S 8
 #define MAX_THINK_MS 30
 #define HOLD_MIN_MS 40
+/* One of so many streams is cut by its server. */
+#define CUT_STREAMS 3
 
 struct client {
 	struct calls *calls;
 	const struct params *params;
 	struct mh_rng rng;
+	struct mh_rng cut_rng;
 	uint32_t number;
 	uint32_t sent;
 	uint32_t proxy;
@@ -25,6 +28,8 @@
 	pthread_t thread;
 };
 
+#define LEN(a) (sizeof(a) / sizeof((a)[0]))
+
 static struct client *clients;
 
 static const char *const kind_names[CALL_KINDS] = {
@@ -32,11 +37,12 @@
 	[CALL_STREAM] = "stream",	[CALL_RESUMABLE_STREAM] = "resume",
 	[CALL_HOLD] = "hold",		[CALL_QUOTA] = "quota",
 	[CALL_ROUTE] = "route",		[CALL_BAD_RESPONSE] = "bad",
+	[CALL_CUT_STREAM] = "cut",	[CALL_CUT_RESUMABLE] = "cutres",
 };
 
 static const char *const outcome_names[] = {
-	"complete", "refused",	  "failed",    "truncated",
-	"closed",   "mismatched", "cancelled", "not connected",
+	"complete",   "refused",    "failed",	 "truncated",	  "closed",
+	"mismatched", "framed cut", "cancelled", "not connected",
 };
 
 const char *call_kind_name(enum call_kind kind)
@@ -52,8 +58,14 @@
 static void write_target(const struct call *call, uint32_t random, char *out,
 			 size_t len)
 {
-	static const char *const bad_responses[] = { "wrongid", "unsigned",
-						     "encoded", "extra" };
+	static const char *const bad_responses[] = {
+		"wrongid",     "unsigned",	 "encoded",	 "extra",
+		"endlesshead", "endlessinterim", "endlessnoise", "endlesslines",
+	};
+	static const char *const cuts[] = {
+		"halfclose-end",   "linesclose-end",  "halfchunk-end",
+		"halfclose-reset", "halfchunk-reset", "endlessevent",
+	};
 
 	switch (call->kind) {
 	case CALL_NON_IDEMPOTENT:
@@ -73,7 +85,16 @@
 		break;
 	case CALL_BAD_RESPONSE:
 		snprintf(out, len, "/again/%s/%s", call->id,
-			 bad_responses[random % 4]);
+			 bad_responses[random % LEN(bad_responses)]);
+		break;
+	case CALL_CUT_STREAM:
+		/* A route without resuming forwards events without end. */
+		snprintf(out, len, "/gen/%s/%s", call->id,
+			 cuts[random % (LEN(cuts) - 1)]);
+		break;
+	case CALL_CUT_RESUMABLE:
+		snprintf(out, len, "/resume/%s/%s", call->id,
+			 cuts[random % LEN(cuts)]);
 		break;
 	default:
 		snprintf(out, len, "/again/%s/own", call->id);
@@ -83,18 +104,20 @@
 
 static bool send_request(struct client *c, const struct call *call)
 {
+	bool is_cut = call->kind == CALL_CUT_STREAM ||
+		      call->kind == CALL_CUT_RESUMABLE;
 	char target[128], text[512];
 	int len;
 
 	write_target(call, (uint32_t)mh_rng_next(&c->rng), target,
 		     sizeof(target));
 	len = snprintf(text, sizeof(text),
-		       "%s %s HTTP/1.1\r\nHost: h.example\r\n"
+		       "%s %s HTTP/1.%u\r\nHost: h.example\r\n"
 		       "Api-Key: %s\r\nX-Mangohead-Request-Id: %s\r\n"
 		       "Content-Length: 0\r\n\r\n",
 		       call->kind == CALL_NON_IDEMPOTENT ? "POST" : "GET",
-		       target, call->kind == CALL_QUOTA ? "key-2" : "key-1",
-		       call->id);
+		       target, !is_cut || mh_rng_next(&c->cut_rng) % 2,
+		       call->kind == CALL_QUOTA ? "key-2" : "key-1", call->id);
 	return send(c->fd, text, (size_t)len, MSG_NOSIGNAL) == len;
 }
 
@@ -105,7 +128,8 @@
 	bool same;
 	int i;
 
-	if (call->kind == CALL_STREAM || call->kind == CALL_RESUMABLE_STREAM) {
+	if (call->kind == CALL_STREAM || call->kind == CALL_RESUMABLE_STREAM ||
+	    call->kind == CALL_CUT_STREAM || call->kind == CALL_CUT_RESUMABLE) {
 		for (i = 1; i <= EVENTS; i++)
 			mh_buffer_printf(&expected, "id: %d\ndata: %s %d\n\n",
 					 i, call->id, i);
@@ -126,6 +150,8 @@
 {
 	switch (response->status) {
 	case 200:
+		if (mh_response_is_cut(response->end))
+			return CALL_FRAMED_CUT;
 		if (call->kind == CALL_BAD_RESPONSE) {
 			/* Only "extra" may be passed on, without its
 			 * trailing bytes. */
@@ -242,9 +268,15 @@
 	struct client *c = data;
 
 	while (!__atomic_load_n(&c->calls->stop, __ATOMIC_RELAXED)) {
-		uint32_t kind = (uint32_t)(mh_rng_next(&c->rng) % CALL_KINDS);
+		uint32_t kind =
+			(uint32_t)(mh_rng_next(&c->rng) % CALL_DRAWN_KINDS);
 		struct call call;
 
+		if ((kind == CALL_STREAM || kind == CALL_RESUMABLE_STREAM) &&
+		    mh_rng_next(&c->cut_rng) % CUT_STREAMS == 0)
+			kind = kind == CALL_STREAM ? CALL_CUT_STREAM :
+						     CALL_CUT_RESUMABLE;
+
 		if (c->fd < 0 && !choose_proxy(c))
 			continue;
 		make_call(c, (enum call_kind)kind, &call);
@@ -268,6 +300,7 @@
 			.calls = calls,
 			.params = params,
 			.rng = { params->seed * 1000 + i },
+			.cut_rng = { params->seed * 1000 + 500000 + i },
 			.number = i,
 			.fd = -1,
 		};
--- a/tests/soak/crashes.c
+++ b/tests/soak/crashes.c
@@ -160,7 +160,10 @@
 	while (!__atomic_load_n(&crashes.stop, __ATOMIC_RELAXED)) {
 		uint32_t i = n % BAD_REQUESTS;
 
-		snprintf(target, sizeof(target), "/fragile/bad%u/crash", i);
+		/* The last one crashes its servers in the middle of an event,
+		 * without framing. */
+		snprintf(target, sizeof(target), "/fragile/bad%u/%s", i,
+			 i < BAD_REQUESTS - 1 ? "crash" : "halfclose-exit");
 		snprintf(id, sizeof(id), "bad%u-%u", i, n++);
 		request(&rng, target, id, &crashing);
 		crashes.bad_sent++;
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -313,6 +313,35 @@
 	return ready;
 }
 
+static uint32_t peak_kb_of(pid_t pid)
+{
+	char path[64], line[128];
+	unsigned int kb = 0;
+	FILE *in;
+
+	snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+	in = fopen(path, "r");
+	while (in && fgets(line, sizeof(line), in)) {
+		if (sscanf(line, "VmHWM: %u kB", &kb) == 1)
+			break;
+	}
+	if (in)
+		fclose(in);
+	return kb;
+}
+
+uint32_t fleet_peak_kb(void)
+{
+	uint32_t i, most = 0, kb;
+
+	for (i = 0; i < fleet.params->proxies + fleet.params->dispatchers;
+	     i++) {
+		kb = fleet.v[i].pid > 0 ? peak_kb_of(fleet.v[i].pid) : 0;
+		most = kb > most ? kb : most;
+	}
+	return most;
+}
+
 /* Each version keeps all routes of the previous one and adds one. */
 void fleet_publish_config(uint32_t version)
 {
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -306,7 +306,7 @@
 			struct call call;
 
 			if (kind == CALL_HOLD || kind == CALL_BAD_RESPONSE ||
-			    kind == CALL_QUOTA)
+			    kind == CALL_QUOTA || kind >= CALL_DRAWN_KINDS)
 				continue;
 			call_proxy(&calls, &params, i, (enum call_kind)kind,
 				   &call);
--- a/tests/soak/relay.c
+++ b/tests/soak/relay.c
@@ -26,6 +26,7 @@
 	int client;
 	int target;
 	uint32_t resets; /* count of the relay when the connection began */
+	bool broken;	 /* both sockets are reset when they are closed */
 	int refs;
 	struct relay_conn *prev, *next;
 };
@@ -40,20 +41,11 @@
 
 static void unref(struct relay_conn *conn)
 {
-	struct linger abort_on_close = { 1, 0 };
-
 	if (__atomic_sub_fetch(&conn->refs, 1, __ATOMIC_ACQ_REL))
 		return;
 	pthread_mutex_lock(&conn->relay->lock);
 	DL_DELETE(conn->relay->conns, conn);
 	pthread_mutex_unlock(&conn->relay->lock);
-	if (__atomic_load_n(&conn->relay->resets, __ATOMIC_RELAXED) !=
-	    conn->resets) {
-		setsockopt(conn->client, SOL_SOCKET, SO_LINGER, &abort_on_close,
-			   sizeof(abort_on_close));
-		setsockopt(conn->target, SOL_SOCKET, SO_LINGER, &abort_on_close,
-			   sizeof(abort_on_close));
-	}
 	close(conn->client);
 	close(conn->target);
 	free(conn);
@@ -78,6 +70,20 @@
 	return true;
 }
 
+/* Makes the close of both sockets a reset, and wakes the other direction. */
+static void break_conn(struct relay_conn *conn)
+{
+	struct linger abort_on_close = { 1, 0 };
+	int fds[] = { conn->client, conn->target }, i;
+
+	__atomic_store_n(&conn->broken, true, __ATOMIC_RELEASE);
+	for (i = 0; i < 2; i++) {
+		setsockopt(fds[i], SOL_SOCKET, SO_LINGER, &abort_on_close,
+			   sizeof(abort_on_close));
+		shutdown(fds[i], SHUT_RD);
+	}
+}
+
 /* Forwards one direction. Blocked bytes are held back: to the peers this looks
  * like a network that loses packets and then delivers the retransmissions. */
 static void *forward(void *data)
@@ -98,14 +104,12 @@
 		if (was_reset(conn) || !send_all(dir->to, block, n))
 			break;
 	}
-	/* An orderly close is forwarded; an error or a reset ends both
-	 * directions. */
-	if (n || was_reset(conn)) {
-		shutdown(conn->client, SHUT_RDWR);
-		shutdown(conn->target, SHUT_RDWR);
-	} else {
+	/* An orderly close is forwarded; an error or a reset resets both
+	 * connections. */
+	if (n || was_reset(conn))
+		break_conn(conn);
+	else if (!__atomic_load_n(&conn->broken, __ATOMIC_ACQUIRE))
 		shutdown(dir->to, SHUT_WR);
-	}
 	free(dir);
 	unref(conn);
 	return NULL;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -14,6 +14,7 @@
 #include <time.h>
 
 #include "core/clock.h"
+#include "core/response_judge.h"
 #include "net/buffer.h"
 
 #define MAX_PROXIES 32
@@ -118,16 +119,18 @@
  * struct soak_response - a response as it was received
  * @status: HTTP status, 0 if bytes followed the response
  * @reusable: the connection can carry another request
+ * @end: whether it is whole, as its bytes tell
  * @body: body; the caller releases it
  */
 struct soak_response {
 	uint32_t status;
 	bool reusable;
+	enum mh_response_end end;
 	struct mh_buffer body;
 };
 
-/* Reads one response. Return: whether it is complete; *any tells whether at
- * least one byte arrived. */
+/* Reads one response. Return: whether its framing ended, in order; *any tells
+ * whether at least one byte arrived. */
 bool soak_read_response(int fd, struct soak_response *response, bool *any);
 
 /* ---- fleet.c: the processes ---- */
@@ -155,6 +158,8 @@
 /* Starts a process that the caller ends; its output is appended to log. */
 pid_t fleet_spawn(char **args, const char *log);
 bool fleet_ready(uint32_t proxy);
+/* Return: largest memory of any process that runs, in KiB. */
+uint32_t fleet_peak_kb(void);
 
 /* Sends a request to the platform's stand-in. Return: body, which the caller
  * frees, or NULL without a response with status 200. */
@@ -173,6 +178,10 @@
 	CALL_QUOTA,	       /* from an account with a small quota */
 	CALL_ROUTE,	       /* on the route added last */
 	CALL_BAD_RESPONSE,     /* its server sends a bad response */
+	CALL_DRAWN_KINDS,
+	/* Drawn instead of streams: their server cuts them inside an event. */
+	CALL_CUT_STREAM = CALL_DRAWN_KINDS,
+	CALL_CUT_RESUMABLE,
 	CALL_KINDS,
 };
 
@@ -183,6 +192,7 @@
 	CALL_TRUNCATED,	    /* the response ended early */
 	CALL_CLOSED,	    /* the connection was closed before any byte */
 	CALL_MISMATCHED,    /* the response is not that of the request */
+	CALL_FRAMED_CUT,    /* framed as complete, and cut inside an event */
 	CALL_CANCELLED,	    /* the client disconnected */
 	CALL_NOT_CONNECTED, /* the connection failed */
 };
--- a/tests/test_backend.c
+++ b/tests/test_backend.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -381,8 +382,11 @@
 
 	(void)state;
 	engine.endless = true;
+	/* Ends the test if the check doesn't. */
+	alarm(20);
 	snprintf(url, sizeof(url), "http://127.0.0.1:%u", engine.port);
 	assert_int_equal(mh_http_request(url, "GET", "/health", 2), 0);
+	alarm(0);
 }
 
 int main(void)
--- a/tests/test_store_ends.c
+++ b/tests/test_store_ends.c
@@ -18,7 +18,7 @@
 #include "net/loop.h"
 #include "platform/store.h"
 
-#define TIMEOUT_MS 3000
+#define TIMEOUT_MS 1000
 
 /* An answer: its begin, and what follows again and again. */
 struct script {
