Proxy: read what a server asks for after its caller has left

tests/test_notices.sh, "a pause after the caller left", failed before. Mutants may name a check of the process tests now; those of the proxy's new rules do.

--- a/proxy/app.c
+++ b/proxy/app.c
@@ -29,6 +29,7 @@
 	struct mh_process process;
 	struct mh_server_notices *notices;
 	struct mh_upstreams *upstreams;
+	struct mh_abandoned *abandoned;
 	struct mh_probes *probes;
 	struct mh_slot_client *slot_client;
 	struct mh_exchanges *exchanges;
@@ -312,7 +313,11 @@
 	app->probes = mh_probes_new(app->process.loop, &app->process.timers,
 				    &mh_system_clock, &app->process.counters,
 				    app->notices, on_server_accepted, app);
+	app->abandoned =
+		mh_abandoned_new(&app->process.timers, &mh_system_clock,
+				 mh_slot_client_notices(app->slot_client));
 	exchange_env.notices = app->notices;
+	exchange_env.abandoned = app->abandoned;
 	exchange_env.upstreams = app->upstreams;
 	exchange_env.probes = app->probes;
 	exchange_env.slot_client = app->slot_client;
@@ -361,6 +366,7 @@
 	mh_exchanges_free(app->exchanges);
 	mh_clients_free(app->clients);
 	mh_probes_free(app->probes);
+	mh_abandoned_free(app->abandoned);
 	mh_upstreams_free(app->upstreams);
 	mh_slot_client_free(app->slot_client);
 	mh_server_notices_free(app->notices);
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -71,12 +71,23 @@
 	return HASH_COUNT(set->all);
 }
 
-/* Releases the slot and closes the server's connection. */
-void mh_exchange_release_slot(struct exchange *x, enum mh_slot_outcome outcome)
+/* Closes the server's connection, which is read a little longer if the server
+ * has not responded yet. */
+static void close_upstream(struct exchange *x)
 {
-	if (x->upstream)
+	struct mh_server_ref server = mh_exchange_server(x);
+
+	if (x->upstream && !x->status)
+		mh_abandoned_add(x->set->env.abandoned, x->upstream, &server);
+	else if (x->upstream)
 		mh_upstream_cancel(x->upstream);
 	x->upstream = NULL;
+}
+
+/* Releases the slot and closes the server's connection. */
+void mh_exchange_release_slot(struct exchange *x, enum mh_slot_outcome outcome)
+{
+	close_upstream(x);
 	mh_timer_clear(x->set->env.timers, &x->discard_timer);
 	if (mh_slot_is_uncharged(outcome))
 		x->quota_charged = false;
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -8,6 +8,7 @@
 
 #include "core/metrics.h"
 #include "core/routes.h"
+#include "proxy/abandoned.h"
 #include "proxy/client.h"
 #include "proxy/probes.h"
 #include "proxy/slot_client.h"
@@ -24,6 +25,7 @@
  * @log: log
  * @notices: what servers asked for
  * @upstreams: connections to servers
+ * @abandoned: connections of requests that are given up
  * @probes: probes of servers at which runs were lost
  * @slot_client: slots at servers
  */
@@ -35,6 +37,7 @@
 	struct mh_event_log *log;
 	const struct mh_server_notices *notices;
 	struct mh_upstreams *upstreams;
+	struct mh_abandoned *abandoned;
 	struct mh_probes *probes;
 	struct mh_slot_client *slot_client;
 };
--- a/proxy/exchange_impl.h
+++ b/proxy/exchange_impl.h
@@ -51,7 +51,7 @@
 	uint64_t slot_requested_ns;
 	uint64_t sent_ns;
 	uint64_t last_bytes_ns; /* last bytes of the response */
-	uint16_t status;	/* of the last server's response */
+	uint16_t status;	/* of the last server's response, 0: none yet */
 	struct mh_series *gap_series;
 	uint32_t first_ms;	  /* from arrival to the first byte */
 	uint32_t gap_ms;	  /* longest pause after that */
--- a/proxy/exchange_response.c
+++ b/proxy/exchange_response.c
@@ -132,33 +132,16 @@
 	x->head_forwarded = true;
 }
 
-/* A server's notices hold whatever becomes of the response. */
-static void take_notices(struct exchange *x,
-			 const struct mh_wire_response *response)
-{
-	const struct mh_notice_relay *relay =
-		mh_slot_client_notices(x->set->env.slot_client);
-	struct mh_server_ref server = mh_exchange_server(x);
-
-	if (response->is_malformed) {
-		mh_count(x->set->env.counters, MH_C_BAD_NOTICES);
-		mh_event(mh_exchange_log(x), MH_EV_SERVER,
-			 "event=notice_rejected server=%s id=%.*s", x->server,
-			 (int)x->wire.id.len, x->wire.id.p);
-	}
-	if (response->is_leaving)
-		mh_notice_relay_leaving(relay, &server, NULL);
-	if (response->pause_ms)
-		mh_notice_relay_pause(relay, &server, response->pause_ms);
-}
-
 static int on_head(void *data, const struct mh_http_head *head)
 {
 	struct exchange *x = data;
+	struct mh_server_ref server = mh_exchange_server(x);
 	struct mh_wire_response response;
 
 	mh_wire_read_response(head, &response);
-	take_notices(x, &response);
+	mh_notice_relay_response(
+		mh_slot_client_notices(x->set->env.slot_client), &server,
+		&response);
 	mh_upstream_set_idle_timeout(x->upstream, response.keep_alive_s);
 	/* The response names another request, or it names none although the
 	 * server does not say that it refused the request. */
@@ -395,6 +378,7 @@
 {
 	mh_response_judge_begin(&x->judge, MH_FRAMING_NONE, false, false);
 	x->end = MH_RESPONSE_CUT;
+	x->status = 0;
 	x->discarded = false;
 	mh_timer_init(&x->discard_timer, on_discard_timeout, x);
 }
--- a/proxy/notice_relay.c
+++ b/proxy/notice_relay.c
@@ -60,6 +60,23 @@
 	forward(relay, server, NULL);
 }
 
+void mh_notice_relay_response(const struct mh_notice_relay *relay,
+			      const struct mh_server_ref *server,
+			      const struct mh_wire_response *response)
+{
+	if (response->is_malformed) {
+		mh_count(relay->counters, MH_C_BAD_NOTICES);
+		mh_event(relay->log, MH_EV_SERVER,
+			 "event=notice_rejected server=%s id=%.*s", server->id,
+			 (int)response->id.len,
+			 response->id.p ? response->id.p : "");
+	}
+	if (response->is_leaving)
+		mh_notice_relay_leaving(relay, server, NULL);
+	if (response->pause_ms)
+		mh_notice_relay_pause(relay, server, response->pause_ms);
+}
+
 void mh_notice_relay_repeat(const struct mh_notice_relay *relay,
 			    const struct mh_server_ref *server)
 {
--- a/proxy/notice_relay.h
+++ b/proxy/notice_relay.h
@@ -11,6 +11,7 @@
 #include "core/server_notices.h"
 #include "net/event_log.h"
 #include "net/link.h"
+#include "platform/wire.h"
 
 /**
  * struct mh_notice_relay - what the relay works on, owned by the slot client
@@ -51,6 +52,16 @@
 void mh_notice_relay_pause(const struct mh_notice_relay *relay,
 			   const struct mh_server_ref *server, uint32_t ms);
 
+/**
+ * mh_notice_relay_response() - record what a server's response asks for
+ * @relay: relay
+ * @server: server
+ * @response: its response, whatever becomes of that
+ */
+void mh_notice_relay_response(const struct mh_notice_relay *relay,
+			      const struct mh_server_ref *server,
+			      const struct mh_wire_response *response);
+
 /**
  * mh_notice_relay_repeat() - tell the dispatchers once more what holds for a
  *                            server that one of them offered
--- a/proxy/upstream.c
+++ b/proxy/upstream.c
@@ -423,6 +423,21 @@
 		free_upstream(u);
 }
 
+bool mh_upstream_half_close(struct mh_upstream *u,
+			    const struct mh_server_ref *server,
+			    const struct mh_upstream_ops *ops, void *data)
+{
+	if (u->connecting || u->out.len || u->reading ||
+	    shutdown(u->watch.fd, SHUT_WR))
+		return false;
+	u->server = *server;
+	u->ops = ops;
+	u->data = data;
+	u->reusable = false;
+	mh_upstream_pause(u, false);
+	return true;
+}
+
 void mh_upstream_pause(struct mh_upstream *u, bool paused)
 {
 	if (u->paused == paused)
--- a/proxy/upstream.h
+++ b/proxy/upstream.h
@@ -94,6 +94,22 @@
  */
 void mh_upstream_cancel(struct mh_upstream *u);
 
+/**
+ * mh_upstream_half_close() - give up a request, but read its response
+ * @u: connection
+ * @server: the same server; its strings are the caller's
+ * @ops: further events
+ * @data: first argument of @ops
+ *
+ * The connection is closed for sending and not used again.
+ *
+ * Return: false, and nothing is changed, if the request was not sent completely
+ * or its response is just being read.
+ */
+bool mh_upstream_half_close(struct mh_upstream *u,
+			    const struct mh_server_ref *server,
+			    const struct mh_upstream_ops *ops, void *data);
+
 /**
  * mh_upstream_pause() - pause or resume reading the response
  * @u: connection
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # Mutation test: disables one mechanism at a time in a copy of the tree and
 # expects the test that covers it to fail. A mutant that survives shows that the
-# test does not cover the mechanism.
+# test does not cover the mechanism. Process tests use ports from 28000 on.
 # Usage: [JOBS=n] [CASES=n] [SEED=n] mutants.sh [NAME]
 cd "$(dirname "$0")/.." || exit 1
 . tests/mutate.sh
@@ -9,24 +9,40 @@
 trap 'rm -rf "$dir"' EXIT
 jobs=${JOBS:-6}
 cases=${CASES:-300}
+n=0
 
-try_mutant() { # NAME PROPERTY FILES EXPRESSION
-	local copy=$dir/$1 run=test_properties
+# Runs a check of the process tests on the copy: "sh SCRIPT NAME-PART".
+run_process_test() { # COPY PORTS PROPERTY
+	local script part
+	read -r _ script part <<<"$3"
+	BIN=$1/build/bin BASE=$2 "tests/test_$script.sh" "$part"
+}
+
+try_mutant() { # NAME PROPERTY FILES EXPRESSION PORTS
+	local copy=$dir/$1 run=test_properties programs
 	mkdir -p "$copy"
-	cp -r Makefile core config net platform proto entry side examples tests \
-		"$copy/"
+	cp -r Makefile core config net platform proto entry side proxy \
+		dispatcher examples tests "$copy/"
 	cp -r build "$copy/" 2>/dev/null
 	find "$copy/build" -name '*.d' -exec touch {} + 2>/dev/null
 	mutate "$1" "$copy" "$3" "$4" || return
 	[ ! -e "tests/test_$2.c" ] || run=test_$2
-	if ! make -C "$copy" -j2 CFLAGS="-std=gnu11 -O1 -w" build/bin/$run \
+	programs=build/bin/$run
+	[[ $2 != "sh "* ]] ||
+		programs="build/bin/mangohead-proxy build/bin/mangohead-dispatcher"
+	if ! make -C "$copy" -j2 CFLAGS="-std=gnu11 -O1 -w" $programs \
 		>"$copy/log" 2>&1; then
 		echo "BROKEN   $1: does not build"
 		return
 	fi
-	if RC_PARAMS="seed=${SEED:-1} max_success=$cases noshrink=1" \
-		timeout 400 "$copy/build/bin/$run" "$2" \
-		>"$copy/log" 2>&1; then
+	if [[ $2 = "sh "* ]]; then
+		run_process_test "$copy" $5 "$2" >"$copy/log" 2>&1
+	else
+		RC_PARAMS="seed=${SEED:-1} max_success=$cases noshrink=1" \
+			timeout 400 "$copy/build/bin/$run" "$2" \
+			>"$copy/log" 2>&1
+	fi
+	if [ $? = 0 ]; then
 		echo "SURVIVED $1: $2"
 	else
 		echo "killed   $1: $(grep -m1 -E 'at [0-9]+ ms:|RC_ASSERT|FAILED' \
@@ -42,8 +58,9 @@
 	while [ "$(jobs -rp | wc -l)" -ge $jobs ]; do
 		wait -n
 	done
+	ports=$((28000 + 300 * (n++ % 12)))
 	try_mutant "$name" "$(echo $property)" "$(echo $file)" \
-		"$(echo "$expression" | sed 's/^ //')" &
+		"$(echo "$expression" | sed 's/^ //')" $ports &
 done <tests/mutants.txt >"$dir/result"
 wait
 sort "$dir/result"
--- a/tests/test_cut_streams.sh
+++ b/tests/test_cut_streams.sh
@@ -4,7 +4,7 @@
 # without a length, requests that crash servers in the middle of an event.
 # Usage: test_cut_streams.sh [NAME-PART]
 cd "$(dirname "$0")/.." || exit 1
-BASE=${BASE:-23000}
+BASE=${BASE:-21000}
 . tests/site.sh
 . tests/proxy_site.sh
 . tests/checks.sh
--- a/tests/test_endless.sh
+++ b/tests/test_endless.sh
@@ -4,7 +4,7 @@
 # attempt are bounded, and other callers don't feel it.
 # Usage: test_endless.sh [NAME-PART]
 cd "$(dirname "$0")/.." || exit 1
-BASE=${BASE:-24000}
+BASE=${BASE:-25000}
 . tests/site.sh
 . tests/proxy_site.sh
 . tests/checks.sh
--- a/tests/test_notices.sh
+++ b/tests/test_notices.sh
@@ -90,6 +90,30 @@
 		arrivals | awk '/ s2 pause-.* run / { n++ } END { exit n < 20 }'
 }
 
+# Guards against a pause that the proxy doesn't learn of, because the only caller
+# of the request that was turned away had left. The server answers late.
+t_pause_after_the_caller_left() {
+	local n
+	for n in $SERVERS; do
+		platform "silent?id=s$n&ms=200"
+		shed $n 500 Retry-After:2
+	done
+	sleep 0.12
+	for n in 1 2 3 4 5 6; do
+		ID=left-1-$n call 1 /again/ok --max-time 0.03 -o /dev/null &
+	done
+	wait
+	sleep 0.6
+	load left 1 1
+	refusals left
+	arrivals_in_pauses left 2000 | tail -n 4
+	[ $(refusals left) -ge 4 ] &&
+		[ $(max_in_pauses left 2000) -le $MAX_ARRIVALS ] || return 1
+	# The connections are closed, and the proxy goes on.
+	sleep 2
+	[ "$(status_of 1 /again/ok)" = 200 ]
+}
+
 # The dispatchers are gone, the store is down and settings are read again.
 t_pause_without_dispatcher() {
 	local i n load
@@ -308,6 +332,7 @@
 sleep $RETRY_WINDOW_S
 
 check "notices: a pause is kept" t_pause_is_kept
+check "notices: a pause after the caller left" t_pause_after_the_caller_left
 check "notices: a pause without a dispatcher and the store" \
 	t_pause_without_dispatcher
 check "notices: a pause and a new dispatcher" t_pause_and_new_dispatcher
