Log: the fields of a response's framing in the lines' own formats

tests/test_docs.sh reads the fields from the formats of the lines; those that were put together elsewhere were on the page and not found in the code.

--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -129,18 +129,20 @@
 /* Aborts a response whose head has already been forwarded. */
 static void abort_response(struct exchange *x, const char *why)
 {
-	char frame[MH_EXCHANGE_FRAME_TEXT_BYTES];
 	struct mh_client *cl = x->client;
 
 	mh_count(x->set->env.counters, MH_C_CUT);
 	mh_event(mh_exchange_log(x), MH_EV_FAILED,
 		 "event=cut id=%.*s why=%s route=%s server=%s events=%u "
-		 "held_ms=%u servers=%u fingerprint=%016llx %s",
+		 "held_ms=%u servers=%u fingerprint=%016llx "
+		 "http_minor=%u framing=%s bytes=%llu end=%s",
 		 (int)x->wire.id.len, x->wire.id.p, why, x->route->name,
 		 x->server ? x->server : "", x->events,
 		 mh_exchange_elapsed_ms(x, x->arrived_ns), x->servers_reached,
-		 (unsigned long long)x->fingerprint,
-		 mh_exchange_describe_frame(x, frame));
+		 (unsigned long long)x->fingerprint, x->head->minor,
+		 mh_framing_name(x->judge.framing),
+		 (unsigned long long)x->judge.bytes,
+		 mh_response_end_name(x->end));
 	mh_exchange_observe_total(x, "cut");
 	mh_exchange_free(x);
 	mh_client_abort(cl);
@@ -241,16 +243,17 @@
 
 static void retry(struct exchange *x, const char *why)
 {
-	char frame[MH_EXCHANGE_FRAME_TEXT_BYTES];
-
 	mh_count(x->set->env.counters, MH_C_SENT_AGAIN);
 	mh_event(mh_exchange_log(x), MH_EV_RETRIED,
 		 "event=again id=%.*s why=%s route=%s server=%s servers=%u "
-		 "events=%u left_ms=%u fingerprint=%016llx %s",
+		 "events=%u left_ms=%u fingerprint=%016llx "
+		 "http_minor=%u framing=%s bytes=%llu end=%s",
 		 (int)x->wire.id.len, x->wire.id.p, why, x->route->name,
 		 x->server, x->servers_reached, x->events, remaining_ms(x),
-		 (unsigned long long)x->fingerprint,
-		 mh_exchange_describe_frame(x, frame));
+		 (unsigned long long)x->fingerprint, x->head->minor,
+		 mh_framing_name(x->judge.framing),
+		 (unsigned long long)x->judge.bytes,
+		 mh_response_end_name(x->end));
 	if (x->n_tried < MH_AVOID_MAX) {
 		x->tried[x->n_tried++] = x->server;
 	} else {
--- a/proxy/exchange_impl.h
+++ b/proxy/exchange_impl.h
@@ -118,9 +118,6 @@
 void mh_exchange_observe_gap(struct exchange *x);
 
 /* Responses: exchange_response.c */
-#define MH_EXCHANGE_FRAME_TEXT_BYTES 128
-const char *mh_exchange_describe_frame(const struct exchange *x,
-				       char text[MH_EXCHANGE_FRAME_TEXT_BYTES]);
 bool mh_exchange_can_resume(const struct exchange *x);
 void mh_exchange_init_response(struct exchange *x);
 
--- a/proxy/exchange_response.c
+++ b/proxy/exchange_response.c
@@ -1,5 +1,4 @@
 /* Handles the responses of backend servers and forwards them to clients. */
-#include <stdio.h>
 #include <string.h>
 
 #include "proxy/exchange_impl.h"
@@ -57,17 +56,6 @@
 				is_event_stream(x, head), resumes);
 }
 
-const char *mh_exchange_describe_frame(const struct exchange *x,
-				       char text[MH_EXCHANGE_FRAME_TEXT_BYTES])
-{
-	snprintf(text, MH_EXCHANGE_FRAME_TEXT_BYTES,
-		 "http=1.%u framing=%s bytes=%llu end=%s", x->head->minor,
-		 mh_framing_name(x->judge.framing),
-		 (unsigned long long)x->judge.bytes,
-		 mh_response_end_name(x->end));
-	return text;
-}
-
 bool mh_exchange_can_resume(const struct exchange *x)
 {
 	if (!x->by_events || x->judge.events.id_too_long)
@@ -260,7 +248,6 @@
 static void finish(struct exchange *x)
 {
 	struct mh_client *cl = x->client;
-	char frame[MH_EXCHANGE_FRAME_TEXT_BYTES];
 	bool is_proven = x->end == MH_RESPONSE_WHOLE;
 
 	if (x->client_framing == MH_FRAMING_CHUNKED)
@@ -269,13 +256,15 @@
 	mh_event(mh_exchange_log(x), MH_EV_DONE,
 		 "event=done id=%.*s status=%u route=%s account=%s server=%s "
 		 "total_ms=%u server_ms=%u first_ms=%u gap_ms=%u servers=%u "
-		 "events=%u %s",
+		 "events=%u http_minor=%u framing=%s bytes=%llu end=%s",
 		 (int)x->wire.id.len, x->wire.id.p, x->status, x->route->name,
 		 x->account ? x->account->name : "", x->server,
 		 mh_exchange_elapsed_ms(x, x->arrived_ns),
 		 mh_exchange_elapsed_ms(x, x->sent_ns), x->first_ms, x->gap_ms,
-		 x->servers_reached, x->events,
-		 mh_exchange_describe_frame(x, frame));
+		 x->servers_reached, x->events, x->head->minor,
+		 mh_framing_name(x->judge.framing),
+		 (unsigned long long)x->judge.bytes,
+		 mh_response_end_name(x->end));
 	mh_exchange_observe_total(x, is_proven ? "whole" : "unproven");
 	mh_exchange_free(x);
 	mh_client_finish(cl);
