Tests: a zombie is a server that has ended

A server that had been started by a shell that is gone stays a zombie until somebody reaps it; the test took its directory in /proc for a server that runs and didn't start it again. The proxy's answer was true.

--- a/tests/proxy_site.sh
+++ b/tests/proxy_site.sh
@@ -157,6 +157,17 @@
 		$(server_port $((5 + $1))):${2:-c$1}:fragile:4
 }
 
+# Starts the ones again that have ended. A zombie has ended: its parent may be a
+# shell that has gone.
+revive_fragile() {
+	local i
+	sleep 0.5
+	for i in 1 2 3; do
+		is_alive fragile$i || start_fragile $i
+	done
+	sleep 0.2
+}
+
 crashes() { # REQUEST-ID-PART: servers that such requests ended
 	cat "$DIR"/fragile?.log | grep -c "crashed .*id=$1"
 }
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -32,6 +32,10 @@
 	cat "$DIR/$1.pid"
 }
 
+is_alive() { # NAME
+	grep -qs '^State:[[:space:]]*[^ZX[:space:]]' /proc/$(pid_of $1)/status
+}
+
 kill_hard() { # NAME: SIGKILL; returns after the exit, when the ports are free
 	is_ours $(pid_of $1) || return 1
 	kill -9 $(pid_of $1)
--- a/tests/test_crashing.sh
+++ b/tests/test_crashing.sh
@@ -32,7 +32,7 @@
 keep_replacing() { # N
 	local generation=0
 	while [ ! -e "$DIR/stop" ]; do
-		if [ ! -d /proc/$(pid_of fragile$1) ]; then
+		if ! is_alive fragile$1; then
 			generation=$((generation + 1))
 			replace_server $1 $generation
 		fi
--- a/tests/test_cut_streams.sh
+++ b/tests/test_cut_streams.sh
@@ -121,15 +121,6 @@
 		[ $(delivered) = $((before + 1)) ]
 }
 
-revive_fragile() {
-	local i
-	sleep 0.5
-	for i in 1 2 3; do
-		[ -d /proc/$(pid_of fragile$i) ] || start_fragile $i
-	done
-	sleep 0.2
-}
-
 # Guards against a request that crashes servers and is sent on, as the cut of
 # its stream inside an event counts as an end that clears it.
 t_request_that_crashes_inside_an_event() {
--- a/tests/test_proxy.sh
+++ b/tests/test_proxy.sh
@@ -341,15 +341,6 @@
 	[ "$(status_of 1 /once/ok)" = 200 ]
 }
 
-revive_fragile() {
-	local i
-	sleep 0.5
-	for i in 1 2 3; do
-		[ -d /proc/$(pid_of fragile$i) ] || start_fragile $i
-	done
-	sleep 0.2
-}
-
 # Sends a request that crashes servers, time and again, through both proxies and
 # with both keys of the caller. Proper requests go on beside it.
 crash_servers() { # ID-PART PATH TIMES
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -37,6 +37,36 @@
 	free_fixture(f);
 }
 
+/* Guards against two dispatchers that start together, as all processes do after a
+ * loss of power, and each let a whole quota through before they know of each
+ * other. An account that uses its quota evenly doesn't notice. */
+static void test_quota_of_dispatchers_that_start_together(void **state)
+{
+	struct fixture *f[2] = { new_fixture_at(100000 * MS),
+				 new_fixture_at(100000 * MS) };
+	uint32_t i, t, granted_units = 0, refused = 0;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		add_server(f[i], "a", 1, true);
+		mh_dispatch_set_quota(f[i]->d, "hot", 100, 200);
+		mh_dispatch_set_quota(f[i]->d, "even", 100, 200);
+	}
+	for (t = 0; t < 9; t++) {
+		for (i = 0; i < 400; i++)
+			granted_units +=
+				request_units(f[i % 2], "hot", 10) ? 10 : 0;
+		for (i = 0; i < 2; i++) {
+			refused += !request_units(f[i], "even", 10);
+			advance_clock(f[i], 100);
+		}
+	}
+	assert_in_range(granted_units, 800, 2100);
+	assert_int_equal(refused, 0);
+	for (i = 0; i < 2; i++)
+		free_fixture(f[i]);
+}
+
 static void test_over_quota_requests_use_spare_slots_only(void **state)
 {
 	struct fixture *f = new_fixture();
@@ -638,6 +668,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_hot_account_stays_within_its_window),
+		cmocka_unit_test(test_quota_of_dispatchers_that_start_together),
 		cmocka_unit_test(test_over_quota_requests_use_spare_slots_only),
 		cmocka_unit_test(
 			test_hot_account_keeps_quota_for_urgent_requests),
