Quota: a dispatcher that starts grants itself a rising part

What a dispatcher grants itself rises from a fifth of an account's bound to all of it in the first 3 s after its start; by then entries agree and usage was exchanged. An account that uses its quota evenly needs less; one that is refused is told when.

test_quota_of_dispatchers_that_start_together (already in the tree) failed before: 3640 units instead of at most 2100.

--- a/core/dispatch_quota.c
+++ b/core/dispatch_quota.c
@@ -27,6 +27,13 @@
 /* How long an account counts as near its limit after it was. */
 #define NEAR_LIMIT_NS (2000 * MH_NS_PER_MS)
 
+/* After a start other dispatchers may be in use as well, until entries agree and
+ * records of usage were exchanged. What this one grants itself rises over this
+ * time from this fraction of an account's bound. An account that uses its quota
+ * evenly needs less. */
+#define START_RAMP_MS 3000
+#define START_FRACTION 0.2
+
 uint64_t mh_dispatch_now_ns(const struct mh_dispatch *d)
 {
 	return mh_clock_mono_ns(d->clock);
@@ -288,6 +295,25 @@
 	return bound * (1 - URGENT_SHARE * (slot_req->tier % MH_ROUTE_TIERS));
 }
 
+/* Return: how long until the units that this dispatcher may grant itself after
+ * its start suffice for a request, 0 if they do. */
+static uint32_t start_wait_ms(const struct mh_dispatch *d, struct quota *q,
+			      uint32_t units, uint64_t now_ns)
+{
+	double own = (double)mh_usage_sum(&q->own, now_ns);
+	double age_ms = (double)(now_ns - d->began_ns) / MH_NS_PER_MS;
+	double needed = (own + units) / quota_bound(d, q), due_ms;
+
+	/* A single request above the fraction passes, as otherwise. */
+	if (age_ms >= START_RAMP_MS || own <= 0)
+		return 0;
+	due_ms = (needed - START_FRACTION) / (1 - START_FRACTION) *
+		 START_RAMP_MS;
+	if (due_ms > START_RAMP_MS)
+		due_ms = START_RAMP_MS;
+	return due_ms > age_ms ? (uint32_t)(due_ms - age_ms) + 1 : 0;
+}
+
 /* Return: whether the account may send the request; if not, @why tells when it
  * may. */
 bool mh_dispatch_take_units(struct mh_dispatch *d,
@@ -320,6 +346,13 @@
 		why->limit = (uint64_t)bound;
 		return false;
 	}
+	why->retry_after_ms = start_wait_ms(d, q, slot_req->units, now_ns);
+	if (why->retry_after_ms) {
+		why->error = MH_ERR_ACCOUNT_LIMIT;
+		why->spent = (uint64_t)sum;
+		why->limit = (uint64_t)bound;
+		return false;
+	}
 	if (sum + slot_req->units > NEAR_LIMIT_FRACTION * bound)
 		d->near_limit_ns = now_ns;
 	*over_quota = sum + slot_req->units > quota_limit(d, q);
