Suspects: share a crash under a response only if nothing refutes it soon

Each stream that a server cut made a record of a request that may crash servers; all processes told each other of it, and 50 ms later that the server lives.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -558,7 +558,8 @@
 uint64_t mh_dispatch_tick(struct mh_dispatch *d)
 {
 	uint64_t now_ns = mh_dispatch_now_ns(d);
-	bool due = d->review || now_ns >= d->next_review_ns, any = false;
+	bool due = d->review || now_ns >= d->next_review_ns;
+	bool any = mh_suspects_share(d->suspects, now_ns);
 	struct pool *p, *tmp;
 
 	if (now_ns >= d->rates_updated_ns + RATE_PERIOD_NS)
--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -151,7 +151,8 @@
 	}
 	s->lost_ns = now_ns;
 	return mh_suspects_add_crash(d->suspects, req->fingerprint,
-				     s->incarnation, req->placed_ns, now_ns) ?
+				     s->incarnation, req->placed_ns,
+				     req->answering, now_ns) ?
 		       MH_LOST_COUNTED :
 		       MH_LOST_SUCCEEDED;
 }
@@ -185,7 +186,8 @@
 		return;
 	if (s->vanished)
 		mh_suspects_add_crash(d->suspects, req->fingerprint,
-				      s->incarnation, req->placed_ns, now_ns);
+				      s->incarnation, req->placed_ns, false,
+				      now_ns);
 	if (!s->takes_work)
 		return;
 	s->silent[s->n_silent++ % MAX_SILENT_RUNS] =
@@ -239,7 +241,7 @@
 		if (now_ns < run->ended_ns + REGISTRATION_NS)
 			mh_suspects_add_crash(d->suspects, run->fingerprint,
 					      s->incarnation, run->placed_ns,
-					      now_ns);
+					      false, now_ns);
 	}
 	s->n_unproven = 0;
 }
@@ -256,7 +258,7 @@
 		if (s->last_answer_ns <= run->placed_ns)
 			mh_suspects_add_crash(d->suspects, run->fingerprint,
 					      s->incarnation, run->placed_ns,
-					      mh_dispatch_now_ns(d));
+					      false, mh_dispatch_now_ns(d));
 	}
 	s->n_silent = 0;
 	record_unproven_gone(d, s, mh_dispatch_now_ns(d));
--- a/core/suspects.c
+++ b/core/suspects.c
@@ -26,13 +26,18 @@
 /* Two processes that see the same crash see it within this time; a server takes
  * longer to come back and crash again. */
 #define SAME_CRASH_NS (1000 * MH_NS_PER_MS)
+/* A server that cut a response and lives accepts a connection within this time.
+ * Crashes that are refuted by then concern no other process: with servers that
+ * cut streams they would be most of the traffic on the links. */
+#define SHARE_DELAY_NS (150 * MH_NS_PER_MS)
 #define MAX_SUSPECTS 1024
 /* Fingerprints whose last good end is remembered; a power of two. */
 #define SUCCESS_SLOTS 4096
 
 struct row {
 	struct mh_suspect suspect;
-	uint64_t reported_ns; /* when other processes were told */
+	uint64_t reported_ns; /* when other processes were told, 0: never */
+	uint64_t share_ns;    /* when they will be told, 0: no need to */
 	UT_hash_handle hh;
 };
 
@@ -44,6 +49,7 @@
 struct mh_suspects {
 	struct row *rows; /* in the order in which they were added */
 	struct success successes[SUCCESS_SLOTS];
+	uint32_t n_to_share;
 	void (*changed)(void *data, const struct mh_suspect *suspect);
 	void *data;
 };
@@ -59,8 +65,17 @@
 	return set;
 }
 
+static void set_share_time(struct mh_suspects *set, struct row *r,
+			   uint64_t share_ns)
+{
+	set->n_to_share += !!share_ns;
+	set->n_to_share -= !!r->share_ns;
+	r->share_ns = share_ns;
+}
+
 static void free_row(struct mh_suspects *set, struct row *r)
 {
+	set_share_time(set, r, 0);
 	/* The analyzer does not follow uthash's deletion macros. */
 	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference) */
 	HASH_DEL(set->rows, r);
@@ -152,11 +167,34 @@
 
 static void report(struct mh_suspects *set, struct row *r, uint64_t now_ns)
 {
+	set_share_time(set, r, 0);
 	r->reported_ns = now_ns;
 	if (set->changed)
 		set->changed(set->data, &r->suspect);
 }
 
+/* Reports a record that counts less than before, unless nobody knows of it. */
+static void report_less(struct mh_suspects *set, struct row *r, uint64_t now_ns)
+{
+	if (r->reported_ns)
+		report(set, r, now_ns);
+	else if (!mh_suspect_crashes(&r->suspect))
+		set_share_time(set, r, 0);
+}
+
+bool mh_suspects_share(struct mh_suspects *set, uint64_t now_ns)
+{
+	struct row *r, *tmp;
+
+	if (!set->n_to_share)
+		return false;
+	HASH_ITER(hh, set->rows, r, tmp) {
+		if (r->share_ns && now_ns >= r->share_ns)
+			report(set, r, now_ns);
+	}
+	return set->n_to_share > 0;
+}
+
 static struct success *success_of(struct mh_suspects *set, uint64_t fingerprint)
 {
 	return &set->successes[fingerprint & (SUCCESS_SLOTS - 1)];
@@ -223,7 +261,8 @@
 }
 
 bool mh_suspects_add_crash(struct mh_suspects *set, uint64_t fingerprint,
-			   uint64_t server, uint64_t placed_ns, uint64_t now_ns)
+			   uint64_t server, uint64_t placed_ns,
+			   bool was_responding, uint64_t now_ns)
 {
 	struct mh_crash crash = {
 		.id = crash_id(server, now_ns),
@@ -249,7 +288,10 @@
 	crash.on_trial = was_known(suspect, placed_ns);
 	suspect->seen_ns = now_ns;
 	append_crash(suspect, &crash);
-	report(set, r, now_ns);
+	if (!was_responding || mh_suspect_is_refused(suspect))
+		report(set, r, now_ns);
+	else if (!r->share_ns)
+		set_share_time(set, r, now_ns + SHARE_DELAY_NS);
 	return true;
 }
 
@@ -277,7 +319,7 @@
 			changed = true;
 		}
 		if (changed)
-			report(set, r, now_ns);
+			report_less(set, r, now_ns);
 	}
 }
 
@@ -309,7 +351,7 @@
 	if (!r->suspect.n_crashes)
 		return;
 	r->suspect.n_crashes = 0;
-	report(set, r, now_ns);
+	report_less(set, r, now_ns);
 }
 
 uint32_t mh_suspects_crashes(const struct mh_suspects *set,
@@ -415,8 +457,10 @@
 {
 	struct row *r, *tmp;
 
-	HASH_ITER(hh, set->rows, r, tmp)
-		visit(data, &r->suspect);
+	HASH_ITER(hh, set->rows, r, tmp) {
+		if (r->reported_ns || mh_suspect_crashes(&r->suspect))
+			visit(data, &r->suspect);
+	}
 }
 
 void mh_suspects_expire(struct mh_suspects *set, uint64_t now_ns)
--- a/core/suspects.h
+++ b/core/suspects.h
@@ -97,6 +97,8 @@
  * @fingerprint: fingerprint of the run's request
  * @server: the server's incarnation
  * @placed_ns: monotonic time at which the run began
+ * @was_responding: its response had begun: most such servers live, and other
+ *                  processes are told only after the time to find out
  * @now_ns: monotonic time
  *
  * Equal requests that are lost with a server together count once.
@@ -106,7 +108,7 @@
  */
 bool mh_suspects_add_crash(struct mh_suspects *set, uint64_t fingerprint,
 			   uint64_t server, uint64_t placed_ns,
-			   uint64_t now_ns);
+			   bool was_responding, uint64_t now_ns);
 
 /**
  * mh_suspects_refute() - a server did not crash
@@ -197,6 +199,15 @@
 				    const struct mh_suspect *suspect),
 		      void *data);
 
+/**
+ * mh_suspects_share() - share crashes that nothing has refuted in time
+ * @set: set
+ * @now_ns: monotonic time
+ *
+ * Return: whether any are left to be shared later.
+ */
+bool mh_suspects_share(struct mh_suspects *set, uint64_t now_ns);
+
 /**
  * mh_suspects_expire() - forget records that are older than their retention
  * @set: set
--- a/tests/test_suspect_sharing.c
+++ b/tests/test_suspect_sharing.c
@@ -288,6 +288,7 @@
 	advance_cluster(c, 10);
 	end(c->d[1], b, MH_SLOT_LOST);
 	late = c->d[0]->last_suspect;
+	assert_int_equal(late.fingerprint, BAD);
 	advance_cluster(c, 3000);
 	late.crashes[0].lost_ns += 3000 * MS;
 	assert_false(mh_dispatch_merge_suspect(c->d[1]->d, &late));
@@ -297,6 +298,44 @@
 	free_cluster(c);
 }
 
+static void count_suspect(void *data, const struct mh_suspect *suspect)
+{
+	(void)suspect;
+	++*(uint32_t *)data;
+}
+
+/* Guards against links that are swamped by runs whose servers cut their streams
+ * and live: such a crash is refuted soon, and concerns no other process. */
+static void test_crash_that_is_refuted_soon_is_not_shared(void **state)
+{
+	struct cluster *c = new_cluster();
+	struct fixture *f = c->d[0];
+	uint64_t id = request_equal(f, BAD);
+	uint32_t n = 0;
+
+	(void)state;
+	mh_dispatch_first_byte(f->d, 1, id, 5);
+	end(f, id, MH_SLOT_LOST);
+	advance_cluster(c, 60);
+	mh_dispatch_server_probed(f->d, f->results[id].server);
+	advance_cluster(c, 1000);
+	mh_dispatch_each_suspect(f->d, count_suspect, &n);
+	mh_dispatch_each_suspect(c->e[0]->d, count_suspect, &n);
+	assert_int_equal(n, 0);
+	assert_int_equal(f->last_suspect.fingerprint, 0);
+	/* One that is not refuted is. */
+	id = request_equal(f, 7);
+	mh_dispatch_first_byte(f->d, 1, id, 5);
+	end(f, id, MH_SLOT_LOST);
+	advance_cluster(c, 60);
+	assert_int_equal(f->last_suspect.fingerprint, 0);
+	advance_cluster(c, 200);
+	assert_int_equal(f->last_suspect.fingerprint, 7);
+	mh_dispatch_each_suspect(c->e[0]->d, count_suspect, &n);
+	assert_int_equal(n, 1);
+	free_cluster(c);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -308,6 +347,7 @@
 		cmocka_unit_test(test_malformed_stored_suspects_are_rejected),
 		cmocka_unit_test(test_cleared_request_is_cleared_everywhere),
 		cmocka_unit_test(test_relayed_crash_counts_once),
+		cmocka_unit_test(test_crash_that_is_refuted_soon_is_not_shared),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
