--- a/proxy/exchange_response.c
+++ b/proxy/exchange_response.c
@@ -93,7 +93,8 @@
 	bool reframed;
 	uint32_t i;
 
-	x->by_events = x->route->is_resumable && x->judge.is_event_stream &&
+	x->by_events = x->route->is_resumable && head->status < 300 &&
+		       x->judge.is_event_stream &&
 		       x->judge.framing != MH_FRAMING_NONE;
 	x->client_framing = client_framing(x);
 	reframed = x->client_framing != x->judge.framing;
