--- a/Makefile
+++ b/Makefile
@@ -195,6 +195,8 @@
 	set -e; for t in $(UNIT_TESTS); do build-asan/bin/$$t; done
 	BIN=build-asan/bin tests/test_proxy.sh
 	BIN=build-asan/bin tests/test_notices.sh
+	BIN=build-asan/bin tests/test_cut_streams.sh
+	BIN=build-asan/bin SLACK=8 tests/test_endless.sh
 	RC_PARAMS="seed=$(SEED) max_success=60 noshrink=1" \
 		build-asan/bin/test_properties
 
