Tests: a test of the backend client ends after 30 s at the latest

The mutant health-check-bounded made the health thread of another test read for ever, and held the mutants up until their limit of 400 s. The ports of the process mutants can be moved, so that two runs go beside each other.

--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -1,7 +1,8 @@
 #!/bin/bash
 # Mutation test: disables one mechanism at a time in a copy of the tree and
 # expects the test that covers it to fail. A mutant that survives shows that the
-# test does not cover the mechanism. Process tests use ports from 28000 on.
+# test does not cover the mechanism. Process tests use ports from
+# MUTANT_PORTS on.
 # Usage: [JOBS=n] [CASES=n] [SEED=n] mutants.sh [NAME]
 cd "$(dirname "$0")/.." || exit 1
 . tests/mutate.sh
@@ -58,7 +59,7 @@
 	while [ "$(jobs -rp | wc -l)" -ge $jobs ]; do
 		wait -n
 	done
-	ports=$((28000 + 300 * (n++ % 12)))
+	ports=$((${MUTANT_PORTS:-28000} + 300 * (n++ % 12)))
 	try_mutant "$name" "$(echo $property)" "$(echo $file)" \
 		"$(echo "$expression" | sed 's/^ //')" $ports &
 done <tests/mutants.txt >"$dir/result"
--- a/tests/test_backend.c
+++ b/tests/test_backend.c
@@ -21,6 +21,7 @@
 #define EVENT_GAP_MS 2
 #define MAX_RUNS 4
 #define WAIT_LIMIT_MS 10000
+#define TEST_LIMIT_S 30
 
 /*
  * Fake engine whose runs stream events until their connection is closed. It
@@ -142,6 +143,8 @@
 	const union MHD_DaemonInfo *info;
 
 	(void)state;
+	/* Ends a test whose calls to the engine don't. */
+	alarm(TEST_LIMIT_S);
 	engine.cancel_delay_ms = 0;
 	engine.cancels_to_fail = 0;
 	engine.n_stopped = 0;
@@ -162,6 +165,7 @@
 static int stop_engine(void **state)
 {
 	(void)state;
+	alarm(0);
 	MHD_stop_daemon(engine.daemon);
 	return 0;
 }
@@ -382,11 +386,8 @@
 
 	(void)state;
 	engine.endless = true;
-	/* Ends the test if the check doesn't. */
-	alarm(20);
 	snprintf(url, sizeof(url), "http://127.0.0.1:%u", engine.port);
 	assert_int_equal(mh_http_request(url, "GET", "/health", 2), 0);
-	alarm(0);
 }
 
 int main(void)
