--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -44,8 +44,8 @@
  * and ownstream, whose bytes contain the request id; hold, which runs until the
  * client disconnects, at most 3 s; drop, which closes the connection
  * without a response; crash, which ends the process, crashsoon and crashlate,
- * which do so after 60 and 400 ms; those of shapes.c; any other, such as ok:
- * "hello".
+ * which do so after 60 and 400 ms; answerlate, which is answered or turned away
+ * after 60 ms; those of shapes.c; any other, such as ok: "hello".
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -71,6 +71,7 @@
 #define MAX_SERVERS 256
 #define HEARTBEAT_MS 300
 #define HOLD_MS 3000
+#define ANSWER_LATE_MS 60
 #define CRASH_SOON_MS 60
 #define CRASH_LATE_MS 400
 #define ID_LINES 50
@@ -416,6 +417,8 @@
 		begin_response(c, 421, "Content-Length: 0\r\n\r\n");
 		return send_all(c);
 	}
+	if (target_ends_with(c, "answerlate"))
+		sleep_ms(ANSWER_LATE_MS);
 	c->shed = mono_now_ms() < c->server->sheds_until_ms;
 	if (c->shed) {
 		record_arrival(c, "503");
--- a/tests/test_notices.sh
+++ b/tests/test_notices.sh
@@ -91,26 +91,26 @@
 }
 
 # Guards against a pause that the proxy doesn't learn of, because the only caller
-# of the request that was turned away had left. The server answers late.
+# of the request that was turned away had left. The server answers 60 ms after the
+# request, the caller leaves after 30 ms.
 t_pause_after_the_caller_left() {
 	local n
 	for n in $SERVERS; do
-		platform "silent?id=s$n&ms=200"
-		shed $n 500 Retry-After:2
+		shed $n 1000 Retry-After:3
 	done
-	sleep 0.12
 	for n in 1 2 3 4 5 6; do
-		ID=left-1-$n call 1 /again/ok --max-time 0.03 -o /dev/null &
+		ID=left-1-$n call 1 /again/answerlate --max-time 0.03 \
+			-o /dev/null &
 	done
 	wait
-	sleep 0.6
+	sleep 1.2
 	load left 1 1
 	refusals left
-	arrivals_in_pauses left 2000 | tail -n 4
+	arrivals_in_pauses left 3000 | tail -n 4
 	[ $(refusals left) -ge 4 ] &&
-		[ $(max_in_pauses left 2000) -le $MAX_ARRIVALS ] || return 1
+		[ $(max_in_pauses left 3000) -le $MAX_ARRIVALS ] || return 1
 	# The connections are closed, and the proxy goes on.
-	sleep 2
+	sleep 2.5
 	[ "$(status_of 1 /again/ok)" = 200 ]
 }
 
