--- a/tests/standins/shapes.c
+++ b/tests/standins/shapes.c
@@ -7,6 +7,7 @@
  *   close, chunk      no framing; chunked
  *   crlf              lines end with CR LF
  *   -end, -reset, -exit  orderly end of the frame, reset, end of the process
+ * With /notfound/ in the target the status is 404.
  * wholeclose and wholecrlf are whole and without framing. plaincut and
  * plainreset are no streams and have no framing.
  *
@@ -84,9 +85,12 @@
 	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
 	int first = last.p[0] == '-' ? 1 : atoi(last.p) + 1, i;
 	const char *eol = shape->eol;
+	const struct mh_http_text *target = &c->reader.head.target;
 	bool cut = false;
+	int status =
+		memmem(target->p, target->len, "/notfound/", 10) ? 404 : 200;
 
-	begin_response(c, 200, SIGNED "Content-Type: text/event-stream\r\n");
+	begin_response(c, status, SIGNED "Content-Type: text/event-stream\r\n");
 	mh_buffer_printf(&c->out, "%s\r\n",
 			 shape->chunked ? "Transfer-Encoding: chunked\r\n" :
 					  "Connection: close\r\n");
--- a/tests/test_cut_streams.sh
+++ b/tests/test_cut_streams.sh
@@ -64,6 +64,14 @@
 	resumes --http1.0
 }
 
+# Guards against an error that is cut being sent to another server, whose response
+# can't continue it.
+t_cut_error_is_not_resumed() {
+	ID=notfound call 1 /resume/notfound/halfclose-end -o "$DIR/res" &&
+		return 1
+	[ "$(runs | grep -c ' notfound ')" = 1 ]
+}
+
 t_whole_streams() {
 	local shape version
 	for shape in wholeclose wholecrlf; do
@@ -157,6 +165,7 @@
 check "cut streams: a cut stream is resumed" t_cut_stream_is_resumed
 check "cut streams: resumed for an HTTP/1.0 caller" \
 	t_cut_stream_is_resumed_with_http_1_0
+check "cut streams: a cut error is not resumed" t_cut_error_is_not_resumed
 check "cut streams: whole ones stay whole" t_whole_streams
 check "cut streams: a plain answer without a length keeps its frame" \
 	t_plain_response_without_length_keeps_its_frame
