Proxy: a cut inside an event is visible in a stream with a length, too

Callers saw: a stream with a Content-Length whose last event was not ended came with that length and all of its bytes, so it was complete to them, on routes that do not resume, HTTP/1.0 and 1.1.

Cause: the caller's response kept the server's length, and the judge is asked after the last byte, when nothing is left to withhold. Event streams are chunked for their callers now whatever framing the server used, or end with a connection that is reset where they are cut.

--- a/proxy/exchange_response.c
+++ b/proxy/exchange_response.c
@@ -64,26 +64,16 @@
 }
 
 /* The client's response has the server's framing, so that its end says no more
- * than the server's. Streams are chunked, as their events show a cut, and so
- * that another server can continue them. */
+ * than the server's. Streams are chunked: their events may show a cut after the
+ * last byte of the server's framing, and another server can continue them. */
 static enum mh_framing client_framing(const struct exchange *x)
 {
-	bool is_stream = x->judge.is_event_stream;
+	enum mh_framing framing = x->judge.framing;
 
-	switch (x->judge.framing) {
-	case MH_FRAMING_NONE:
+	if (framing == MH_FRAMING_NONE)
 		return MH_FRAMING_NONE;
-	case MH_FRAMING_LENGTH:
-		if (!x->by_events)
-			return MH_FRAMING_LENGTH;
-		break;
-	case MH_FRAMING_CHUNKED:
-		break;
-	case MH_FRAMING_CLOSE:
-		if (!is_stream)
-			return MH_FRAMING_CLOSE;
-		break;
-	}
+	if (framing != MH_FRAMING_CHUNKED && !x->judge.is_event_stream)
+		return framing;
 	return x->head->minor ? MH_FRAMING_CHUNKED : MH_FRAMING_CLOSE;
 }
 
--- a/tests/standins/shapes.c
+++ b/tests/standins/shapes.c
@@ -4,7 +4,7 @@
  * Streams are cut at the fourth event, unless they resume; a name says how:
  *   half, lines       in the middle of the event; after its lines, before the
  *                     empty line
- *   close, chunk      no framing; chunked
+ *   close, chunk, length  no framing; chunked; with a Content-Length
  *   crlf              lines end with CR LF
  *   -end, -reset, -exit  orderly end of the frame, reset, end of the process
  * With /notfound/ in the target the status is 404.
@@ -26,6 +26,7 @@
 
 #define CUT_AT 4
 #define BLOCK_BYTES 16384
+#define EVENT_BYTES 128
 #define SLOW_GAP_MS 20
 /* Ends responses whose reader never closes. */
 #define ENDLESS_BYTES (2ULL << 30)
@@ -38,21 +39,24 @@
 	const char *eol;
 	enum cut cut;
 	enum ending ending;
-	bool chunked;
+	enum mh_framing framing;
 };
 
 static const struct stream_shape streams[] = {
-	{ "halfclose-end", "\n", CUT_HALF, END_FRAME, false },
-	{ "linesclose-end", "\n", CUT_LINES, END_FRAME, false },
-	{ "halfcrlf-end", "\r\n", CUT_HALF, END_FRAME, false },
-	{ "linescrlf-end", "\r\n", CUT_LINES, END_FRAME, false },
-	{ "halfchunk-end", "\n", CUT_HALF, END_FRAME, true },
-	{ "lineschunk-end", "\n", CUT_LINES, END_FRAME, true },
-	{ "halfclose-reset", "\n", CUT_HALF, END_RESET, false },
-	{ "halfchunk-reset", "\n", CUT_HALF, END_RESET, true },
-	{ "halfclose-exit", "\n", CUT_HALF, END_EXIT, false },
-	{ "wholeclose", "\n", CUT_NONE, END_FRAME, false },
-	{ "wholecrlf", "\r\n", CUT_NONE, END_FRAME, false },
+	{ "halfclose-end", "\n", CUT_HALF, END_FRAME, MH_FRAMING_CLOSE },
+	{ "linesclose-end", "\n", CUT_LINES, END_FRAME, MH_FRAMING_CLOSE },
+	{ "halfcrlf-end", "\r\n", CUT_HALF, END_FRAME, MH_FRAMING_CLOSE },
+	{ "linescrlf-end", "\r\n", CUT_LINES, END_FRAME, MH_FRAMING_CLOSE },
+	{ "halfchunk-end", "\n", CUT_HALF, END_FRAME, MH_FRAMING_CHUNKED },
+	{ "lineschunk-end", "\n", CUT_LINES, END_FRAME, MH_FRAMING_CHUNKED },
+	{ "halflength-end", "\n", CUT_HALF, END_FRAME, MH_FRAMING_LENGTH },
+	{ "lineslength-end", "\n", CUT_LINES, END_FRAME, MH_FRAMING_LENGTH },
+	{ "halfclose-reset", "\n", CUT_HALF, END_RESET, MH_FRAMING_CLOSE },
+	{ "halfchunk-reset", "\n", CUT_HALF, END_RESET, MH_FRAMING_CHUNKED },
+	{ "halfclose-exit", "\n", CUT_HALF, END_EXIT, MH_FRAMING_CLOSE },
+	{ "wholeclose", "\n", CUT_NONE, END_FRAME, MH_FRAMING_CLOSE },
+	{ "wholecrlf", "\r\n", CUT_NONE, END_FRAME, MH_FRAMING_CLOSE },
+	{ "wholelength", "\n", CUT_NONE, END_FRAME, MH_FRAMING_LENGTH },
 };
 
 static bool write_part(struct conn *c, bool chunked, const char *text, int len)
@@ -64,6 +68,48 @@
 	return send_all(c);
 }
 
+static bool is_cut_at(const struct stream_shape *shape, int first, int i)
+{
+	return shape->cut != CUT_NONE && i == CUT_AT && first == 1;
+}
+
+/* Return: length of the event, or of the part that is sent of it. */
+static int make_event(struct conn *c, const struct stream_shape *shape,
+		      int first, int i, char text[EVENT_BYTES])
+{
+	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
+	const char *eol = shape->eol;
+	int n = snprintf(text, EVENT_BYTES, "id: %d%sdata: %.*s %d%s%s", i, eol,
+			 (int)id.len, id.p, i, eol, eol);
+
+	if (!is_cut_at(shape, first, i))
+		return n;
+	return shape->cut == CUT_HALF ? n / 2 : n - (int)strlen(eol);
+}
+
+static void write_framing(struct conn *c, const struct stream_shape *shape,
+			  int first)
+{
+	char text[EVENT_BYTES];
+	int i, len = 0;
+
+	switch (shape->framing) {
+	case MH_FRAMING_CHUNKED:
+		mh_buffer_printf(&c->out, "Transfer-Encoding: chunked\r\n\r\n");
+		return;
+	case MH_FRAMING_LENGTH:
+		for (i = first; i <= EVENTS; i++) {
+			len += make_event(c, shape, first, i, text);
+			if (is_cut_at(shape, first, i))
+				break;
+		}
+		mh_buffer_printf(&c->out, "Content-Length: %d\r\n\r\n", len);
+		return;
+	default:
+		mh_buffer_printf(&c->out, "Connection: close\r\n\r\n");
+	}
+}
+
 /* Return: whether the connection stays open. */
 static bool end_stream(struct conn *c, const struct stream_shape *shape,
 		       bool cut)
@@ -74,37 +120,29 @@
 		reset_on_close(c);
 		return false;
 	}
-	if (shape->chunked)
+	if (shape->framing == MH_FRAMING_CHUNKED)
 		mh_buffer_printf(&c->out, "0\r\n\r\n");
-	return send_all(c) && shape->chunked;
+	return send_all(c) && shape->framing != MH_FRAMING_CLOSE;
 }
 
 static bool serve_stream_shape(struct conn *c, const struct stream_shape *shape)
 {
 	struct mh_http_text last = header(c, "Last-Event-Id");
-	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
 	int first = last.p[0] == '-' ? 1 : atoi(last.p) + 1, i;
-	const char *eol = shape->eol;
 	const struct mh_http_text *target = &c->reader.head.target;
 	bool cut = false;
 	int status =
 		memmem(target->p, target->len, "/notfound/", 10) ? 404 : 200;
 
 	begin_response(c, status, SIGNED "Content-Type: text/event-stream\r\n");
-	mh_buffer_printf(&c->out, "%s\r\n",
-			 shape->chunked ? "Transfer-Encoding: chunked\r\n" :
-					  "Connection: close\r\n");
+	write_framing(c, shape, first);
 	for (i = first; i <= EVENTS && !cut; i++) {
-		char event[128];
-		int n = snprintf(event, sizeof(event),
-				 "id: %d%sdata: %.*s %d%s%s", i, eol,
-				 (int)id.len, id.p, i, eol, eol);
-
-		cut = shape->cut != CUT_NONE && i == CUT_AT && first == 1;
-		if (cut)
-			n = shape->cut == CUT_HALF ? n / 2 :
-						     n - (int)strlen(eol);
-		if (!write_part(c, shape->chunked, event, n))
+		char event[EVENT_BYTES];
+		int n = make_event(c, shape, first, i, event);
+
+		cut = is_cut_at(shape, first, i);
+		if (!write_part(c, shape->framing == MH_FRAMING_CHUNKED, event,
+				n))
 			return false;
 		sleep_ms(EVENT_GAP_MS);
 	}
--- a/tests/test_cut_streams.sh
+++ b/tests/test_cut_streams.sh
@@ -10,7 +10,8 @@
 . tests/checks.sh
 
 CUT_SHAPES='halfclose-end linesclose-end halfcrlf-end linescrlf-end
-	halfchunk-end lineschunk-end halfclose-reset halfchunk-reset'
+	halfchunk-end lineschunk-end halflength-end lineslength-end
+	halfclose-reset halfchunk-reset'
 
 # Prints the ids and data of the events that a caller got.
 events_of() { # FILE
@@ -74,7 +75,7 @@
 
 t_whole_streams() {
 	local shape version
-	for shape in wholeclose wholecrlf; do
+	for shape in wholeclose wholecrlf wholelength; do
 		for version in --http1.0 --http1.1; do
 			for route in gen resume; do
 				ID=w$route$shape$version call 1 \
