Entry: a stream to an HTTP/1.0 caller is sent once it is whole

Callers saw: a stream that was cut when its side was killed ended, for an HTTP/1.0 caller, with status 200 and an orderly end of the connection, which is the end of such a response: complete.

The entry sends such a stream with its length once it is whole, as it does with calls that don't stream, and refuses with a status of its own otherwise.

Evidence: 'side killed while it streams to an HTTP/1.0 caller' of tests/test_processes.sh failed before (status 200, curl's exit code 0), passes now. Mutants may use the tests of entries and sides now, on ports of their own.

--- a/entry/http.c
+++ b/entry/http.c
@@ -32,6 +32,7 @@
 	struct mh_http_body body;
 	struct mh_parsed_call parsed;
 	char client_request_id[MH_CLIENT_REQUEST_ID_BYTES];
+	bool streams; /* the response is passed on as it comes */
 	bool submitted;
 	struct mh_task submit;
 	struct mh_task cancel;
@@ -167,7 +168,7 @@
 	hc->status = status;
 	hc->content_type = strdup(content_type);
 	hc->server = strdup(server);
-	if (hc->parsed.stream)
+	if (hc->streams)
 		resume_connection(hc);
 	pthread_mutex_unlock(&hc->lock);
 }
@@ -199,7 +200,7 @@
 	if (overrun)
 		/* Bytes are missing, so the response can't be completed. */
 		hc->failed = true;
-	if (hc->parsed.stream)
+	if (hc->streams)
 		resume_connection(hc);
 	pthread_mutex_unlock(&hc->lock);
 }
@@ -244,7 +245,7 @@
 	pthread_mutex_lock(&hc->lock);
 	hc->failed = true;
 	hc->refusal = *refusal;
-	if (hc->head && hc->parsed.stream)
+	if (hc->head && hc->streams)
 		append_error_event(hc);
 	resume_connection(hc);
 	pthread_mutex_unlock(&hc->lock);
@@ -511,7 +512,7 @@
 	pthread_mutex_lock(&hc->lock);
 	complete = hc->complete;
 	failed = hc->failed;
-	streaming = hc->parsed.stream && hc->head;
+	streaming = hc->streams && hc->head;
 	pthread_mutex_unlock(&hc->lock);
 	if (streaming)
 		return queue_response(hc, MHD_create_response_from_callback(
@@ -599,7 +600,6 @@
 	(void)cls;
 	(void)conn;
 	(void)url;
-	(void)version;
 	if (!hc || !hc->uri)
 		return MHD_NO;
 	if (hc->submitted)
@@ -620,6 +620,9 @@
 	make_ids(hc, &id);
 	error = parse(hc, &id, method, &detail);
 	if (!error) {
+		/* HTTP/1.0 has no end mark that a cut stream would lack. */
+		hc->streams = hc->parsed.stream &&
+			      strcmp(version, MHD_HTTP_VERSION_1_0) != 0;
 		prepare_hangup(hc);
 		if (submit(hc))
 			return MHD_YES;
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -2,7 +2,7 @@
 # Mutation test: disables one mechanism at a time in a copy of the tree and
 # expects the test that covers it to fail. A mutant that survives shows that the
 # test does not cover the mechanism. Process tests use ports from
-# MUTANT_PORTS on.
+# MUTANT_PORTS on, those of entries and sides below it, a thousand each.
 # Usage: [JOBS=n] [CASES=n] [SEED=n] mutants.sh [NAME]
 cd "$(dirname "$0")/.." || exit 1
 . tests/mutate.sh
@@ -11,6 +11,7 @@
 jobs=${JOBS:-6}
 cases=${CASES:-300}
 n=0
+n_wide=0
 
 # Runs a check of the process tests on the copy: "sh SCRIPT NAME-PART".
 run_process_test() { # COPY PORTS PROPERTY
@@ -22,7 +23,7 @@
 try_mutant() { # NAME PROPERTY FILES EXPRESSION PORTS
 	local copy=$dir/$1 run=test_properties programs
 	mkdir -p "$copy"
-	cp -r Makefile core config net platform proto entry side proxy \
+	cp -r Makefile core config net platform proto entry side ctl proxy \
 		dispatcher examples tests "$copy/"
 	cp -r build "$copy/" 2>/dev/null
 	find "$copy/build" -name '*.d' -exec touch {} + 2>/dev/null
@@ -30,10 +31,10 @@
 	[ ! -e "tests/test_$2.c" ] || run=test_$2
 	programs=build/bin/$run
 	[[ $2 != "sh "* ]] ||
-		programs="build/bin/mangohead-proxy build/bin/mangohead-dispatcher"
+		programs=$(echo build/bin/mangoh* build/bin/mangoctl)
 	if ! make -C "$copy" -j2 CFLAGS="-std=gnu11 -O1 -w" $programs \
 		>"$copy/log" 2>&1; then
-		echo "BROKEN   $1: does not build"
+		echo "BROKEN   $1: does not build: $(grep -m1 rror "$copy/log")"
 		return
 	fi
 	if [[ $2 = "sh "* ]]; then
@@ -60,6 +61,8 @@
 		wait -n
 	done
 	ports=$((${MUTANT_PORTS:-28000} + 300 * (n++ % 12)))
+	[[ $property != *"sh processes "* ]] ||
+		ports=$((${MUTANT_PORTS:-28000} - 1000 * ++n_wide))
 	try_mutant "$name" "$(echo $property)" "$(echo $file)" \
 		"$(echo "$expression" | sed 's/^ //')" $ports &
 done <tests/mutants.txt >"$dir/result"
--- a/tests/test_processes.sh
+++ b/tests/test_processes.sh
@@ -140,6 +140,24 @@
 		! grep -q 'DONE' "$DIR/out"
 }
 
+# Guards against a cut stream that is complete to an HTTP/1.0 caller, as the end
+# of the connection ends its response.
+t_cut_stream_with_http_1_0() {
+	local out rc n
+	chat 1 "long sheet, old caller" 2000 true --http1.0 -o "$DIR/out" \
+		-w '%{http_code}' >"$DIR/status" 2>/dev/null &
+	n=$(busy_server) || return 1
+	sleep 0.3
+	kill_hard side$n
+	wait $!
+	rc=$?
+	restart_side $n
+	[ $rc != 0 ] || [ "$(cat "$DIR/status")" != 200 ] || return 1
+	out=$(chat 2 "read this sheet" 20 true --http1.0) || return 1
+	[ "$(echo "$out" | grep -c '^data: {')" = 20 ] &&
+		echo "$out" | grep -q '^data: \[DONE\]'
+}
+
 t_kill_side_before_response() {
 	local n
 	chat 1 "whole sheet, kill" 2000 false >"$DIR/out" 2>/dev/null &
@@ -524,6 +542,8 @@
 check "garbage on the link ports" t_link_garbage
 check "a process without the link key is refused" t_wrong_key
 check "side killed while it streams" t_kill_side_streaming
+check "side killed while it streams to an HTTP/1.0 caller" \
+	t_cut_stream_with_http_1_0
 check "side killed before a whole answer" t_kill_side_before_response
 check "engine killed while it streams" t_kill_engine
 check "side frozen for a second" t_freeze_side
