mangoctl: a cut response is none, and a change without one has an unknown outcome

Operators saw: an answer of the administration API that was cut was taken for whole. A publication said 'accepted' by it, or 'refused' if the JSON broke too; a list said nothing and succeeded; the version in force was 0. A connection that broke after a change was sent gave exit code 1, as if nothing had happened.

Cause: the result of neon's read was not looked at.

Evidence: 'an answer to an operator is cut' of tests/test_processes.sh failed before (exit codes 0), passes now. The stand-in's setting for spoiled answers of its store has a wider name.

--- a/ctl/main.c
+++ b/ctl/main.c
@@ -54,8 +54,29 @@
 	{ NULL, 0, NULL, 0 },
 };
 
+/* Return: neon's error code. */
+static int read_reply(ne_request *req, char *text, size_t *len)
+{
+	ssize_t n;
+
+	*len = 0;
+	while ((n = ne_read_response_block(req, text + *len,
+					   MAX_REPLY_BYTES - *len)) > 0)
+		*len += (size_t)n;
+	return n < 0 ? NE_ERROR : ne_end_request(req);
+}
+
+/* Return: exit code of a request without a whole response. */
+static int exit_code_without_reply(const char *method, int error)
+{
+	bool was_sent = error != NE_CONNECT && error != NE_LOOKUP;
+
+	return was_sent && !strcmp(method, "POST") ? MH_EXIT_UNKNOWN :
+						     MH_EXIT_FAILED;
+}
+
 /* Sends a request to the administration API. Prints connection errors.
- * Return: exit code; MH_EXIT_OK if there is a response of any status. */
+ * Return: exit code; MH_EXIT_OK if there is a whole response of any status. */
 static int admin_request(const struct opts *opts, const char *method,
 			 const char *path, const char *body, int *status,
 			 json_t **reply)
@@ -63,9 +84,8 @@
 	char *base, *full = NULL, *text = NULL;
 	ne_session *sess = mh_http_session(opts->server, TIMEOUT_S, &base);
 	ne_request *req = NULL;
-	int rc = MH_EXIT_FAILED;
-	ssize_t n;
-	size_t len = 0;
+	int rc = MH_EXIT_FAILED, error;
+	size_t len;
 
 	*reply = NULL;
 	if (!sess || !(text = malloc(MAX_REPLY_BYTES)))
@@ -79,16 +99,23 @@
 					opts->token);
 	if (body)
 		ne_set_request_body_buffer(req, body, strlen(body));
-	if (ne_begin_request(req) != NE_OK) {
+	error = ne_begin_request(req);
+	if (error == NE_OK)
+		error = read_reply(req, text, &len);
+	if (error != NE_OK) {
 		fprintf(stderr, "mangoctl: %s: %s\n", opts->server,
 			ne_get_error(sess));
+		rc = exit_code_without_reply(method, error);
 		goto out;
 	}
 	*status = ne_get_status(req)->code;
-	while ((n = ne_read_response_block(req, text + len,
-					   MAX_REPLY_BYTES - len)) > 0)
-		len += (size_t)n;
 	*reply = json_loadb(text, len, JSON_DECODE_ANY, NULL);
+	if (!*reply && *status == 200) {
+		fprintf(stderr, "mangoctl: %s: the response is no JSON\n",
+			opts->server);
+		rc = exit_code_without_reply(method, NE_ERROR);
+		goto out;
+	}
 	rc = MH_EXIT_OK;
 out:
 	if (req)
--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -22,8 +22,9 @@
  *                               "address", "role", "state"}]}
  *   POST /test/down?ms=         the store answers 503 for that time
  *   POST /test/store            {"outage": bool, "lose_answers": n,
- *                               "slow_ms": n, "retain": n, "endless": "body",
- *                               "head" or "interim": in all answers}
+ *                               "slow_ms": n, "retain": n, "spoiled": "body",
+ *                               "head", "interim" (without end) or "cut": in
+ *                               all answers}
  *   POST /test/fail?id=&on=     on=1: a server answers with 500; 0: ends that
  *   POST /test/silent?id=&ms=   a server does not answer for that time
  *   GET  /test/runs             a line for each run: server, id, method,
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -32,7 +32,9 @@
 static uint64_t down_until_ms;
 static bool outage;
 static long lose_answers, slow_ms, retain;
-static char endless[16]; /* answers without end: "body", "head", "interim" */
+/* How all answers are spoiled: without end in their "body", "head" or "interim"
+ * responses, or "cut" before the end of their Content-Length. */
+static char spoiled[16];
 
 static struct topic *get_topic(const char *name)
 {
@@ -228,12 +230,19 @@
 	mh_buffer_release(&buf);
 }
 
-/* Sends until the other side closes. */
-static void serve_endless(struct conn *c, const char *part)
+/* Sends until the other side closes, but for one that is cut. */
+static void serve_spoiled(struct conn *c, const char *part)
 {
 	static const char block[] = "X-Name: value\r\n";
 	int i;
 
+	if (!strcmp(part, "cut")) {
+		mh_buffer_printf(&c->out,
+				 "HTTP/1.1 200 X\r\nContent-Length: 99\r\n\r\n"
+				 "{\"accepted\": true, \"version\": 1}");
+		send_all(c);
+		return;
+	}
 	if (!strcmp(part, "interim")) {
 		do {
 			for (i = 0; i < 512; i++)
@@ -254,17 +263,17 @@
 bool store_serve(struct conn *c)
 {
 	bool drop_response = false;
-	char part[sizeof(endless)];
+	char part[sizeof(spoiled)];
 	long delay_ms;
 
 	pthread_mutex_lock(&lock);
 	calls++;
 	delay_ms = slow_ms;
-	memcpy(part, endless, sizeof(part));
+	memcpy(part, spoiled, sizeof(part));
 	pthread_mutex_unlock(&lock);
 	sleep_ms((uint32_t)delay_ms);
 	if (part[0]) {
-		serve_endless(c, part);
+		serve_spoiled(c, part);
 		return false;
 	}
 	pthread_mutex_lock(&lock);
@@ -298,9 +307,9 @@
 
 	if (json_object_get(doc, "outage"))
 		outage = json_is_true(json_object_get(doc, "outage"));
-	if (json_is_string(json_object_get(doc, "endless")))
-		snprintf(endless, sizeof(endless), "%s",
-			 json_string_value(json_object_get(doc, "endless")));
+	if (json_is_string(json_object_get(doc, "spoiled")))
+		snprintf(spoiled, sizeof(spoiled), "%s",
+			 json_string_value(json_object_get(doc, "spoiled")));
 	read_number(doc, "lose_answers", &lose_answers);
 	read_number(doc, "slow_ms", &slow_ms);
 	read_number(doc, "retain", &retain);
--- a/tests/test_endless.sh
+++ b/tests/test_endless.sh
@@ -124,7 +124,7 @@
 t_store_without_end() {
 	local name kind
 	for kind in body head interim; do
-		store_control "{\"endless\":\"$kind\"}"
+		store_control "{\"spoiled\":\"$kind\"}"
 		for name in proxy1 dispatcher1; do
 			peak_kb $name >"$DIR/peak-$name"
 			cpu_ms $name >"$DIR/cpu-$name"
@@ -132,7 +132,7 @@
 		# Without a dispatcher the proxy reads the store as well.
 		sleep 2
 		call 1 /open/ok -o /dev/null -m 1 || return 1
-		store_control '{"endless":""}'
+		store_control '{"spoiled":""}'
 		for name in proxy1 dispatcher1; do
 			echo "$kind $name: memory" \
 				+$(($(peak_kb $name) - $(cat "$DIR/peak-$name"))) \
--- a/tests/test_processes.sh
+++ b/tests/test_processes.sh
@@ -363,6 +363,23 @@
 		"$DIR/bad.out"
 }
 
+# Guards against a cut answer to an operator that is taken for a whole one: a
+# change may have been made, and a list has no end.
+t_operator_answer_cut() {
+	local rc
+	store_control '{"spoiled":"cut"}'
+	$BIN/mangoctl --server http://127.0.0.1:$BASE --base 1 \
+		publish examples/vestjylland.toml
+	rc=$?
+	$BIN/mangoctl --server http://127.0.0.1:$BASE audit
+	[ $? = 1 ] || rc=0
+	$BIN/mangoctl --server http://127.0.0.1:$BASE publish \
+		examples/vestjylland.toml
+	[ $? = 1 ] || rc=0
+	store_control '{"spoiled":""}'
+	[ $rc = 5 ]
+}
+
 t_config_reaches_entry_started_in_outage() {
 	store_control '{"outage": true}'
 	kill_hard entry2
@@ -559,6 +576,7 @@
 check "a request that crashes engines is quarantined" t_crash_request
 check "two operators publish at once" t_publish_race
 check "a publisher's answer is lost" t_publish_response_lost
+check "an answer to an operator is cut" t_operator_answer_cut
 check "an invalid manifest is refused" t_publish_invalid
 check "an entry started in an outage learns the manifest" \
 	t_config_reaches_entry_started_in_outage
