Suspects: a server that is back at once and crashes again has crashed twice

Cause, traced: c2 crashed by dispatcher 1's slot, was back after half a second and crashed again 733 ms later by dispatcher 2's. Dispatcher 2 counted three and refused; the others took its record for the crash that they knew, as it was of the same server within a second, and dispatcher 1, in use again, sent a fourth.

A crash tells when its run began now. One that began more than 100 ms after another crash of the server was lost with the next one. Processes that don't tell are judged as before.

Evidence: test_server_that_is_back_at_once_crashes_twice failed before (1 crash instead of 2).

--- a/core/suspects.c
+++ b/core/suspects.c
@@ -23,8 +23,7 @@
 #define RECENT_SUCCESS_NS (10000 * MH_NS_PER_MS)
 /* Runs that are lost with a server are reported within this time. */
 #define REPORTS_NS (100 * MH_NS_PER_MS)
-/* Two processes that see the same crash see it within this time; a server takes
- * longer to come back and crash again. */
+/* Two processes that see the same crash see it within this time. */
 #define SAME_CRASH_NS (1000 * MH_NS_PER_MS)
 /* A server that cut a response and lives accepts a connection within this time.
  * Crashes that are refuted by then concern no other process: with servers that
@@ -267,6 +266,7 @@
 	struct mh_crash crash = {
 		.id = crash_id(server, now_ns),
 		.server = server,
+		.placed_ns = placed_ns,
 		.lost_ns = now_ns,
 	};
 	struct mh_suspect *suspect;
@@ -387,6 +387,23 @@
 	return true;
 }
 
+/* Whether a run began after a server had crashed, so that it was lost with the
+ * server's next crash. */
+static bool began_after(const struct mh_crash *crash,
+			const struct mh_crash *earlier)
+{
+	return crash->placed_ns > earlier->lost_ns + REPORTS_NS;
+}
+
+static bool is_same_crash(const struct mh_crash *a, const struct mh_crash *b)
+{
+	if (a->id == b->id)
+		return true;
+	return a->server == b->server && !began_after(a, b) &&
+	       !began_after(b, a) &&
+	       distance(a->lost_ns, b->lost_ns) < SAME_CRASH_NS;
+}
+
 static bool merge_crash(struct mh_suspects *set, struct mh_suspect *suspect,
 			const struct mh_crash *other)
 {
@@ -395,9 +412,7 @@
 
 	for (i = 0; i < suspect->n_crashes; i++) {
 		crash = &suspect->crashes[i];
-		if (crash->id != other->id &&
-		    (crash->server != other->server ||
-		     distance(crash->lost_ns, other->lost_ns) >= SAME_CRASH_NS))
+		if (!is_same_crash(crash, other))
 			continue;
 		if (crash->refuted >= other->refuted &&
 		    crash->on_trial >= other->on_trial)
--- a/core/suspects.h
+++ b/core/suspects.h
@@ -22,6 +22,7 @@
  * struct mh_crash - a server that may have crashed
  * @id: the same in all processes that learned of it from each other
  * @server: the server's incarnation
+ * @placed_ns: monotonic time at which the run began, 0 if unknown
  * @lost_ns: monotonic time at which the run was lost
  * @on_trial: the run began when its fingerprint was a suspect already
  * @refuted: it does not count: the server did not crash, or did by another
@@ -30,6 +31,7 @@
 struct mh_crash {
 	uint64_t id;
 	uint64_t server;
+	uint64_t placed_ns;
 	uint64_t lost_ns;
 	bool on_trial;
 	bool refuted;
--- a/net/suspect_frames.c
+++ b/net/suspect_frames.c
@@ -19,6 +19,19 @@
 	return age_ns < now_ns ? now_ns - age_ns : 1;
 }
 
+/* How long the run took that was lost, at least 1. */
+static uint32_t run_ms(const struct mh_crash *crash)
+{
+	if (!crash->placed_ns)
+		return 0;
+	return age_ms(crash->placed_ns, crash->lost_ns) + 1;
+}
+
+static uint64_t placed_ns(uint32_t run_ms, uint64_t lost_ns)
+{
+	return run_ms ? time_ns(run_ms - 1, lost_ns) : 0;
+}
+
 void mh_suspect_send(struct mh_links *links, uint32_t link,
 		     const struct mh_suspect *suspect, uint64_t now_ns)
 {
@@ -37,6 +50,7 @@
 		crashes[i].age_ms = age_ms(crash->lost_ns, now_ns);
 		crashes[i].on_trial = crash->on_trial;
 		crashes[i].refuted = crash->refuted;
+		crashes[i].run_ms = run_ms(crash);
 		list[i] = &crashes[i];
 	}
 	msg.fingerprint = suspect->fingerprint;
@@ -62,11 +76,13 @@
 		suspect->cleared_ns = time_ns(msg->cleared_age_ms, now_ns);
 	for (i = 0; i < msg->n_crash && i < MH_SUSPECT_CRASHES; i++) {
 		const Mh__Crash *from = msg->crash[i];
+		uint64_t lost_ns = time_ns(from->age_ms, now_ns);
 
 		suspect->crashes[suspect->n_crashes++] = (struct mh_crash){
 			.id = from->id,
 			.server = from->server,
-			.lost_ns = time_ns(from->age_ms, now_ns),
+			.placed_ns = placed_ns(from->run_ms, lost_ns),
+			.lost_ns = lost_ns,
 			.on_trial = from->on_trial,
 			.refuted = from->refuted,
 		};
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -3828,7 +3828,7 @@
   (ProtobufCMessageInit) mh__ledger_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__crash__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mh__crash__field_descriptors[6] =
 {
   {
     "id",
@@ -3890,18 +3890,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Crash, run_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__crash__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   0,   /* field[0] = id */
   3,   /* field[3] = on_trial */
   4,   /* field[4] = refuted */
+  5,   /* field[5] = run_ms */
   1,   /* field[1] = server */
 };
 static const ProtobufCIntRange mh__crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mh__crash__descriptor =
 {
@@ -3911,7 +3924,7 @@
   "Mh__Crash",
   "mh",
   sizeof(Mh__Crash),
-  5,
+  6,
   mh__crash__field_descriptors,
   mh__crash__field_indices_by_name,
   1,  mh__crash__number_ranges,
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -557,10 +557,14 @@
    * it did not go down, or by another request
    */
   protobuf_c_boolean refuted;
+  /*
+   * from its begin to its loss, plus 1; 0: unknown
+   */
+  uint32_t run_ms;
 };
 #define MH__CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__crash__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test_suspect_sharing.c
+++ b/tests/test_suspect_sharing.c
@@ -298,6 +298,43 @@
 	free_cluster(c);
 }
 
+static void merge_into(void *data, const struct mh_suspect *suspect)
+{
+	mh_suspects_merge(data, suspect, 10000 * MS);
+}
+
+/* Counts the crashes of one server of which two processes see one each. */
+static uint32_t crashes_seen_by_two(uint64_t second_placed_ms,
+				    uint64_t second_lost_ms)
+{
+	struct mh_suspects *a = mh_suspects_new(NULL, NULL);
+	struct mh_suspects *b = mh_suspects_new(NULL, NULL);
+	uint32_t n;
+
+	mh_suspects_add_crash(a, BAD, 1, 9000 * MS, false, 9010 * MS);
+	mh_suspects_add_crash(b, BAD, 1, second_placed_ms * MS, false,
+			      second_lost_ms * MS);
+	mh_suspects_each(a, merge_into, b);
+	mh_suspects_each(b, merge_into, a);
+	n = mh_suspects_crashes(a, BAD, 10000 * MS);
+	assert_int_equal(mh_suspects_crashes(b, BAD, 10000 * MS), n);
+	mh_suspects_free(a);
+	mh_suspects_free(b);
+	return n;
+}
+
+/* Guards against a crash that only one dispatcher counts, because the server
+ * crashed for another one shortly before and was back at once. */
+static void test_server_that_is_back_at_once_crashes_twice(void **state)
+{
+	(void)state;
+	assert_int_equal(crashes_seen_by_two(9700, 9710), 2);
+	assert_int_equal(crashes_seen_by_two(9200, 9210), 2);
+	/* Runs that were lost with it together, one of them reported late. */
+	assert_int_equal(crashes_seen_by_two(9005, 9050), 1);
+	assert_int_equal(crashes_seen_by_two(9005, 9700), 1);
+}
+
 static void count_suspect(void *data, const struct mh_suspect *suspect)
 {
 	(void)suspect;
@@ -347,6 +384,8 @@
 		cmocka_unit_test(test_malformed_stored_suspects_are_rejected),
 		cmocka_unit_test(test_cleared_request_is_cleared_everywhere),
 		cmocka_unit_test(test_relayed_crash_counts_once),
+		cmocka_unit_test(
+			test_server_that_is_back_at_once_crashes_twice),
 		cmocka_unit_test(test_crash_that_is_refuted_soon_is_not_shared),
 	};
 
