--- a/tests/standins/shapes.c
+++ b/tests/standins/shapes.c
@@ -12,9 +12,9 @@
  * plainreset are no streams and have no framing.
  *
  * Without end, until the other side closes: endlessevent, endlesserror (500),
- * endlessslow (500, a byte at a time), endlesshead, endlessinterim (1xx),
- * endlesslines (empty lines before a head), endlesstrailer, endlessextension,
- * endlessnoise.
+ * endlessslow (500, a byte at a time), endlesshead, endlessslowhead,
+ * endlessinterim (1xx), endlesslines (empty lines before a head),
+ * endlesstrailer, endlessextension, endlessnoise.
  */
 #include <poll.h>
 #include <stdio.h>
@@ -182,6 +182,7 @@
 	{ "endlessslow", 500, SIGNED "Connection: close\r\n\r\n", "", "x",
 	  true },
 	{ "endlesshead", 200, SIGNED, "X-Long: ", "xxxxxxxxxxxxxxxx", false },
+	{ "endlessslowhead", 200, SIGNED, "X-Long: ", "x", true },
 	{ "endlessinterim", 0, "", "", "HTTP/1.1 102 X\r\nA: b\r\n\r\n",
 	  false },
 	{ "endlesslines", 0, "", "", "\r\n", false },
--- a/tests/test_endless.sh
+++ b/tests/test_endless.sh
@@ -16,6 +16,8 @@
 MAX_BESIDE_MS=$((100 * SLACK))
 MAX_ANSWER_MS=$((1500 * SLACK))
 MAX_RETRY_MS=$((250 * SLACK))
+# Half of the route's time-out is left to the second attempt.
+MAX_SILENT_MS=1500
 
 cpu_ms() { # NAME
 	local stat tick_ms
@@ -90,6 +92,17 @@
 	bounded /gen/endlessextension
 }
 
+# Guards against a head that never ends and keeps its request until the route's
+# time-out, as its bytes look like progress.
+t_slow_head_without_end() {
+	local waited
+	ID=again-slowhead call 1 /again/endlessslowhead --max-time 3 -o /dev/null
+	waited=$(($(log_ms again again-slowhead) - \
+		$(log_ms sent again-slowhead)))
+	echo "second attempt after $waited ms"
+	[ $waited -gt 0 ] && [ $waited -le $MAX_SILENT_MS ]
+}
+
 # Prints the time of the first log line of an event of a request.
 log_ms() { # EVENT ID
 	sed -n "s/^t=\([0-9]*\) .*event=$1 id=$2 .*/\1/p" "$DIR/proxy1.log" |
@@ -157,6 +170,7 @@
 
 check "endless: an event" t_event_without_end
 check "endless: a head" t_head_without_end
+check "endless: a head that comes slowly" t_slow_head_without_end
 check "endless: interim responses" t_interim_responses_without_end
 check "endless: empty lines" t_empty_lines_without_end
 check "endless: bytes that are no HTTP" t_noise_without_end
