--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -63,8 +63,9 @@
 		"endlesshead", "endlessinterim", "endlessnoise", "endlesslines",
 	};
 	static const char *const cuts[] = {
-		"halfclose-end",   "linesclose-end",  "halfchunk-end",
-		"halfclose-reset", "halfchunk-reset", "endlessevent",
+		"halfclose-end",  "linesclose-end",  "halfchunk-end",
+		"halflength-end", "halfclose-reset", "halfchunk-reset",
+		"endlessevent",
 	};
 
 	switch (call->kind) {
