Quota: give units back to the bucket that they were counted in

Callers saw: an account was refused (account_limit, 429) though it had used a fraction of its quota, while servers turned its requests away.

The bucket of a refund was found by the age in whole buckets, so it was the next one if a bucket had begun since the charge; that one is empty at first, and the unit stayed counted until it left the window.

The refund names the time of the charge now.

--- a/core/dispatch_quota.c
+++ b/core/dispatch_quota.c
@@ -363,10 +363,7 @@
 
 void mh_dispatch_return_units(struct mh_dispatch *d, const struct request *req)
 {
-	uint64_t age_ms =
-		(mh_dispatch_now_ns(d) - req->requested_ns) / MH_NS_PER_MS;
-
 	if (req->units)
 		mh_usage_refund(&get_quota(d, req->account)->own, req->units,
-				(uint32_t)age_ms, mh_dispatch_now_ns(d));
+				req->requested_ns, mh_dispatch_now_ns(d));
 }
--- a/core/sliding_window.c
+++ b/core/sliding_window.c
@@ -49,13 +49,16 @@
 		*bucket += units;
 }
 
-void mh_usage_refund(struct mh_usage *u, uint64_t units, uint32_t age_ms,
+void mh_usage_refund(struct mh_usage *u, uint64_t units, uint64_t counted_ns,
 		     uint64_t now_ns)
 {
-	uint64_t *bucket = bucket_of(u, age_ms, now_ns);
+	uint64_t counted = counted_ns / u->bucket_ns, *bucket;
 
-	if (bucket)
-		*bucket -= *bucket < units ? *bucket : units;
+	advance(u, now_ns);
+	if (counted > u->newest || counted + MH_USAGE_BUCKETS <= u->newest)
+		return;
+	bucket = &u->units[counted % MH_USAGE_BUCKETS];
+	*bucket -= *bucket < units ? *bucket : units;
 }
 
 uint64_t mh_usage_sum(struct mh_usage *u, uint64_t now_ns)
--- a/core/sliding_window.h
+++ b/core/sliding_window.h
@@ -46,10 +46,10 @@
  *                     as many as their bucket holds
  * @u: window
  * @units: units
- * @age_ms: time since they were counted
+ * @counted_ns: monotonic time at which they were counted
  * @now_ns: monotonic time
  */
-void mh_usage_refund(struct mh_usage *u, uint64_t units, uint32_t age_ms,
+void mh_usage_refund(struct mh_usage *u, uint64_t units, uint64_t counted_ns,
 		     uint64_t now_ns);
 
 /**
