--- a/tests/test_suspect_sharing.c
+++ b/tests/test_suspect_sharing.c
@@ -2,6 +2,7 @@
  * Unit tests of how dispatchers and entries share what they know of requests
  * that crash servers, also over a loss of all processes.
  */
+#include "net/suspect_frames.h"
 #include "platform/ledger.h"
 #include "tests/suspect_fixture.h"
 
@@ -335,6 +336,27 @@
 	assert_int_equal(crashes_seen_by_two(9005, 9700), 1);
 }
 
+/* Guards against a run whose begin gets lost on a link. Peers of an older version
+ * don't tell it. */
+static void test_begin_of_a_lost_run_is_read(void **state)
+{
+	Mh__CrashSuspect msg = MH__CRASH_SUSPECT__INIT;
+	Mh__Crash crashes[2] = { MH__CRASH__INIT, MH__CRASH__INIT };
+	Mh__Crash *list[2] = { &crashes[0], &crashes[1] };
+	struct mh_suspect suspect;
+
+	(void)state;
+	crashes[0].age_ms = crashes[1].age_ms = 100;
+	crashes[0].run_ms = 41;
+	msg.n_crash = 2;
+	msg.crash = list;
+	mh_suspect_read(&msg, 10000 * MS, &suspect);
+	assert_int_equal(suspect.n_crashes, 2);
+	assert_int_equal(suspect.crashes[0].lost_ns, 9900 * MS);
+	assert_int_equal(suspect.crashes[0].placed_ns, 9860 * MS);
+	assert_int_equal(suspect.crashes[1].placed_ns, 0);
+}
+
 static void count_suspect(void *data, const struct mh_suspect *suspect)
 {
 	(void)suspect;
@@ -386,6 +408,7 @@
 		cmocka_unit_test(test_relayed_crash_counts_once),
 		cmocka_unit_test(
 			test_server_that_is_back_at_once_crashes_twice),
+		cmocka_unit_test(test_begin_of_a_lost_run_is_read),
 		cmocka_unit_test(test_crash_that_is_refuted_soon_is_not_shared),
 	};
 
