Logs: the parts of a lost run's prompt

A lost run's line told its fingerprint only, so that what runs lost with several servers have in common could not be seen. No decision uses them yet.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -60,6 +60,7 @@
 	/* The analyzer does not follow uthash's deletion macros. */
 	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference) */
 	HASH_DEL(d->requests, req);
+	mh_features_unref(req->features);
 	free(req->account);
 	free(req);
 }
@@ -302,6 +303,8 @@
 	req->start_by_ns = slot_req->start_by_ns;
 	req->deadline_ns = slot_req->deadline_ns;
 	req->fingerprint = slot_req->fingerprint;
+	req->features = mh_features_new(slot_req->fingerprint, slot_req->parts,
+					slot_req->n_parts);
 	req->requested_ns = mh_dispatch_now_ns(d);
 	req->is_repeatable = slot_req->is_repeatable;
 	req->heap_index = MH_HEAP_NONE;
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -16,6 +16,7 @@
 #include "core/catalog.h"
 #include "core/clock.h"
 #include "core/err.h"
+#include "core/features.h"
 #include "core/routes.h"
 #include "core/server_notices.h"
 #include "core/sliding_window.h"
@@ -45,6 +46,9 @@
  *               client gives up then
  * @deadline_ns: monotonic time after which the response is of no use
  * @fingerprint: equal for equal requests of the same client
+ * @n_parts: number of elements in @parts
+ * @parts: identifiers of the parts of its prompt that other requests may share,
+ *         at most MH_PARTS_MAX
  * @is_repeat: it was sent to a server before
  * @is_repeatable: after a run in the requested slot it may be sent to a further
  *                 server
@@ -65,6 +69,8 @@
 	uint64_t start_by_ns;
 	uint64_t deadline_ns;
 	uint64_t fingerprint;
+	uint32_t n_parts;
+	const uint64_t *parts;
 	bool is_repeat;
 	bool is_repeatable;
 	bool is_moved;
@@ -166,6 +172,7 @@
  * @id: request
  * @server: identifier of the server
  * @fingerprint: fingerprint of the request
+ * @features: all features of the request
  * @verdict: whether it counts against the fingerprint
  * @answering: the server had begun to respond
  * @held: other requests that hold a slot of the server
@@ -176,6 +183,7 @@
 	uint64_t id;
 	const char *server;
 	uint64_t fingerprint;
+	const struct mh_features *features;
 	enum mh_lost_verdict verdict;
 	bool answering;
 	uint32_t held;
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -37,6 +37,7 @@
 	uint64_t start_by_ns;
 	uint64_t deadline_ns;
 	uint64_t fingerprint;
+	struct mh_features *features;
 	uint64_t requested_ns;
 	uint64_t placed_ns;
 	bool late;
--- a/dispatcher/slot_frames.c
+++ b/dispatcher/slot_frames.c
@@ -23,6 +23,10 @@
 		.start_by_ns = time_in(now_ns, msg->start_in_ms),
 		.deadline_ns = now_ns + msg->deadline_in_ms * MH_NS_PER_MS,
 		.fingerprint = msg->fingerprint,
+		.n_parts =
+			(uint32_t)(msg->n_part < MH_PARTS_MAX ? msg->n_part :
+								MH_PARTS_MAX),
+		.parts = msg->part,
 		.is_repeat = msg->is_repeat,
 		.is_repeatable = msg->is_repeatable,
 		.is_moved = msg->is_moved,
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -3237,7 +3237,7 @@
   (ProtobufCMessageInit) mh__side_config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__place_ask__field_descriptors[17] =
+static const ProtobufCFieldDescriptor mh__place_ask__field_descriptors[18] =
 {
   {
     "id",
@@ -3443,6 +3443,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Mh__PlaceAsk, n_part),
+    offsetof(Mh__PlaceAsk, part),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__place_ask__field_indices_by_name[] = {
   2,   /* field[2] = account */
@@ -3456,6 +3468,7 @@
   10,   /* field[10] = is_repeat */
   15,   /* field[15] = is_repeatable */
   6,   /* field[6] = output_tokens */
+  17,   /* field[17] = part */
   5,   /* field[5] = prompt_tokens */
   12,   /* field[12] = server */
   1,   /* field[1] = service */
@@ -3466,7 +3479,7 @@
 static const ProtobufCIntRange mh__place_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor mh__place_ask__descriptor =
 {
@@ -3476,7 +3489,7 @@
   "Mh__PlaceAsk",
   "mh",
   sizeof(Mh__PlaceAsk),
-  17,
+  18,
   mh__place_ask__field_descriptors,
   mh__place_ask__field_indices_by_name,
   1,  mh__place_ask__number_ranges,
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -437,10 +437,15 @@
    * as the dispatcher asked for
    */
   protobuf_c_boolean is_moved;
+  /*
+   * of its prompt, that other requests share
+   */
+  size_t n_part;
+  uint64_t *part;
 };
 #define MH__PLACE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__place_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Mh__PlaceGiven
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -222,6 +222,8 @@
 		.start_by_ns = x->deadline_ns,
 		.deadline_ns = x->deadline_ns,
 		.fingerprint = x->fingerprint,
+		.n_parts = x->wire.n_parts,
+		.parts = x->wire.parts,
 		.is_repeat = x->servers_reached > 0,
 		.is_repeatable = mh_exchange_is_repeatable(x) &&
 				 x->attempts + 1 < x->route->max_attempts,
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -98,6 +98,7 @@
 	HASH_DEL(sc->requests, req);
 	free((char *)req->slot_req.service);
 	free((char *)req->slot_req.account);
+	free((uint64_t *)req->slot_req.parts);
 	for (i = 0; i < req->slot_req.n_avoid; i++)
 		free((char *)req->slot_req.avoid[i]);
 	free(req->server);
@@ -558,6 +559,13 @@
 	req->slot_req.owner = 0;
 	req->slot_req.service = mh_check_alloc(strdup(slot_req->service));
 	req->slot_req.account = mh_check_alloc(strdup(slot_req->account));
+	if (slot_req->n_parts) {
+		size_t len = slot_req->n_parts * sizeof(*slot_req->parts);
+		uint64_t *parts = mh_check_alloc(malloc(len));
+
+		memcpy(parts, slot_req->parts, len);
+		req->slot_req.parts = parts;
+	}
 	for (i = 0; i < slot_req->n_avoid; i++)
 		req->slot_req.avoid[i] =
 			mh_check_alloc(strdup(slot_req->avoid[i]));
--- a/proxy/slot_frames.c
+++ b/proxy/slot_frames.c
@@ -30,6 +30,8 @@
 	msg.deadline_in_ms = left_ms > 0 ? (uint32_t)left_ms : 0;
 	msg.start_in_ms = ms_until(slot_req->start_by_ns, now_ns);
 	msg.fingerprint = slot_req->fingerprint;
+	msg.n_part = slot_req->n_parts;
+	msg.part = (uint64_t *)slot_req->parts;
 	msg.is_repeat = slot_req->is_repeat;
 	msg.is_repeatable = slot_req->is_repeatable;
 	msg.is_moved = slot_req->is_moved;
