Test: requests that share a part by which servers crash

What callers saw: no two requests are alike, so each crash counts against a request of its own, and servers end as long as such requests come.

--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -40,6 +40,10 @@
  *                               "shed" (turned away)
  *   GET  /test/calls            number of calls to the store
  *
+ * A request with a part in X-Mangohead-Prompt-Prefix, the last one excepted,
+ * whose identifier begins with "dead" ends the process after 80 ms, with a head
+ * sent; its arrival is printed as well.
+ *
  * The last path segment of a request selects the response: stream, cut, reset,
  * wrongid, unsigned, encoded, reject, fail, busy, unframed, extra, slow; own
  * and ownstream, whose bytes contain the request id; hold, which runs until the
@@ -75,6 +79,8 @@
 #define ANSWER_LATE_MS 60
 #define CRASH_SOON_MS 60
 #define CRASH_LATE_MS 400
+#define CRASH_OF_PART_MS 80
+#define DEADLY_PART "dead"
 #define ID_LINES 50
 
 struct server {
@@ -404,6 +410,34 @@
 	_exit(1);
 }
 
+static bool has_deadly_part(const struct conn *c)
+{
+	struct mh_http_text parts = header(c, "X-Mangohead-Prompt-Prefix");
+	const char *p = parts.p, *end = parts.p + parts.len;
+	const char *comma = memchr(p, ',', parts.len);
+	size_t len = strlen(DEADLY_PART);
+
+	for (; comma; comma = memchr(p, ',', (size_t)(end - p))) {
+		if ((size_t)(comma - p) > len && !memcmp(p, DEADLY_PART, len))
+			return true;
+		p = comma + 1;
+	}
+	return false;
+}
+
+static void crash_of_part(struct conn *c)
+{
+	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
+
+	printf("reached server=%s id=%.*s at_ms=%llu\n", c->server->id,
+	       (int)id.len, id.p, (unsigned long long)mono_now_ms());
+	fflush(stdout);
+	begin_response(c, 200, SIGNED "Transfer-Encoding: chunked\r\n\r\n");
+	send_all(c);
+	sleep_ms(CRASH_OF_PART_MS);
+	crash(c);
+}
+
 static bool serve_run(struct conn *c)
 {
 	struct mh_http_text expected = header(c, "X-Mangohead-Expect-Instance");
@@ -433,6 +467,8 @@
 		return send_all(c);
 	}
 	record_run(c);
+	if (has_deadly_part(c))
+		crash_of_part(c);
 	if (serve_shape(c, &ok))
 		return ok;
 	if (target_ends_with(c, "drop"))
--- /dev/null
+++ b/tests/test_parts.sh
@@ -0,0 +1,169 @@
+#!/bin/bash
+# Test of requests that share a part of their prompts by which servers crash, no
+# two of them alike, beside sound ones that share their account and their other
+# parts. Four proxies, two dispatchers, twelve servers that are back after 3 s
+# under new identifiers.
+# Usage: test_parts.sh [NAME-PART]
+cd "$(dirname "$0")/.." || exit 1
+BASE=${BASE:-24000}
+. tests/site.sh
+. tests/proxy_site.sh
+. tests/checks.sh
+
+SERVERS=$(seq 12)
+PROXIES="1 2 3 4"
+BAD_PER_S=3
+SOUND_PER_S=12
+LOAD_S=${LOAD_S:-11}
+# The users' stable_window_ms, and the runs that they allow later than that after
+# the fifth crash; sound requests are counted from twice that time on.
+SETTLED_MS=3000
+MAX_LATE_RUNS=3
+COUNTED_CRASHES=5
+
+stand_in_now_ms() {
+	awk '{ printf "%d", $1 * 1000 }' /proc/uptime
+}
+
+replace_server() { # N GENERATION
+	local id=c$1-$2
+	sleep 1
+	platform "server?id=$(cat "$DIR/server$1")&state=gone"
+	sleep 2
+	echo $id >"$DIR/server$1"
+	start_fragile $1 $id
+	platform "register?id=$id&service=fragile&slots=4&port=$(server_port $((5 + $1)))"
+}
+
+keep_replacing() { # N
+	local generation=0
+	while [ ! -e "$DIR/stop" ]; do
+		if ! is_alive fragile$1; then
+			generation=$((generation + 1))
+			replace_server $1 $generation
+		fi
+		sleep 0.1
+	done
+}
+
+# Sends a request with given shared parts; prints when, what and the outcome.
+send_parts() { # PROXY NAME PARTS
+	local now
+	now=$(stand_in_now_ms)
+	ID=$2 call $1 /fragile/$2/ok -d "text of $2" \
+		-H "X-Mangohead-Prompt-Prefix: $3,${RANDOM}e$RANDOM:50" \
+		-o "$DIR/$2.body" -w "$now $2 %{http_code}"
+	echo " $(grep -o '"kind":"[a-z_]*"' "$DIR/$2.body")"
+	rm -f "$DIR/$2.body"
+}
+
+# Sends requests at a steady rate, each in the background.
+send_steadily() { # PROXY NAME PER-SECOND PARTS
+	local i n=$(($3 * LOAD_S)) parts
+	for i in $(seq $n); do
+		parts=${4//%/$((i % 4))}
+		send_parts $1 $2-$1-$i "$parts" >>"$DIR/$2-$1-$i.sent" &
+		sleep $(awk -v n=$3 'BEGIN { print 1 / n }')
+	done
+	wait
+}
+
+# Load of one case. "%" in the parts stands for one of four numbers.
+run_load() { # NAME BAD-PARTS SOUND-PARTS
+	local i pids=""
+	for i in $PROXIES; do
+		send_steadily $i bad-$1 $BAD_PER_S "$2" &
+		pids="$pids $!"
+		send_steadily $i sound-$1 $SOUND_PER_S "$3" &
+		pids="$pids $!"
+	done
+	wait $pids
+	cat "$DIR"/sound-$1-*.sent >"$DIR/sound-$1"
+	cat "$DIR"/bad-$1-*.sent >"$DIR/bad-$1"
+	rm -f "$DIR"/*-$1-*.sent
+}
+
+# Arrivals or crashes of a case's bad requests, at the servers' times.
+times() { # WHAT NAME
+	sed -n "s/^$1 .*id=bad-$2-.* at_ms=//p" "$DIR"/fragile*.log | sort -n
+}
+
+few_servers_end() { # NAME
+	times crashed $1 >"$DIR/crashed"
+	times reached $1 >"$DIR/reached"
+	wc -l <"$DIR/crashed"
+	# The case has to come about.
+	[ -s "$DIR/crashed" ] || return 1
+	awk -v nth=$COUNTED_CRASHES -v settled=$SETTLED_MS \
+		-v most=$MAX_LATE_RUNS 'NR == FNR {
+			if (FNR == nth)
+				from = $1 + settled
+			next
+		}
+		from && $1 > from { late++ }
+		END { print late + 0, "late"; exit late > most }' \
+		"$DIR/crashed" "$DIR/reached"
+}
+
+# Of the sound requests from twice the settling time after the last counted crash
+# on, at least half are served, as all of them would be without the bad ones.
+sound_are_served() { # NAME
+	local from
+	from=$(times crashed $1 | head -n $COUNTED_CRASHES | tail -n 1)
+	cut -d' ' -f3- "$DIR/sound-$1" | sort | uniq -c
+	awk -v from=$((from + 2 * SETTLED_MS)) '$1 > from { n++; ok += $3 == 200 }
+		END { print ok + 0, "of", n + 0
+		      exit !(n >= 20 && ok * 2 >= n) }' "$DIR/sound-$1"
+}
+
+start platform $BIN/standin-platform $STORE \
+	$(for i in $SERVERS; do echo 0:c$i:fragile:4:$(server_port $((5 + i))); done)
+for i in $SERVERS; do
+	start_fragile $i
+	echo c$i >"$DIR/server$i"
+done
+wait_until 5 config 10 || exit 1
+start_dispatcher 1
+start_dispatcher 2
+for i in $PROXIES; do
+	start_proxy $i
+done
+for i in $PROXIES; do
+	wait_until 10 ready $i || exit 1
+done
+# Until then, a dispatcher allows few retries.
+sleep $RETRY_WINDOW_S
+replacing=""
+for i in $SERVERS; do
+	keep_replacing $i &
+	replacing="$replacing $!"
+done
+
+t_part_in_the_middle() {
+	run_load middle a0:60,dead1:400 a0:60,b%:400
+	few_servers_end middle
+}
+
+t_sound_beside_the_middle() {
+	sound_are_served middle
+}
+
+t_part_that_stands_first() {
+	run_load first dead2:60,b%:400 a0:60,b%:400
+	few_servers_end first
+}
+
+t_sound_beside_the_first() {
+	sound_are_served first
+}
+
+check "parts: a part in the middle ends few servers" t_part_in_the_middle
+check "parts: sound requests are served beside it" t_sound_beside_the_middle
+check "parts: a part that stands first ends few servers" \
+	t_part_that_stands_first
+check "parts: sound requests are served beside the first one" \
+	t_sound_beside_the_first
+touch "$DIR/stop"
+wait $replacing
+echo "$passed passed, $failed failed"
+[ $failed = 0 ]
