--- a/Makefile
+++ b/Makefile
@@ -118,12 +118,14 @@
 	      test_wire test_wire_notices test_log \
 	      test_notices test_response_judge test_suspect_unproven \
 	      test_http_bounds test_store_ends test_refunds test_entries_alone \
-	      test_system_start test_link_dial
+	      test_system_start test_link_dial test_parts
+
+$(BUILD)/bin/test_parts: $(BUILD)/tests/parts_simulation.o
 
 $(addprefix $(BUILD)/bin/,$(SMALL_TESTS)): \
 $(BUILD)/bin/%: $(BUILD)/tests/%.o $(BUILD)/libmangohead.a
 	@mkdir -p $(@D)
-	$(CC) $(LDFLAGS) -o $@ $^ -lcmocka $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) -lcmocka $(LIBS)
 
 $(BUILD)/bin/test_backend: $(BUILD)/tests/test_backend.o $(BUILD)/side/backend.o \
 			   $(BUILD)/libmangohead.a
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -52,6 +52,7 @@
 	d->began_ns = mh_dispatch_now_ns(d);
 	d->rates_updated_ns = d->began_ns;
 	d->suspects = mh_suspects_new(mh_dispatch_on_suspect, d);
+	d->open_runs = mh_open_runs_new();
 	return d;
 }
 
@@ -60,6 +61,7 @@
 	/* The analyzer does not follow uthash's deletion macros. */
 	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference) */
 	HASH_DEL(d->requests, req);
+	mh_dispatch_close_run(d, req);
 	mh_features_unref(req->features);
 	free(req->account);
 	free(req);
@@ -71,7 +73,7 @@
 	int t;
 
 	HASH_ITER(hh, p->servers, s, tmp)
-		mh_dispatch_free_server(p, s);
+		mh_dispatch_free_server(d, p, s);
 	for (t = 0; t < MH_TIERS; t++) {
 		mh_heap_release(&p->queues[t].timely);
 		mh_heap_release(&p->queues[t].late);
@@ -94,6 +96,7 @@
 		free_pool(d, p);
 	mh_dispatch_free_quotas(d);
 	mh_suspects_free(d->suspects);
+	mh_open_runs_free(d->open_runs);
 	free(d);
 }
 
@@ -188,7 +191,7 @@
 	return NULL;
 }
 
-static void reset_server(struct server *s)
+static void reset_server(struct mh_dispatch *d, struct server *s)
 {
 	s->latency_ratio = 1;
 	s->failure_rate = s->pool->failure_rate;
@@ -199,8 +202,8 @@
 	s->last_answer_ns = 0;
 	s->lost_ns = 0;
 	s->trial_lost_ns = 0;
-	s->n_silent = 0;
-	s->n_unproven = 0;
+	mh_dispatch_drop_ended(s);
+	mh_dispatch_drop_undecided(d, s);
 	s->is_leaving = false;
 	mh_dispatch_drop_pauses(s);
 }
@@ -217,7 +220,7 @@
 	s->info.address = mh_check_alloc(strdup(info->address));
 	s->id_hash = mh_dispatch_hash(info->id);
 	HASH_ADD_KEYPTR(hh, p->servers, s->info.id, strlen(s->info.id), s);
-	reset_server(s);
+	reset_server(d, s);
 	return s;
 }
 
@@ -232,7 +235,7 @@
 		s->takes_work = false;
 		if (s->held)
 			return;
-		mh_dispatch_free_server(s->pool, s);
+		mh_dispatch_free_server(d, s->pool, s);
 		s = NULL;
 	}
 	if (!s && !info->takes_work)
@@ -243,16 +246,16 @@
 	    (s->incarnation && s->info.born_ms != info->born_ms))
 		mh_dispatch_record_gone(d, s);
 	else if (!info->takes_work)
-		s->n_silent = s->n_unproven = 0;
+		mh_dispatch_drop_ended(s);
 	if (s->info.born_ms != info->born_ms)
-		reset_server(s);
+		reset_server(d, s);
 	s->info.born_ms = info->born_ms;
 	s->incarnation = s->id_hash ^ mh_dispatch_mix(info->born_ms);
 	s->info.places = info->places;
 	s->vanished = info->is_gone && (s->takes_work || s->vanished);
 	s->takes_work = info->takes_work;
 	if (!s->takes_work && !s->held)
-		mh_dispatch_free_server(s->pool, s);
+		mh_dispatch_free_server(d, s->pool, s);
 }
 
 void mh_dispatch_update_registration(struct mh_dispatch *d,
@@ -285,8 +288,10 @@
 	return req;
 }
 
+/* Takes over @features. */
 static struct request *add_request(struct mh_dispatch *d,
-				   const struct mh_slot_request *slot_req)
+				   const struct mh_slot_request *slot_req,
+				   struct mh_features *features)
 {
 	struct request *req = mh_check_alloc(calloc(1, sizeof(*req)));
 	uint32_t i;
@@ -302,9 +307,7 @@
 	req->target_ns = slot_req->target_ns;
 	req->start_by_ns = slot_req->start_by_ns;
 	req->deadline_ns = slot_req->deadline_ns;
-	req->fingerprint = slot_req->fingerprint;
-	req->features = mh_features_new(slot_req->fingerprint, slot_req->parts,
-					slot_req->n_parts);
+	req->features = features;
 	req->requested_ns = mh_dispatch_now_ns(d);
 	req->is_repeatable = slot_req->is_repeatable;
 	req->heap_index = MH_HEAP_NONE;
@@ -335,37 +338,55 @@
 				    extra_retries(d, now_ns), now_ns);
 }
 
+/* Return: whether the request may wait for a slot; if not, @why tells the reason.
+ */
+static bool admit(struct mh_dispatch *d, const struct mh_slot_request *slot_req,
+		  const struct mh_features *features, bool *over_quota,
+		  struct mh_slot_refusal *why)
+{
+	struct pool *p = mh_dispatch_pool(d, slot_req->service);
+
+	if (mh_suspects_refuses(d->suspects, features, mh_dispatch_now_ns(d),
+				&why->feature)) {
+		why->error = MH_ERR_CRASHES_SERVERS;
+		return false;
+	}
+	if (slot_req->is_repeat && !slot_req->is_moved &&
+	    !mh_dispatch_take_retry(d, p)) {
+		why->error = MH_ERR_RETRY_BUDGET;
+		why->retry_after_ms = MH_RETRY_AFTER_MAX_MS;
+		return false;
+	}
+	return mh_dispatch_take_units(d, slot_req, over_quota, why);
+}
+
+static struct mh_features *features_of(const struct mh_slot_request *slot_req)
+{
+	return mh_features_new(slot_req->fingerprint, slot_req->parts,
+			       slot_req->n_parts);
+}
+
 void mh_dispatch_request_slot(struct mh_dispatch *d,
 			      const struct mh_slot_request *slot_req)
 {
 	struct pool *p = mh_dispatch_pool(d, slot_req->service);
-	bool over_quota = false;
 	struct mh_slot_refusal why = { 0 };
+	struct mh_features *features;
+	bool over_quota = false;
 	struct request *req;
 
 	if (find_request(d, slot_req->owner, slot_req->id))
 		return;
-	if (mh_suspects_is_refused(d->suspects, slot_req->fingerprint,
-				   mh_dispatch_now_ns(d))) {
-		why.error = MH_ERR_CRASHES_SERVERS;
-		d->ops->refuse(d->data, slot_req->owner, slot_req->id, &why);
-		return;
-	}
-	if (slot_req->is_repeat && !slot_req->is_moved &&
-	    !mh_dispatch_take_retry(d, p)) {
-		why.error = MH_ERR_RETRY_BUDGET;
-		why.retry_after_ms = MH_RETRY_AFTER_MAX_MS;
-		d->ops->refuse(d->data, slot_req->owner, slot_req->id, &why);
-		return;
-	}
-	if (!mh_dispatch_take_units(d, slot_req, &over_quota, &why)) {
+	features = features_of(slot_req);
+	if (!admit(d, slot_req, features, &over_quota, &why)) {
+		mh_features_unref(features);
 		d->ops->refuse(d->data, slot_req->owner, slot_req->id, &why);
 		return;
 	}
 	if (!slot_req->is_repeat)
 		mh_retry_window_add_first_try(&p->retry_window,
 					      mh_dispatch_now_ns(d));
-	req = add_request(d, slot_req);
+	req = add_request(d, slot_req, features);
 	req->over_quota = over_quota;
 	/* Requests beyond a quota must not delay those within theirs. */
 	if (over_quota)
@@ -388,11 +409,12 @@
 
 	if (!s || find_request(d, slot_req->owner, slot_req->id))
 		return;
-	req = add_request(d, slot_req);
+	req = add_request(d, slot_req, features_of(slot_req));
 	req->placed_ns = mh_dispatch_now_ns(d) - age_ms * MH_NS_PER_MS;
 	/* Its units count at the dispatcher that granted it. */
 	req->units = 0;
 	mh_dispatch_take_slot(s, req);
+	mh_dispatch_open_run(d, req);
 }
 
 void mh_dispatch_first_byte(struct mh_dispatch *d, uint32_t owner, uint64_t id,
@@ -403,8 +425,10 @@
 	if (!req || !req->server)
 		return;
 	mh_dispatch_record_first_byte(req, first_ms, mh_dispatch_now_ns(d));
+	mh_dispatch_run_responds(d, req, mh_dispatch_now_ns(d));
 	mh_dispatch_record_response(d, req, mh_dispatch_now_ns(d));
 	mh_dispatch_record_survived(d, req, mh_dispatch_now_ns(d));
+	mh_dispatch_record_life(d, req->server, mh_dispatch_now_ns(d));
 }
 
 void mh_dispatch_enter_queue(struct request *req)
@@ -431,10 +455,10 @@
 	       outcome == MH_SLOT_UNREACHABLE || outcome == MH_SLOT_HELD_BACK;
 }
 
-static void free_if_gone(struct server *s)
+static void free_if_gone(struct mh_dispatch *d, struct server *s)
 {
 	if (!s->takes_work && !s->held)
-		mh_dispatch_free_server(s->pool, s);
+		mh_dispatch_free_server(d, s->pool, s);
 }
 
 void mh_dispatch_done(struct mh_dispatch *d, uint32_t owner, uint64_t id,
@@ -449,11 +473,12 @@
 	if (s) {
 		mh_dispatch_record_outcome(d, req, outcome, total_ms,
 					   mh_dispatch_now_ns(d));
+		mh_dispatch_end_run(d, req, outcome, mh_dispatch_now_ns(d));
 		mh_dispatch_release_slot(req);
 		/* Requests held back by pauses are due again. */
 		if (mh_dispatch_now_ns(d) < s->pool->pauses_end_ns)
 			d->review = true;
-		free_if_gone(s);
+		free_if_gone(d, s);
 	} else {
 		mh_dispatch_leave_queue(d, req);
 	}
@@ -474,7 +499,7 @@
 			continue;
 		if (s) {
 			mh_dispatch_release_slot(req);
-			free_if_gone(s);
+			free_if_gone(d, s);
 		} else {
 			mh_dispatch_leave_queue(d, req);
 			mh_dispatch_return_units(d, req);
@@ -502,6 +527,8 @@
 {
 	mh_dispatch_leave_queue(d, req);
 	req->placed_ns = now_ns;
+	mh_dispatch_begin_trials(d, req, now_ns);
+	mh_dispatch_open_run(d, req);
 	mh_dispatch_take_slot(s, req);
 	d->ops->grant(d->data, (uint32_t)req->key.owner, req->key.id, &s->info);
 }
@@ -546,11 +573,14 @@
 {
 	double span_s = (double)(now_ns - d->rates_updated_ns) /
 			(double)(MH_MS_PER_S * MH_NS_PER_MS);
+	struct server *s, *tmp_s;
 	struct pool *p, *tmp;
 	int t;
 
 	HASH_ITER(hh, d->pools, p, tmp) {
 		mh_dispatch_decay_stats(p);
+		HASH_ITER(hh, p->servers, s, tmp_s)
+			mh_dispatch_expire_undecided(d, s, now_ns);
 		for (t = 0; t < MH_TIERS; t++) {
 			struct queue *queue = &p->queues[t];
 
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -92,6 +92,7 @@
 	MH_SLOT_HANDED_OVER, /* another dispatcher has taken the slot over */
 	MH_SLOT_HELD_BACK,   /* not sent: the server leaves or wants a pause */
 	MH_SLOT_UNPROVEN,    /* the response ended with its connection only */
+	MH_SLOT_DECLINED,    /* a complete response that is no success */
 	MH_SLOT_OUTCOMES,
 };
 
@@ -141,6 +142,7 @@
  * @wait_ms: expected wait for a slot
  * @spent: units that its account used in the window
  * @limit: units that the account may use in the window
+ * @feature: of a request that crashes servers, what tells so
  */
 struct mh_slot_refusal {
 	enum mh_error error;
@@ -148,6 +150,7 @@
 	uint32_t wait_ms;
 	uint64_t spent;
 	uint64_t limit;
+	struct mh_feature feature;
 };
 
 /* Whether a lost run counts against its request, and if not, why. */
@@ -156,7 +159,7 @@
 	MH_LOST_SUCCEEDED, /* an equal request ended well shortly before */
 	MH_LOST_BESIDE,	   /* a suspect that has just begun was lost as well */
 	MH_LOST_LEAVING,   /* the server was draining or gone */
-	MH_LOST_UNMARKED,  /* the request has no fingerprint */
+	MH_LOST_UNMARKED,  /* the request has no features */
 	MH_LOST_VERDICTS,
 };
 
@@ -177,6 +180,7 @@
  * @answering: the server had begun to respond
  * @held: other requests that hold a slot of the server
  * @crashes: crashes of servers that count against the fingerprint
+ * @part_crashes: those against one of its parts, the most
  */
 struct mh_lost_run {
 	uint32_t owner;
@@ -188,6 +192,7 @@
 	bool answering;
 	uint32_t held;
 	uint32_t crashes;
+	uint32_t part_crashes;
 };
 
 /**
--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -7,11 +7,6 @@
 
 #include "core/dispatch_impl.h"
 
-/* A run that began to be responded to this long ago is not on trial any more:
- * servers crash as they begin to run such a request. */
-#define TRIAL_NS (100 * MH_NS_PER_MS)
-/* From this number of crashes on a suspect is kept apart from others. */
-#define APART_CRASHES 2
 /* Runs that a server's crash ends are reported within this time. A run that
  * began before and is responded to later shows that the server survived. */
 #define REPORTS_NS (500 * MH_NS_PER_MS)
@@ -42,95 +37,95 @@
 	d->ops->suspect(d->data, suspect);
 }
 
-static uint32_t crashes_of(const struct mh_dispatch *d,
-			   const struct request *req, uint64_t now_ns)
+static struct mh_feature request_of(const struct request *req)
 {
-	return mh_suspects_crashes(d->suspects, req->fingerprint, now_ns);
+	return mh_features_at(req->features, 0);
 }
 
-bool mh_dispatch_is_suspect(const struct mh_dispatch *d,
-			    const struct request *req, uint64_t now_ns)
-{
-	return crashes_of(d, req, now_ns) > 0;
-}
-
-/* Whether a run of a suspect has not shown yet that it is harmless. */
-static bool has_just_begun(const struct request *req, uint64_t now_ns)
-{
-	return !req->answering || now_ns < req->answered_ns + TRIAL_NS;
-}
-
-bool mh_dispatch_may_run(const struct mh_dispatch *d, const struct request *req,
-			 uint64_t now_ns)
+bool mh_dispatch_refuse_crashing(struct mh_dispatch *d, struct request *req,
+				 uint64_t now_ns)
 {
-	struct request *other, *tmp;
+	struct mh_slot_refusal why = { .error = MH_ERR_CRASHES_SERVERS };
 
-	HASH_ITER(hh, d->requests, other, tmp) {
-		if (other != req && other->server &&
-		    other->fingerprint == req->fingerprint &&
-		    has_just_begun(other, now_ns))
-			return false;
-	}
+	if (!mh_suspects_refuses(d->suspects, req->features, now_ns,
+				 &why.feature))
+		return false;
+	mh_dispatch_refuse(d, req, &why);
 	return true;
 }
 
-bool mh_dispatch_may_run_at(const struct mh_dispatch *d, const struct server *s,
-			    const struct request *req, uint64_t now_ns)
+/* Parts on trial in a run that may crash its server yet, as bits by their
+ * number; none that was cleared meanwhile. */
+static uint64_t parts_on_trial(const struct mh_dispatch *d,
+			       const struct request *req, uint64_t now_ns)
 {
-	uint32_t crashes = crashes_of(d, req, now_ns);
-	const struct request *other;
-
-	DL_FOREACH(s->requests, other) {
-		uint32_t n = crashes_of(d, other, now_ns);
+	uint64_t bits = 0;
+	uint32_t i;
 
-		if (n && has_just_begun(other, now_ns) &&
-		    (n >= APART_CRASHES || crashes >= APART_CRASHES))
-			return false;
+	for (i = 1; req->is_open && i < mh_features_count(req->features); i++) {
+		if (req->trials >> i & 1 &&
+		    mh_suspects_crashes(d->suspects,
+					mh_features_at(req->features, i),
+					now_ns))
+			bits |= 1ull << i;
 	}
-	return true;
-}
-
-void mh_dispatch_park(struct mh_dispatch *d, struct request *req)
-{
-	mh_dispatch_leave_queue(d, req);
-	req->parked = true;
-	DL_APPEND(d->parked, req);
+	return bits;
 }
 
-void mh_dispatch_unpark(struct mh_dispatch *d, struct request *req)
+/* Whether a run began as that of a suspect, and may crash its server yet. */
+static bool is_on_trial(const struct mh_dispatch *d, const struct request *req,
+			uint64_t now_ns)
 {
-	DL_DELETE(d->parked, req);
-	req->parked = false;
+	return parts_on_trial(d, req, now_ns) ||
+	       (mh_dispatch_has_just_begun(req, now_ns) &&
+		mh_suspects_was_known(d->suspects, request_of(req),
+				      req->placed_ns, now_ns));
 }
 
-void mh_dispatch_unpark_all(struct mh_dispatch *d)
+/* Features that the loss of a run speaks against, as bits by their number: the
+ * whole request, and its parts if it had just begun. Beside parts on trial, those
+ * that other runs outlived lately are not the cause. */
+static uint64_t accused_features(const struct mh_dispatch *d,
+				 const struct request *req, uint64_t now_ns)
 {
-	while (d->parked) {
-		struct request *req = d->parked;
+	uint64_t on_trial = parts_on_trial(d, req, now_ns), bits = 1;
+	uint32_t i;
 
-		mh_dispatch_unpark(d, req);
-		mh_dispatch_enter_queue(req);
+	if (!req->is_open)
+		return bits;
+	for (i = 1; i < mh_features_count(req->features); i++) {
+		if (!on_trial || on_trial >> i & 1 ||
+		    !mh_suspects_survived_lately(
+			    d->suspects, mh_features_at(req->features, i),
+			    now_ns))
+			bits |= 1ull << i;
 	}
+	return bits;
 }
 
-bool mh_dispatch_refuse_crashing(struct mh_dispatch *d, struct request *req,
-				 uint64_t now_ns)
+/* Counts a crash against features of a run, given as bits by their number.
+ * Return: whether it counts against any. */
+static bool accuse(struct mh_dispatch *d, const struct server *s,
+		   const struct mh_features *features, uint64_t accused,
+		   uint64_t placed_ns, bool was_responding, uint64_t now_ns)
 {
-	struct mh_slot_refusal why = { .error = MH_ERR_CRASHES_SERVERS };
-
-	if (!mh_suspects_is_refused(d->suspects, req->fingerprint, now_ns))
-		return false;
-	mh_dispatch_refuse(d, req, &why);
-	return true;
-}
+	struct mh_feature feature;
+	bool counts = false;
+	uint32_t i;
 
-/* Whether a run began as that of a suspect, and may crash its server yet. */
-static bool is_on_trial(const struct mh_dispatch *d, const struct request *req,
-			uint64_t now_ns)
-{
-	return has_just_begun(req, now_ns) &&
-	       mh_suspects_was_known(d->suspects, req->fingerprint,
-				     req->placed_ns, now_ns);
+	for (i = 0; i < mh_features_count(features); i++) {
+		if (!(accused >> i & 1))
+			continue;
+		feature = mh_features_at(features, i);
+		/* Runs that began before the first crash clear nobody. */
+		if (i && !mh_suspects_crashes(d->suspects, feature, now_ns))
+			mh_open_runs_restart(d->open_runs, feature, now_ns);
+		counts |= mh_suspects_add_crash(d->suspects, feature,
+						s->incarnation, placed_ns,
+						was_responding, now_ns);
+	}
+	mh_suspects_convict(d->suspects, mh_dispatch_has_settled, d, now_ns);
+	return counts;
 }
 
 static enum mh_lost_verdict judge(struct mh_dispatch *d, struct request *req,
@@ -138,25 +133,63 @@
 {
 	struct server *s = req->server;
 
-	if (!req->fingerprint)
+	if (!req->features->request && !req->features->n_parts)
 		return MH_LOST_UNMARKED;
 	if ((!s->takes_work && !s->vanished) || s->is_leaving)
 		return MH_LOST_LEAVING;
+	mh_dispatch_record_outlived(d, req, now_ns);
+	mh_open_runs_unsettle(d->open_runs, req->features, s->incarnation);
 	if (is_on_trial(d, req, now_ns)) {
 		s->trial_lost_ns = now_ns;
-		mh_suspects_blame(d->suspects, s->incarnation, req->fingerprint,
+		mh_suspects_blame(d->suspects, s->incarnation, req->features,
 				  now_ns - REPORTS_NS, now_ns);
 	} else if (s->trial_lost_ns && now_ns < s->trial_lost_ns + REPORTS_NS) {
 		return MH_LOST_BESIDE;
 	}
 	s->lost_ns = now_ns;
-	return mh_suspects_add_crash(d->suspects, req->fingerprint,
-				     s->incarnation, req->placed_ns,
-				     req->answering, now_ns) ?
+	return accuse(d, s, req->features, accused_features(d, req, now_ns),
+		      req->placed_ns, req->answering, now_ns) ?
 		       MH_LOST_COUNTED :
 		       MH_LOST_SUCCEEDED;
 }
 
+/* Counts a run that ended without a response, or with one that its server may
+ * not have outlived. */
+static void accuse_ended(struct mh_dispatch *d, const struct server *s,
+			 const struct ended_run *run, uint64_t now_ns)
+{
+	accuse(d, s, run->features, UINT64_MAX, run->placed_ns, false, now_ns);
+}
+
+/* The newest runs replace the oldest ones. */
+static void keep_ended(struct ended_run runs[MAX_ENDED_RUNS], uint32_t *n,
+		       const struct request *req, uint64_t now_ns)
+{
+	struct ended_run *run = &runs[(*n)++ % MAX_ENDED_RUNS];
+
+	mh_features_unref(run->features);
+	run->features = mh_features_ref(req->features);
+	run->placed_ns = req->placed_ns;
+	run->ended_ns = now_ns;
+}
+
+static void drop_ended(struct ended_run runs[MAX_ENDED_RUNS], uint32_t *n)
+{
+	uint32_t i;
+
+	for (i = 0; i < MAX_ENDED_RUNS; i++) {
+		mh_features_unref(runs[i].features);
+		runs[i].features = NULL;
+	}
+	*n = 0;
+}
+
+void mh_dispatch_drop_ended(struct server *s)
+{
+	drop_ended(s->silent, &s->n_silent);
+	drop_ended(s->unproven, &s->n_unproven);
+}
+
 void mh_dispatch_record_lost(struct mh_dispatch *d, struct request *req,
 			     uint64_t now_ns)
 {
@@ -164,14 +197,22 @@
 		.owner = (uint32_t)req->key.owner,
 		.id = req->key.id,
 		.server = req->server->info.id,
-		.fingerprint = req->fingerprint,
+		.fingerprint = req->features->request,
 		.features = req->features,
 		.verdict = judge(d, req, now_ns),
 		.answering = req->answering,
 		.held = req->server->held - 1,
 	};
+	uint32_t i;
 
-	run.crashes = crashes_of(d, req, now_ns);
+	run.crashes = mh_suspects_crashes(d->suspects, request_of(req), now_ns);
+	for (i = 1; i < mh_features_count(req->features); i++) {
+		uint32_t n = mh_suspects_crashes(
+			d->suspects, mh_features_at(req->features, i), now_ns);
+
+		if (n > run.part_crashes)
+			run.part_crashes = n;
+	}
 	d->ops->lost(d->data, &run);
 }
 
@@ -182,34 +223,21 @@
 {
 	struct server *s = req->server;
 
-	if (!req->fingerprint || req->answering ||
-	    s->last_answer_ns > req->placed_ns)
+	if (req->answering || s->last_answer_ns > req->placed_ns)
 		return;
 	if (s->vanished)
-		mh_suspects_add_crash(d->suspects, req->fingerprint,
-				      s->incarnation, req->placed_ns, false,
-				      now_ns);
-	if (!s->takes_work)
-		return;
-	s->silent[s->n_silent++ % MAX_SILENT_RUNS] =
-		(struct unanswered_run){ req->fingerprint, req->placed_ns };
+		accuse(d, s, req->features, UINT64_MAX, req->placed_ns, false,
+		       now_ns);
+	if (s->takes_work)
+		keep_ended(s->silent, &s->n_silent, req, now_ns);
 }
 
 void mh_dispatch_record_unproven(const struct request *req, uint64_t now_ns)
 {
 	struct server *s = req->server;
 
-	if (!req->fingerprint || !s->takes_work)
-		return;
-	s->unproven[s->n_unproven++ % MAX_UNPROVEN_RUNS] =
-		(struct unproven_run){ req->fingerprint, req->placed_ns,
-				       now_ns };
-}
-
-static uint32_t unproven_count(const struct server *s)
-{
-	return s->n_unproven < MAX_UNPROVEN_RUNS ? s->n_unproven :
-						   MAX_UNPROVEN_RUNS;
+	if (s->takes_work)
+		keep_ended(s->unproven, &s->n_unproven, req, now_ns);
 }
 
 /* Runs whose responses had ended when this one began ended well: their server
@@ -218,51 +246,37 @@
 				 const struct request *req, uint64_t now_ns)
 {
 	struct server *s = req->server;
-	uint32_t i, n = unproven_count(s), kept = 0;
+	uint32_t i, kept = 0;
 
-	for (i = 0; i < n; i++) {
-		struct unproven_run run = s->unproven[i];
+	for (i = 0; i < MAX_ENDED_RUNS && s->unproven[i].features; i++) {
+		struct ended_run run = s->unproven[i];
 
-		if (run.ended_ns < req->placed_ns)
-			mh_suspects_clear(d->suspects, run.fingerprint, now_ns);
-		else
+		s->unproven[i].features = NULL;
+		if (run.ended_ns < req->placed_ns) {
+			mh_suspects_clear(d->suspects, run.features->request,
+					  now_ns);
+			mh_features_unref(run.features);
+		} else {
 			s->unproven[kept++] = run;
+		}
 	}
 	s->n_unproven = kept;
 }
 
-static void record_unproven_gone(struct mh_dispatch *d, struct server *s,
-				 uint64_t now_ns)
-{
-	uint32_t i, n = unproven_count(s);
-
-	for (i = 0; i < n; i++) {
-		const struct unproven_run *run = &s->unproven[i];
-
-		if (now_ns < run->ended_ns + REGISTRATION_NS)
-			mh_suspects_add_crash(d->suspects, run->fingerprint,
-					      s->incarnation, run->placed_ns,
-					      false, now_ns);
-	}
-	s->n_unproven = 0;
-}
-
 void mh_dispatch_record_gone(struct mh_dispatch *d, struct server *s)
 {
-	uint32_t n =
-		s->n_silent < MAX_SILENT_RUNS ? s->n_silent : MAX_SILENT_RUNS;
+	uint64_t now_ns = mh_dispatch_now_ns(d);
 	uint32_t i;
 
-	for (i = 0; i < n; i++) {
-		const struct unanswered_run *run = &s->silent[i];
-
-		if (s->last_answer_ns <= run->placed_ns)
-			mh_suspects_add_crash(d->suspects, run->fingerprint,
-					      s->incarnation, run->placed_ns,
-					      false, mh_dispatch_now_ns(d));
+	for (i = 0; i < MAX_ENDED_RUNS && s->silent[i].features; i++) {
+		if (s->last_answer_ns <= s->silent[i].placed_ns)
+			accuse_ended(d, s, &s->silent[i], now_ns);
+	}
+	for (i = 0; i < MAX_ENDED_RUNS && s->unproven[i].features; i++) {
+		if (now_ns < s->unproven[i].ended_ns + REGISTRATION_NS)
+			accuse_ended(d, s, &s->unproven[i], now_ns);
 	}
-	s->n_silent = 0;
-	record_unproven_gone(d, s, mh_dispatch_now_ns(d));
+	mh_dispatch_drop_ended(s);
 }
 
 void mh_dispatch_record_response(struct mh_dispatch *d,
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -9,6 +9,7 @@
 #include "core/check_alloc.h"
 #include "core/dispatch.h"
 #include "core/heap.h"
+#include "core/open_runs.h"
 #include "core/sliding_window.h"
 #include "core/suspects.h"
 
@@ -36,13 +37,14 @@
 	uint64_t target_ns; /* latest start that meets the target */
 	uint64_t start_by_ns;
 	uint64_t deadline_ns;
-	uint64_t fingerprint;
 	struct mh_features *features;
 	uint64_t requested_ns;
 	uint64_t placed_ns;
 	bool late;
 	bool answering; /* its first byte was received */
 	uint64_t answered_ns;
+	bool is_open;	 /* its run may crash its server yet */
+	uint64_t trials; /* features on trial in its run, bits by number */
 	bool parked;
 	bool is_repeatable;
 	bool over_quota; /* served from spare slots only */
@@ -54,24 +56,23 @@
 	UT_hash_handle hh;
 };
 
-/* A run that ended without a response of its server. */
-struct unanswered_run {
-	uint64_t fingerprint;
+/* A run that has ended, and that its server may have crashed by. */
+struct ended_run {
+	struct mh_features *features; /* NULL: unused element, the last one */
 	uint64_t placed_ns;
+	uint64_t ended_ns;
 };
 
-#define MAX_SILENT_RUNS 16
+#define MAX_ENDED_RUNS 16
 
-/* A run whose response ended with its connection, in order: it was whole, or its
- * server crashed at that moment. What the server does next tells which. */
-struct unproven_run {
-	uint64_t fingerprint;
+/* A run that ended well before it is known whether its server outlived it. */
+struct undecided_run {
+	struct mh_features *features;
 	uint64_t placed_ns;
-	uint64_t ended_ns;
+	uint64_t due_ns; /* a sign of life from then on proves that it did */
+	struct undecided_run *prev, *next;
 };
 
-#define MAX_UNPROVEN_RUNS 16
-
 /* A server wants no requests of an entry until then. */
 struct pause {
 	uint32_t owner;
@@ -104,10 +105,15 @@
 	uint64_t lost_ns;	/* when a run was last lost with it */
 	uint64_t trial_lost_ns; /* when a suspect was last lost with it */
 	/* Runs that it did not respond to, the newest ones. */
-	struct unanswered_run silent[MAX_SILENT_RUNS];
+	struct ended_run silent[MAX_ENDED_RUNS];
 	uint32_t n_silent; /* ever recorded */
-	struct unproven_run unproven[MAX_UNPROVEN_RUNS];
-	uint32_t n_unproven; /* ever recorded */
+	/* Runs whose responses ended with their connections, in order: they were
+	 * whole, or the server crashed at that moment. What it does next tells
+	 * which. */
+	struct ended_run unproven[MAX_ENDED_RUNS];
+	uint32_t n_unproven;		 /* ever recorded */
+	struct undecided_run *undecided; /* by due_ns, almost */
+	uint32_t n_undecided;
 	UT_hash_handle hh;
 };
 
@@ -172,6 +178,7 @@
 	struct request *requests;
 	struct quota *quotas;
 	struct mh_suspects *suspects;
+	struct mh_open_runs *open_runs;
 	uint64_t suspect_changes;
 	/* Suspects, and requests held back by pauses, that can't run now. */
 	struct request *parked;
@@ -207,7 +214,8 @@
 				  const struct server *s);
 bool mh_dispatch_server_takes_work(const struct server *s);
 void mh_dispatch_decay_stats(struct pool *p);
-void mh_dispatch_free_server(struct pool *p, struct server *s);
+void mh_dispatch_free_server(struct mh_dispatch *d, struct pool *p,
+			     struct server *s);
 
 /* Quotas: dispatch_quota.c */
 bool mh_dispatch_take_units(struct mh_dispatch *d,
@@ -218,17 +226,39 @@
 
 /* Requests that may crash servers: dispatch_crash.c */
 void mh_dispatch_on_suspect(void *data, const struct mh_suspect *suspect);
+bool mh_dispatch_refuse_crashing(struct mh_dispatch *d, struct request *req,
+				 uint64_t now_ns);
+void mh_dispatch_drop_ended(struct server *s);
+
+/* Trials of suspect features: dispatch_trial.c */
+bool mh_dispatch_has_settled(void *data, struct mh_feature feature);
+bool mh_dispatch_has_just_begun(const struct request *req, uint64_t now_ns);
+void mh_dispatch_begin_trials(const struct mh_dispatch *d, struct request *req,
+			      uint64_t now_ns);
+void mh_dispatch_open_run(struct mh_dispatch *d, struct request *req);
+void mh_dispatch_run_responds(struct mh_dispatch *d, const struct request *req,
+			      uint64_t now_ns);
+void mh_dispatch_close_run(struct mh_dispatch *d, struct request *req);
+void mh_dispatch_end_run(struct mh_dispatch *d, struct request *req,
+			 enum mh_slot_outcome outcome, uint64_t now_ns);
+void mh_dispatch_record_life(struct mh_dispatch *d, struct server *s,
+			     uint64_t now_ns);
+void mh_dispatch_record_outlived(struct mh_dispatch *d, struct request *req,
+				 uint64_t now_ns);
+void mh_dispatch_drop_undecided(struct mh_dispatch *d, struct server *s);
+void mh_dispatch_expire_undecided(struct mh_dispatch *d, struct server *s,
+				  uint64_t now_ns);
 bool mh_dispatch_is_suspect(const struct mh_dispatch *d,
 			    const struct request *req, uint64_t now_ns);
 bool mh_dispatch_may_run(const struct mh_dispatch *d, const struct request *req,
-			 uint64_t now_ns);
+			 uint64_t now_ns, uint64_t *only_at);
 bool mh_dispatch_may_run_at(const struct mh_dispatch *d, const struct server *s,
 			    const struct request *req, uint64_t now_ns);
 void mh_dispatch_park(struct mh_dispatch *d, struct request *req);
 void mh_dispatch_unpark(struct mh_dispatch *d, struct request *req);
 void mh_dispatch_unpark_all(struct mh_dispatch *d);
-bool mh_dispatch_refuse_crashing(struct mh_dispatch *d, struct request *req,
-				 uint64_t now_ns);
+
+/* Outcomes of runs: dispatch_crash.c */
 void mh_dispatch_record_lost(struct mh_dispatch *d, struct request *req,
 			     uint64_t now_ns);
 void mh_dispatch_record_unanswered(struct mh_dispatch *d,
--- a/core/dispatch_review.c
+++ b/core/dispatch_review.c
@@ -26,8 +26,8 @@
 void mh_dispatch_refuse_late(struct mh_dispatch *d, struct request *req,
 			     double wait_ms)
 {
-	struct mh_slot_refusal why = { MH_ERR_OVERLOADED, 0, (uint32_t)wait_ms,
-				       0, 0 };
+	struct mh_slot_refusal why = { .error = MH_ERR_OVERLOADED,
+				       .wait_ms = (uint32_t)wait_ms };
 	uint32_t ms;
 
 	if (wait_ms > MH_RETRY_AFTER_MAX_MS)
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -175,13 +175,16 @@
 	struct server *s, *tmp, *best = NULL, *fallback = NULL;
 	bool suspect = mh_dispatch_is_suspect(d, req, now_ns);
 	double best_cost = 0, c;
+	uint64_t only_at = 0;
 
-	if (suspect && !mh_dispatch_may_run(d, req, now_ns))
+	if (suspect && !mh_dispatch_may_run(d, req, now_ns, &only_at))
 		return NULL;
 	HASH_ITER(hh, p->servers, s, tmp) {
 		if (!mh_dispatch_free_slots(d, s, now_ns))
 			continue;
-		if (suspect && !mh_dispatch_may_run_at(d, s, req, now_ns))
+		if (only_at ? s->incarnation != only_at :
+			      suspect && !mh_dispatch_may_run_at(d, s, req,
+								 now_ns))
 			continue;
 		if (!mh_dispatch_allows(d, s, (uint32_t)req->key.owner, now_ns))
 			continue;
@@ -357,10 +360,13 @@
 {
 	struct server *s = req->server;
 
+	/* The server did not begin to work on it, so it proves nothing. */
+	if (outcome == MH_SLOT_DECLINED)
+		mh_dispatch_close_run(d, req);
 	if (outcome == MH_SLOT_LOST)
 		mh_dispatch_record_lost(d, req, now_ns);
-	else if (outcome == MH_SLOT_OK || outcome == MH_SLOT_FAILED ||
-		 outcome == MH_SLOT_CORRUPT)
+	else if (outcome == MH_SLOT_OK || outcome == MH_SLOT_DECLINED ||
+		 outcome == MH_SLOT_FAILED || outcome == MH_SLOT_CORRUPT)
 		mh_dispatch_record_response(d, req, now_ns);
 	else if (outcome == MH_SLOT_TIMED_OUT || outcome == MH_SLOT_CANCELLED)
 		mh_dispatch_record_unanswered(d, req, now_ns);
@@ -368,10 +374,12 @@
 		mh_dispatch_record_unproven(req, now_ns);
 	switch (outcome) {
 	case MH_SLOT_OK:
-		mh_suspects_clear(d->suspects, req->fingerprint, now_ns);
+	case MH_SLOT_DECLINED:
+		mh_suspects_clear(d->suspects, req->features->request, now_ns);
 		/* fallthrough */
 	case MH_SLOT_UNPROVEN:
 		s->last_answer_ns = now_ns;
+		mh_dispatch_record_life(d, s, now_ns);
 		record_success(req, total_ms);
 		update_mean(&s->failure_rate, 0, FAILURE_GAIN);
 		break;
@@ -427,8 +435,11 @@
 	}
 }
 
-void mh_dispatch_free_server(struct pool *p, struct server *s)
+void mh_dispatch_free_server(struct mh_dispatch *d, struct pool *p,
+			     struct server *s)
 {
+	mh_dispatch_drop_ended(s);
+	mh_dispatch_drop_undecided(d, s);
 	HASH_DEL(p->servers, s);
 	mh_dispatch_drop_pauses(s);
 	free((char *)s->info.id);
--- /dev/null
+++ b/core/dispatch_trial.c
@@ -0,0 +1,361 @@
+/*
+ * Trials of features that may crash servers. A run is open until its server has
+ * outlived the begin of its response. Of a suspect feature few runs are open at
+ * a time, and a run that ends its time open clears the parts of its prompt.
+ */
+#include <stdlib.h>
+#include <utlist.h>
+
+#include "core/dispatch_impl.h"
+
+/* A server that shows a sign of life this long after it began to respond did not
+ * crash by the run: servers crash as they begin to respond. */
+#define SURVIVAL_NS (500 * MH_NS_PER_MS)
+/* A run with several parts on trial waits for so long after the last crash. */
+#define PURER_RUNS_NS (1000 * MH_NS_PER_MS)
+/* Runs that have ended are kept for as long until their server shows a sign of
+ * life. */
+#define PROOF_WAIT_NS (2000 * MH_NS_PER_MS)
+#define MAX_UNDECIDED_RUNS 64
+/* A run of a suspect that began to be responded to this long ago is not on trial
+ * any more if it is repeated alone. */
+#define TRIAL_NS (100 * MH_NS_PER_MS)
+/* Few servers that crash by a run live longer than this after they began to
+ * respond to it. */
+#define SETTLE_NS (150 * MH_NS_PER_MS)
+/* From this number of crashes on a suspect is kept apart from others. */
+#define APART_CRASHES 2
+
+bool mh_dispatch_has_just_begun(const struct request *req, uint64_t now_ns)
+{
+	return !req->answering || now_ns < req->answered_ns + TRIAL_NS;
+}
+
+/* Return: the server at which a run that began after the first crash of a feature
+ * does well so far, 0 if there is none. */
+static uint64_t settled_at(const struct mh_dispatch *d,
+			   struct mh_feature feature, uint64_t now_ns)
+{
+	uint64_t first_ns, last_ns;
+
+	mh_suspects_crash_times(d->suspects, feature, &first_ns, &last_ns);
+	return mh_open_runs_settled_at(d->open_runs, feature, first_ns, now_ns);
+}
+
+bool mh_dispatch_has_settled(void *data, struct mh_feature feature)
+{
+	const struct mh_dispatch *d = data;
+
+	return settled_at(d, feature, mh_dispatch_now_ns(d)) != 0;
+}
+
+/* Return: how many runs with a feature may be open at a time. */
+static uint32_t trials_of(const struct mh_dispatch *d,
+			  struct mh_feature feature, uint64_t now_ns)
+{
+	if (!mh_suspects_crashes(d->suspects, feature, now_ns))
+		return MH_TRIALS_UNLIMITED;
+	return mh_suspects_trials(d->suspects, feature,
+				  settled_at(d, feature, now_ns) != 0, now_ns);
+}
+
+/* Features whose number of open runs is limited, as bits by their number. */
+static uint64_t limited_features(const struct mh_dispatch *d,
+				 const struct request *req, uint64_t now_ns)
+{
+	uint64_t bits = 0;
+	uint32_t i;
+
+	for (i = 0; i < mh_features_count(req->features); i++) {
+		struct mh_feature feature = mh_features_at(req->features, i);
+
+		if (trials_of(d, feature, now_ns) != MH_TRIALS_UNLIMITED)
+			bits |= 1ull << i;
+	}
+	return bits;
+}
+
+bool mh_dispatch_is_suspect(const struct mh_dispatch *d,
+			    const struct request *req, uint64_t now_ns)
+{
+	return limited_features(d, req, now_ns) != 0;
+}
+
+/* Whether an equal request runs that has not shown yet that it is harmless. */
+static bool is_copy_on_trial(const struct mh_dispatch *d,
+			     const struct request *req, uint64_t now_ns)
+{
+	struct request *other, *tmp;
+
+	HASH_ITER(hh, d->requests, other, tmp) {
+		if (other != req && other->server &&
+		    other->features->request == req->features->request &&
+		    mh_dispatch_has_just_begun(other, now_ns))
+			return true;
+	}
+	return false;
+}
+
+/* Whether a run should wait for others that tell more: of several parts on trial
+ * together, neither is cleared or convicted alone, while one that is alone in a
+ * sound request clears itself. */
+static bool waits_for_purer_runs(const struct mh_dispatch *d,
+				 const struct request *req, uint64_t now_ns)
+{
+	uint64_t last_ns = 0, first_ns, crash_ns;
+	uint32_t n = 0, i;
+
+	for (i = 1; i < mh_features_count(req->features); i++) {
+		struct mh_feature part = mh_features_at(req->features, i);
+
+		if (trials_of(d, part, now_ns) == MH_TRIALS_UNLIMITED)
+			continue;
+		n++;
+		mh_suspects_crash_times(d->suspects, part, &first_ns,
+					&crash_ns);
+		if (crash_ns > last_ns)
+			last_ns = crash_ns;
+	}
+	return n > 1 && now_ns < last_ns + PURER_RUNS_NS;
+}
+
+/* Whether a run can begin under the limits of its features: anywhere, or only
+ * where others with the same features have settled. */
+bool mh_dispatch_may_run(const struct mh_dispatch *d, const struct request *req,
+			 uint64_t now_ns, uint64_t *only_at)
+{
+	uint64_t server;
+	uint32_t i;
+
+	*only_at = 0;
+	if (waits_for_purer_runs(d, req, now_ns))
+		return false;
+	for (i = 0; i < mh_features_count(req->features); i++) {
+		struct mh_feature feature = mh_features_at(req->features, i);
+		uint32_t open = mh_open_runs_count(d->open_runs, feature);
+
+		if (req->is_open && open)
+			open--;
+		if (open < trials_of(d, feature, now_ns))
+			continue;
+		if (feature.kind == MH_FEATURE_REQUEST) {
+			if (is_copy_on_trial(d, req, now_ns))
+				return false;
+			continue;
+		}
+		server = settled_at(d, feature, now_ns);
+		if (!server || (*only_at && *only_at != server))
+			return false;
+		*only_at = server;
+	}
+	return true;
+}
+
+static uint32_t crashes_of(const struct mh_dispatch *d,
+			   const struct request *req, uint64_t limited,
+			   uint64_t now_ns)
+{
+	uint32_t i, n, most = 0;
+
+	for (i = 0; i < mh_features_count(req->features); i++) {
+		if (!(limited >> i & 1))
+			continue;
+		n = mh_suspects_crashes(
+			d->suspects, mh_features_at(req->features, i), now_ns);
+		if (n > most)
+			most = n;
+	}
+	return most;
+}
+
+/* Crashes that count against a run that may crash its server yet. */
+static uint32_t crashes_of_run(const struct mh_dispatch *d,
+			       const struct request *req, uint64_t now_ns)
+{
+	uint64_t limited = req->trials;
+
+	if (mh_dispatch_has_just_begun(req, now_ns))
+		limited |= 1;
+	else if (!req->is_open)
+		return 0;
+	else
+		limited &= ~1ull;
+	return limited ? crashes_of(d, req, limited, now_ns) : 0;
+}
+
+bool mh_dispatch_may_run_at(const struct mh_dispatch *d, const struct server *s,
+			    const struct request *req, uint64_t now_ns)
+{
+	uint32_t crashes =
+		crashes_of(d, req, limited_features(d, req, now_ns), now_ns);
+	const struct request *other;
+
+	DL_FOREACH(s->requests, other) {
+		uint32_t n = crashes_of_run(d, other, now_ns);
+
+		if (n && (n >= APART_CRASHES || crashes >= APART_CRASHES))
+			return false;
+	}
+	return true;
+}
+
+void mh_dispatch_park(struct mh_dispatch *d, struct request *req)
+{
+	mh_dispatch_leave_queue(d, req);
+	req->parked = true;
+	DL_APPEND(d->parked, req);
+}
+
+void mh_dispatch_unpark(struct mh_dispatch *d, struct request *req)
+{
+	DL_DELETE(d->parked, req);
+	req->parked = false;
+}
+
+void mh_dispatch_unpark_all(struct mh_dispatch *d)
+{
+	while (d->parked) {
+		struct request *req = d->parked;
+
+		mh_dispatch_unpark(d, req);
+		mh_dispatch_enter_queue(req);
+	}
+}
+
+void mh_dispatch_begin_trials(const struct mh_dispatch *d, struct request *req,
+			      uint64_t now_ns)
+{
+	req->trials = limited_features(d, req, now_ns);
+}
+
+void mh_dispatch_open_run(struct mh_dispatch *d, struct request *req)
+{
+	req->is_open = true;
+	mh_open_runs_add(d->open_runs, req->features, req->placed_ns);
+}
+
+static void settle_run(struct mh_dispatch *d, const struct request *req,
+		       uint64_t from_ns)
+{
+	struct mh_settled_run run = {
+		.server = req->server->incarnation,
+		.placed_ns = req->placed_ns,
+		.from_ns = from_ns,
+	};
+
+	if (req->is_open)
+		mh_open_runs_settle(d->open_runs, req->features, &run,
+				    mh_dispatch_now_ns(d));
+}
+
+void mh_dispatch_run_responds(struct mh_dispatch *d, const struct request *req,
+			      uint64_t now_ns)
+{
+	settle_run(d, req, now_ns + SETTLE_NS);
+}
+
+void mh_dispatch_close_run(struct mh_dispatch *d, struct request *req)
+{
+	if (!req->is_open)
+		return;
+	req->is_open = false;
+	mh_open_runs_remove(d->open_runs, req->features, req->placed_ns);
+	/* Suspects that wait may be due. */
+	d->review = d->review || (d->parked && req->trials);
+}
+
+static void drop_undecided(struct mh_dispatch *d, struct server *s,
+			   struct undecided_run *run)
+{
+	DL_DELETE(s->undecided, run);
+	s->n_undecided--;
+	mh_open_runs_remove(d->open_runs, run->features, run->placed_ns);
+	mh_features_unref(run->features);
+	free(run);
+}
+
+void mh_dispatch_drop_undecided(struct mh_dispatch *d, struct server *s)
+{
+	while (s->undecided)
+		drop_undecided(d, s, s->undecided);
+}
+
+void mh_dispatch_expire_undecided(struct mh_dispatch *d, struct server *s,
+				  uint64_t now_ns)
+{
+	while (s->undecided && now_ns >= s->undecided->due_ns + PROOF_WAIT_NS)
+		drop_undecided(d, s, s->undecided);
+}
+
+/* Leaves a run that has ended open until its server shows a sign of life. */
+static void leave_undecided(struct mh_dispatch *d, struct request *req,
+			    uint64_t due_ns)
+{
+	struct server *s = req->server;
+	struct undecided_run *run = mh_check_alloc(calloc(1, sizeof(*run)));
+
+	if (s->n_undecided == MAX_UNDECIDED_RUNS)
+		drop_undecided(d, s, s->undecided);
+	run->features = mh_features_ref(req->features);
+	run->placed_ns = req->placed_ns;
+	run->due_ns = due_ns;
+	DL_APPEND(s->undecided, run);
+	s->n_undecided++;
+	settle_run(d, req, 0);
+	/* It is counted as the request was. */
+	req->is_open = false;
+	d->review = d->review || (d->parked && req->trials);
+}
+
+void mh_dispatch_end_run(struct mh_dispatch *d, struct request *req,
+			 enum mh_slot_outcome outcome, uint64_t now_ns)
+{
+	uint64_t due_ns = req->answering ? req->answered_ns : now_ns;
+
+	if (!req->is_open)
+		return;
+	if (!req->features->n_parts ||
+	    (outcome != MH_SLOT_OK && outcome != MH_SLOT_UNPROVEN)) {
+		mh_dispatch_close_run(d, req);
+		return;
+	}
+	if (outcome == MH_SLOT_UNPROVEN)
+		due_ns = now_ns;
+	due_ns += SURVIVAL_NS;
+	if (now_ns < due_ns) {
+		leave_undecided(d, req, due_ns);
+		return;
+	}
+	mh_suspects_survived(d->suspects, req->features, req->placed_ns,
+			     now_ns);
+	mh_dispatch_close_run(d, req);
+}
+
+/* Its server lived until now. */
+void mh_dispatch_record_outlived(struct mh_dispatch *d, struct request *req,
+				 uint64_t now_ns)
+{
+	if (!req->is_open || !req->answering ||
+	    now_ns < req->answered_ns + SURVIVAL_NS)
+		return;
+	mh_suspects_survived(d->suspects, req->features, req->placed_ns,
+			     now_ns);
+	mh_dispatch_close_run(d, req);
+}
+
+void mh_dispatch_record_life(struct mh_dispatch *d, struct server *s,
+			     uint64_t now_ns)
+{
+	struct undecided_run *run, *tmp;
+	struct request *req;
+
+	DL_FOREACH(s->requests, req)
+		mh_dispatch_record_outlived(d, req, now_ns);
+	DL_FOREACH_SAFE(s->undecided, run, tmp) {
+		if (now_ns < run->due_ns)
+			continue;
+		mh_suspects_survived(d->suspects, run->features, run->placed_ns,
+				     now_ns);
+		drop_undecided(d, s, run);
+	}
+}
--- a/core/features.c
+++ b/core/features.c
@@ -1,6 +1,5 @@
 #include "core/features.h"
 
-#include <stdbool.h>
 #include <stdlib.h>
 
 #include "core/check_alloc.h"
@@ -60,6 +59,20 @@
 	return (struct mh_feature){ MH_FEATURE_PART, features->parts[i - 1] };
 }
 
+bool mh_features_hold(const struct mh_features *features,
+		      struct mh_feature feature)
+{
+	uint32_t i;
+
+	for (i = 0; i < mh_features_count(features); i++) {
+		struct mh_feature own = mh_features_at(features, i);
+
+		if (own.kind == feature.kind && own.id == feature.id)
+			return true;
+	}
+	return false;
+}
+
 const char *mh_feature_kind_name(enum mh_feature_kind kind)
 {
 	static const char *const names[MH_FEATURE_KINDS] = {
--- a/core/features.h
+++ b/core/features.h
@@ -5,6 +5,7 @@
 #ifndef MH_FEATURES_H
 #define MH_FEATURES_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Parts of a prompt that are told apart; further ones are ignored. */
@@ -79,6 +80,14 @@
 struct mh_feature mh_features_at(const struct mh_features *features,
 				 uint32_t i);
 
+/**
+ * mh_features_hold() - whether a request has a feature
+ * @features: its features
+ * @feature: feature
+ */
+bool mh_features_hold(const struct mh_features *features,
+		      struct mh_feature feature);
+
 /**
  * mh_feature_kind_name() - word of a kind for logs
  * @kind: kind
--- /dev/null
+++ b/core/suspect_conviction.c
@@ -0,0 +1,186 @@
+/* Which parts are refused, and which crashes they explain. */
+#include "core/clock.h"
+#include "core/suspects_impl.h"
+
+/* Whether a server's end counts against a part that crashed others before, and
+ * that no run outlived lately: it has a cause of its own. */
+static bool has_own_cause(const struct mh_suspects *set,
+			  const struct ended_server *end,
+			  const struct mh_suspect *except, uint64_t now_ns)
+{
+	struct suspect_row *r, *tmp;
+	uint32_t i;
+
+	HASH_ITER(hh, set->rows, r, tmp) {
+		const struct mh_suspect *suspect = &r->suspect;
+
+		if (suspect == except || !is_part(r) ||
+		    mh_suspect_rounds(suspect) < 2 ||
+		    mh_suspects_survived_lately(set, suspect->feature, now_ns))
+			continue;
+		for (i = 0; i < suspect->n_crashes; i++) {
+			if (!suspect->crashes[i].refuted &&
+			    suspect->crashes[i].server == end->server)
+				return true;
+		}
+	}
+	return false;
+}
+
+/* Return: number of servers that ended since the first crash that counts against
+ * a suspect, and by none that is known if it crashed those. */
+static uint32_t count_others(const struct mh_suspects *set,
+			     const struct mh_suspect *suspect, uint64_t now_ns)
+{
+	uint32_t i, j, others = 0;
+	uint32_t n = set->n_ended < MAX_ENDED ? set->n_ended : MAX_ENDED;
+	uint64_t first_ns = UINT64_MAX;
+
+	for (i = 0; i < suspect->n_crashes; i++) {
+		const struct mh_crash *crash = &suspect->crashes[i];
+
+		if (!crash->refuted && crash->lost_ns < first_ns)
+			first_ns = crash->lost_ns;
+	}
+	/* The record has no room for more: any other may be its own. */
+	if (suspect->n_crashes == MH_SUSPECT_CRASHES)
+		return 0;
+	for (i = 0; i < n; i++) {
+		const struct ended_server *end = &set->ended[i];
+
+		if (end->lost_ns + MH_CRASH_REPORTS_NS < first_ns)
+			continue;
+		for (j = 0; j < suspect->n_crashes &&
+			    (suspect->crashes[j].refuted ||
+			     suspect->crashes[j].server != end->server);
+		     j++)
+			;
+		others += j == suspect->n_crashes &&
+			  !has_own_cause(set, end, suspect, now_ns);
+	}
+	return others;
+}
+
+static bool is_refused_part(const struct suspect_row *r)
+{
+	return is_part(r) && mh_suspect_is_refused(&r->suspect);
+}
+
+/* Refutes the crashes of a part that a refused one explains.
+ * Return: whether there were any. */
+static bool refute_explained(struct mh_suspect *suspect,
+			     const struct mh_suspect *cause)
+{
+	bool changed = false;
+	uint32_t i, j;
+
+	for (i = 0; i < suspect->n_crashes; i++) {
+		struct mh_crash *crash = &suspect->crashes[i];
+
+		for (j = 0; j < cause->n_crashes && !crash->refuted; j++) {
+			if (cause->crashes[j].refuted ||
+			    !mh_crash_is_same(&cause->crashes[j], crash))
+				continue;
+			crash->refuted = true;
+			changed = true;
+		}
+	}
+	return changed;
+}
+
+/* A part that may be the cause itself is not cleared by another one. */
+static bool may_explain(const struct suspect_row *cause,
+			const struct suspect_row *r)
+{
+	return cause != r && is_part(r) &&
+	       !mh_suspect_rivals(&r->suspect, &cause->suspect);
+}
+
+static bool may_be_convicted(const struct suspect_row *r)
+{
+	return is_part(r) && !r->suspect.is_convicted &&
+	       mh_suspect_convicts(&r->suspect, false, 0);
+}
+
+static void convict(struct mh_suspects *set, struct suspect_row *r,
+		    uint64_t now_ns)
+{
+	struct mh_suspect *suspect = &r->suspect;
+	bool survived =
+		mh_suspects_survived_lately(set, suspect->feature, now_ns);
+
+	if (!mh_suspect_convicts(suspect, survived,
+				 count_others(set, suspect, now_ns)))
+		return;
+	suspect->is_convicted = true;
+	mh_suspects_report(set, r, now_ns);
+}
+
+void mh_suspects_convict(struct mh_suspects *set,
+			 bool (*has_settled)(void *data,
+					     struct mh_feature feature),
+			 void *data, uint64_t now_ns)
+{
+	struct suspect_row *cause, *r, *tmp, *tmp_r;
+
+	HASH_ITER(hh, set->rows, r, tmp) {
+		if (may_be_convicted(r) &&
+		    !has_settled(data, r->suspect.feature))
+			convict(set, r, now_ns);
+	}
+	HASH_ITER(hh, set->rows, cause, tmp) {
+		if (!is_refused_part(cause))
+			continue;
+		HASH_ITER(hh, set->rows, r, tmp_r) {
+			if (may_explain(cause, r) &&
+			    refute_explained(&r->suspect, &cause->suspect))
+				mh_suspects_report_less(set, r, now_ns);
+		}
+	}
+}
+
+/* Whether a part that the request does not hold may be the cause of the crashes of
+ * this one, so that the request tells which of them it is. */
+static bool has_rival(const struct mh_suspects *set,
+		      const struct suspect_row *r,
+		      const struct mh_features *features)
+{
+	struct suspect_row *other, *tmp;
+
+	HASH_ITER(hh, set->rows, other, tmp) {
+		if (other != r && is_part(other) &&
+		    mh_suspect_rivals(&other->suspect, &r->suspect) &&
+		    !mh_features_hold(features, other->suspect.feature))
+			return true;
+	}
+	return false;
+}
+
+static bool refuses(const struct mh_suspects *set, const struct suspect_row *r,
+		    const struct mh_features *features, uint64_t now_ns)
+{
+	return r && mh_suspect_is_refused(&r->suspect) &&
+	       now_ns < mh_suspect_expiry_ns(&r->suspect) &&
+	       (!is_part(r) || !has_rival(set, r, features));
+}
+
+bool mh_suspects_refuses(struct mh_suspects *set,
+			 const struct mh_features *features, uint64_t now_ns,
+			 struct mh_feature *by)
+{
+	uint32_t i;
+
+	for (i = 0; set->rows && i < mh_features_count(features); i++) {
+		struct suspect_row *r =
+			mh_suspects_find(set, mh_features_at(features, i));
+
+		if (!refuses(set, r, features, now_ns))
+			continue;
+		r->suspect.seen_ns = now_ns;
+		if (now_ns >= r->reported_ns + REFUSAL_REPORT_NS)
+			mh_suspects_report(set, r, now_ns);
+		*by = r->suspect.feature;
+		return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/core/suspect_rules.h
@@ -0,0 +1,69 @@
+/*
+ * What the crashes of a suspect say, by the kind of its feature.
+ */
+#ifndef MH_SUSPECT_RULES_H
+#define MH_SUSPECT_RULES_H
+
+#include "core/clock.h"
+#include "core/suspects.h"
+
+/* Runs that are lost with a server are reported within this time. */
+#define MH_CRASH_REPORTS_NS (100 * MH_NS_PER_MS)
+/* Error of times that other processes tell, which are rounded. */
+#define MH_SUSPECT_TIME_ERROR_NS (2 * MH_NS_PER_MS)
+
+/**
+ * struct mh_suspect_rules - rules of a kind of feature
+ * @earlier_success_ns: a good end this shortly before a crash keeps it from
+ *                      counting
+ * @is_refused: whether the crashes suffice to refuse requests
+ * @is_shared: whether the crashes are enough to tell other processes
+ * @trials: how many runs may be open at a time
+ *
+ * @survived tells whether a run with the feature outlived its begin lately,
+ * @has_settled whether an open one has not crashed its server so far.
+ */
+struct mh_suspect_rules {
+	uint64_t earlier_success_ns;
+	bool (*is_refused)(const struct mh_suspect *suspect);
+	bool (*is_shared)(const struct mh_suspect *suspect, bool survived);
+	uint32_t (*trials)(const struct mh_suspect *suspect, bool survived,
+			   bool has_settled);
+};
+
+/**
+ * mh_suspect_rules_of() - rules of a feature's kind
+ * @feature: feature
+ */
+const struct mh_suspect_rules *mh_suspect_rules_of(struct mh_feature feature);
+
+/**
+ * mh_suspect_convicts() - whether the crashes suffice to convict a part
+ * @suspect: record of a part
+ * @survived: as above
+ * @n_others: crashes in the time of these that the part had no share in: servers
+ *            end for other reasons as well
+ */
+bool mh_suspect_convicts(const struct mh_suspect *suspect, bool survived,
+			 uint32_t n_others);
+
+/**
+ * mh_crash_is_same() - whether two records are of the same crash
+ * @a: crash
+ * @b: crash
+ */
+bool mh_crash_is_same(const struct mh_crash *a, const struct mh_crash *b);
+
+/**
+ * mh_suspect_rivals() - whether the crashes of one suspect may be the fault of
+ *                       another one
+ * @rival: possible cause
+ * @suspect: suspect
+ *
+ * Return: whether all crashes but one that count against @suspect count against
+ * @rival as well, and those are several.
+ */
+bool mh_suspect_rivals(const struct mh_suspect *rival,
+		       const struct mh_suspect *suspect);
+
+#endif
--- a/core/suspects.c
+++ b/core/suspects.c
@@ -2,56 +2,27 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <uthash.h>
 #include <xxhash.h>
 
 #include "core/check_alloc.h"
 #include "core/clock.h"
+#include "core/suspects_impl.h"
 
-/* A request is refused after this many crashes, of which one has to be of a run
- * that began when it was a suspect already: several servers may go down at once
- * for a reason of their own while they run copies of the same request. */
-#define REFUSED_CRASHES 3
 /* How long a suspect is kept after its last crash, and one that is refused
  * after its last crash or refusal. */
 #define SUSPECT_RETENTION_NS (60000 * MH_NS_PER_MS)
 #define REFUSED_RETENTION_NS (MH_SUSPECT_RETENTION_MS * MH_NS_PER_MS)
-/* Other processes are told of refusals at this interval. */
-#define REFUSAL_REPORT_NS (30000 * MH_NS_PER_MS)
-/* An equal request that ended well this recently keeps a crash from counting.
- */
-#define RECENT_SUCCESS_NS (10000 * MH_NS_PER_MS)
-/* Runs that are lost with a server are reported within this time. */
-#define REPORTS_NS (100 * MH_NS_PER_MS)
-/* Two processes that see the same crash see it within this time. */
-#define SAME_CRASH_NS (1000 * MH_NS_PER_MS)
+/* A run with the part outlived its begin this recently: the part is a common
+ * one that did no harm. */
+#define RECENT_SURVIVAL_NS (10000 * MH_NS_PER_MS)
 /* A server that cut a response and lives accepts a connection within this time.
  * Crashes that are refuted by then concern no other process: with servers that
  * cut streams they would be most of the traffic on the links. */
 #define SHARE_DELAY_NS (150 * MH_NS_PER_MS)
 #define MAX_SUSPECTS 1024
-/* Fingerprints whose last good end is remembered; a power of two. */
-#define SUCCESS_SLOTS 4096
-
-struct row {
-	struct mh_suspect suspect;
-	uint64_t reported_ns; /* when other processes were told, 0: never */
-	uint64_t share_ns;    /* when they will be told, 0: no need to */
-	UT_hash_handle hh;
-};
-
-struct success {
-	uint64_t fingerprint;
-	uint64_t ended_ns;
-};
-
-struct mh_suspects {
-	struct row *rows; /* in the order in which they were added */
-	struct success successes[SUCCESS_SLOTS];
-	uint32_t n_to_share;
-	void (*changed)(void *data, const struct mh_suspect *suspect);
-	void *data;
-};
+/* Runs that are lost with a server are reported within this time of each other,
+ * over all processes. */
+#define SAME_END_NS (1000 * MH_NS_PER_MS)
 
 struct mh_suspects *
 mh_suspects_new(void (*changed)(void *data, const struct mh_suspect *suspect),
@@ -64,7 +35,7 @@
 	return set;
 }
 
-static void set_share_time(struct mh_suspects *set, struct row *r,
+static void set_share_time(struct mh_suspects *set, struct suspect_row *r,
 			   uint64_t share_ns)
 {
 	set->n_to_share += !!share_ns;
@@ -72,7 +43,7 @@
 	r->share_ns = share_ns;
 }
 
-static void free_row(struct mh_suspects *set, struct row *r)
+static void free_row(struct mh_suspects *set, struct suspect_row *r)
 {
 	set_share_time(set, r, 0);
 	/* The analyzer does not follow uthash's deletion macros. */
@@ -83,7 +54,7 @@
 
 void mh_suspects_free(struct mh_suspects *set)
 {
-	struct row *r, *tmp;
+	struct suspect_row *r, *tmp;
 
 	if (!set)
 		return;
@@ -92,11 +63,22 @@
 	free(set);
 }
 
-static struct row *find(const struct mh_suspects *set, uint64_t fingerprint)
+static struct suspect_key key_of(struct mh_feature feature)
+{
+	return (struct suspect_key){ feature.kind, feature.id };
+}
+
+struct suspect_row *mh_suspects_find(const struct mh_suspects *set,
+				     struct mh_feature feature)
 {
-	struct row *r;
+	struct suspect_key key = key_of(feature);
+	struct suspect_row *r;
 
-	HASH_FIND(hh, set->rows, &fingerprint, sizeof(fingerprint), r);
+	if (!set->rows)
+		return NULL;
+	/* The analyzer does not follow uthash's hash function. */
+	/* NOLINTNEXTLINE(clang-analyzer-core.UndefinedBinaryOperatorResult) */
+	HASH_FIND(hh, set->rows, &key, sizeof(key), r);
 	return r;
 }
 
@@ -107,51 +89,41 @@
 	return h ? h : 1;
 }
 
-uint32_t mh_suspect_crashes(const struct mh_suspect *suspect)
-{
-	uint32_t i, n = 0;
-
-	for (i = 0; i < suspect->n_crashes; i++)
-		n += !suspect->crashes[i].refuted;
-	return n;
-}
-
-bool mh_suspect_is_refused(const struct mh_suspect *suspect)
-{
-	bool any_on_trial = false;
-	uint32_t i;
-
-	for (i = 0; i < suspect->n_crashes; i++)
-		any_on_trial = any_on_trial || (!suspect->crashes[i].refuted &&
-						suspect->crashes[i].on_trial);
-	return any_on_trial && mh_suspect_crashes(suspect) >= REFUSED_CRASHES;
-}
-
-static uint64_t expiry_ns(const struct mh_suspect *suspect)
+uint64_t mh_suspect_expiry_ns(const struct mh_suspect *suspect)
 {
 	return suspect->seen_ns + (mh_suspect_is_refused(suspect) ?
 					   REFUSED_RETENTION_NS :
 					   SUSPECT_RETENTION_NS);
 }
 
-/* Makes room for a record: the oldest one that is not refused has to go. */
+/* Whether little is lost with a record: one crash says hardly anything. */
+static bool is_weak(const struct suspect_row *r)
+{
+	return mh_suspect_crashes(&r->suspect) < 2 &&
+	       !mh_suspect_is_refused(&r->suspect);
+}
+
+/* Makes room for a record: the oldest weak one has to go, else the oldest one
+ * that is not refused. */
 static void evict(struct mh_suspects *set)
 {
-	struct row *r, *tmp;
+	struct suspect_row *r, *tmp, *oldest = NULL;
 
 	HASH_ITER(hh, set->rows, r, tmp) {
-		if (mh_suspect_is_refused(&r->suspect))
-			continue;
-		free_row(set, r);
-		return;
+		if (is_weak(r)) {
+			free_row(set, r);
+			return;
+		}
+		if (!oldest && !mh_suspect_is_refused(&r->suspect))
+			oldest = r;
 	}
-	free_row(set, set->rows);
+	free_row(set, oldest ? oldest : set->rows);
 }
 
-static struct row *get(struct mh_suspects *set, uint64_t fingerprint,
-		       uint64_t now_ns)
+static struct suspect_row *get(struct mh_suspects *set,
+			       struct mh_feature feature, uint64_t now_ns)
 {
-	struct row *r = find(set, fingerprint);
+	struct suspect_row *r = mh_suspects_find(set, feature);
 
 	if (r)
 		return r;
@@ -159,12 +131,48 @@
 	if (HASH_COUNT(set->rows) == MAX_SUSPECTS)
 		evict(set);
 	r = mh_check_alloc(calloc(1, sizeof(*r)));
-	r->suspect.fingerprint = fingerprint;
-	HASH_ADD(hh, set->rows, suspect.fingerprint, sizeof(fingerprint), r);
+	r->key = key_of(feature);
+	r->suspect.feature = feature;
+	HASH_ADD(hh, set->rows, key, sizeof(r->key), r);
 	return r;
 }
 
-static void report(struct mh_suspects *set, struct row *r, uint64_t now_ns)
+static const struct success *success_of(const struct mh_suspects *set,
+					struct mh_feature feature)
+{
+	return &set->successes[feature.id & (SUCCESS_SLOTS - 1)];
+}
+
+/* Return: when the feature last showed to be harmless, 0 if it is not known. */
+static uint64_t last_success_ns(const struct mh_suspects *set,
+				struct mh_feature feature)
+{
+	const struct success *ok = success_of(set, feature);
+
+	return ok->key.id == feature.id && ok->key.kind == feature.kind ?
+		       ok->ended_ns :
+		       0;
+}
+
+bool mh_suspects_survived_lately(const struct mh_suspects *set,
+				 struct mh_feature feature, uint64_t now_ns)
+{
+	uint64_t ended_ns = last_success_ns(set, feature);
+
+	return ended_ns && now_ns < ended_ns + RECENT_SURVIVAL_NS;
+}
+
+static bool is_shared(const struct mh_suspects *set,
+		      const struct suspect_row *r, uint64_t now_ns)
+{
+	struct mh_feature feature = r->suspect.feature;
+
+	return mh_suspect_rules_of(feature)->is_shared(
+		&r->suspect, mh_suspects_survived_lately(set, feature, now_ns));
+}
+
+void mh_suspects_report(struct mh_suspects *set, struct suspect_row *r,
+			uint64_t now_ns)
 {
 	set_share_time(set, r, 0);
 	r->reported_ns = now_ns;
@@ -173,49 +181,90 @@
 }
 
 /* Reports a record that counts less than before, unless nobody knows of it. */
-static void report_less(struct mh_suspects *set, struct row *r, uint64_t now_ns)
+void mh_suspects_report_less(struct mh_suspects *set, struct suspect_row *r,
+			     uint64_t now_ns)
 {
 	if (r->reported_ns)
-		report(set, r, now_ns);
+		mh_suspects_report(set, r, now_ns);
 	else if (!mh_suspect_crashes(&r->suspect))
 		set_share_time(set, r, 0);
 }
 
 bool mh_suspects_share(struct mh_suspects *set, uint64_t now_ns)
 {
-	struct row *r, *tmp;
+	struct suspect_row *r, *tmp;
 
 	if (!set->n_to_share)
 		return false;
 	HASH_ITER(hh, set->rows, r, tmp) {
-		if (r->share_ns && now_ns >= r->share_ns)
-			report(set, r, now_ns);
+		if (r->share_ns && now_ns >= r->share_ns) {
+			if (is_shared(set, r, now_ns))
+				mh_suspects_report(set, r, now_ns);
+			else
+				set_share_time(set, r, 0);
+		}
 	}
 	return set->n_to_share > 0;
 }
 
-static struct success *success_of(struct mh_suspects *set, uint64_t fingerprint)
+static void remember_success(struct mh_suspects *set, struct mh_feature feature,
+			     uint64_t now_ns)
 {
-	return &set->successes[fingerprint & (SUCCESS_SLOTS - 1)];
+	struct success *ok = (struct success *)success_of(set, feature);
+
+	ok->key = key_of(feature);
+	ok->ended_ns = now_ns;
 }
 
-/* Whether an equal request ended well shortly before a crash, or since. */
-static bool succeeded_recently(struct mh_suspects *set, uint64_t fingerprint,
-			       uint64_t lost_ns)
+/* Whether a feature showed to be harmless shortly before a crash, or since. */
+static bool succeeded_recently(const struct mh_suspects *set,
+			       struct mh_feature feature, uint64_t lost_ns)
 {
-	const struct success *ok = success_of(set, fingerprint);
-	const struct row *r = find(set, fingerprint);
+	uint64_t ended_ns = last_success_ns(set, feature);
+	uint64_t earlier_ns = mh_suspect_rules_of(feature)->earlier_success_ns;
+	const struct suspect_row *r = mh_suspects_find(set, feature);
 
-	if (ok->fingerprint == fingerprint && ok->ended_ns &&
-	    lost_ns < ok->ended_ns + RECENT_SUCCESS_NS)
+	if (earlier_ns && ended_ns && lost_ns < ended_ns + earlier_ns)
 		return true;
 	return r && r->suspect.cleared_ns &&
-	       lost_ns < r->suspect.cleared_ns + RECENT_SUCCESS_NS;
+	       lost_ns < r->suspect.cleared_ns + earlier_ns;
 }
 
-static uint64_t distance(uint64_t a, uint64_t b)
+/* Which of the crashes to replace by a new one so that the longest series stays.
+ */
+static uint32_t least_needed(const struct mh_suspect *suspect,
+			     const struct mh_crash *crash)
 {
-	return a > b ? a - b : b - a;
+	uint32_t i, best = 0, most = 0;
+
+	for (i = 0; i < MH_SUSPECT_CRASHES; i++) {
+		struct mh_suspect with = *suspect;
+		uint32_t rounds;
+
+		with.crashes[i] = *crash;
+		rounds = mh_suspect_rounds(&with);
+		if (rounds <= most)
+			continue;
+		most = rounds;
+		best = i;
+	}
+	return best;
+}
+
+static void record_end(struct mh_suspects *set, uint64_t server,
+		       uint64_t lost_ns)
+{
+	uint32_t i, n = set->n_ended < MAX_ENDED ? set->n_ended : MAX_ENDED;
+
+	for (i = 0; i < n; i++) {
+		const struct ended_server *known = &set->ended[i];
+
+		if (known->server == server &&
+		    lost_ns < known->lost_ns + SAME_END_NS)
+			return;
+	}
+	set->ended[set->n_ended++ % MAX_ENDED] =
+		(struct ended_server){ server, lost_ns };
 }
 
 /* Adds a crash if there is room for it or it makes a difference.
@@ -233,9 +282,12 @@
 		return false;
 	for (i = 0; i < MH_SUSPECT_CRASHES && !suspect->crashes[i].refuted; i++)
 		;
-	if (i == MH_SUSPECT_CRASHES && !crash->on_trial)
-		return false;
-	suspect->crashes[i % MH_SUSPECT_CRASHES] = *crash;
+	if (i == MH_SUSPECT_CRASHES) {
+		if (!crash->on_trial)
+			return false;
+		i = least_needed(suspect, crash);
+	}
+	suspect->crashes[i] = *crash;
 	return true;
 }
 
@@ -259,7 +311,7 @@
 	return false;
 }
 
-bool mh_suspects_add_crash(struct mh_suspects *set, uint64_t fingerprint,
+bool mh_suspects_add_crash(struct mh_suspects *set, struct mh_feature feature,
 			   uint64_t server, uint64_t placed_ns,
 			   bool was_responding, uint64_t now_ns)
 {
@@ -270,43 +322,47 @@
 		.lost_ns = now_ns,
 	};
 	struct mh_suspect *suspect;
-	struct row *r;
+	struct suspect_row *r;
 	uint32_t i;
 
-	if (!fingerprint || succeeded_recently(set, fingerprint, now_ns))
+	if (!feature.id || succeeded_recently(set, feature, now_ns))
 		return false;
-	r = get(set, fingerprint, now_ns);
+	record_end(set, server, now_ns);
+	r = get(set, feature, now_ns);
 	suspect = &r->suspect;
 	for (i = 0; i < suspect->n_crashes; i++) {
 		const struct mh_crash *known = &suspect->crashes[i];
 
 		if (known->server == server &&
 		    (placed_ns <= known->lost_ns ||
-		     now_ns < known->lost_ns + REPORTS_NS))
+		     now_ns < known->lost_ns + MH_CRASH_REPORTS_NS))
 			return !known->refuted;
 	}
 	crash.on_trial = was_known(suspect, placed_ns);
 	suspect->seen_ns = now_ns;
 	append_crash(suspect, &crash);
+	if (!is_shared(set, r, now_ns))
+		return true;
 	if (!was_responding || mh_suspect_is_refused(suspect))
-		report(set, r, now_ns);
+		mh_suspects_report(set, r, now_ns);
 	else if (!r->share_ns)
 		set_share_time(set, r, now_ns + SHARE_DELAY_NS);
 	return true;
 }
 
-/* Refutes crashes of a server, except those of one fingerprint and those that
- * were on trial if @blamed is given. */
-static void refute(struct mh_suspects *set, uint64_t server, uint64_t blamed,
-		   uint64_t since_ns, uint64_t now_ns)
+/* Refutes crashes of a server, except those of @blamed and those that were on
+ * trial if it is given. */
+static void refute(struct mh_suspects *set, uint64_t server,
+		   const struct mh_features *blamed, uint64_t since_ns,
+		   uint64_t now_ns)
 {
-	struct row *r, *tmp;
+	struct suspect_row *r, *tmp;
 	uint32_t i;
 
 	HASH_ITER(hh, set->rows, r, tmp) {
 		bool changed = false;
 
-		if (blamed && r->suspect.fingerprint == blamed)
+		if (blamed && mh_features_hold(blamed, r->suspect.feature))
 			continue;
 		for (i = 0; i < r->suspect.n_crashes; i++) {
 			struct mh_crash *crash = &r->suspect.crashes[i];
@@ -319,89 +375,128 @@
 			changed = true;
 		}
 		if (changed)
-			report_less(set, r, now_ns);
+			mh_suspects_report_less(set, r, now_ns);
 	}
 }
 
 void mh_suspects_refute(struct mh_suspects *set, uint64_t server,
 			uint64_t since_ns, uint64_t now_ns)
 {
-	refute(set, server, 0, since_ns, now_ns);
+	refute(set, server, NULL, since_ns, now_ns);
 }
 
 void mh_suspects_blame(struct mh_suspects *set, uint64_t server,
-		       uint64_t fingerprint, uint64_t since_ns, uint64_t now_ns)
+		       const struct mh_features *blamed, uint64_t since_ns,
+		       uint64_t now_ns)
 {
-	refute(set, server, fingerprint, since_ns, now_ns);
+	refute(set, server, blamed, since_ns, now_ns);
 }
 
 void mh_suspects_clear(struct mh_suspects *set, uint64_t fingerprint,
 		       uint64_t now_ns)
 {
-	struct success *ok = success_of(set, fingerprint);
-	struct row *r = find(set, fingerprint);
+	struct mh_feature feature = { MH_FEATURE_REQUEST, fingerprint };
+	struct suspect_row *r;
 
 	if (!fingerprint)
 		return;
-	ok->fingerprint = fingerprint;
-	ok->ended_ns = now_ns;
+	remember_success(set, feature, now_ns);
+	r = mh_suspects_find(set, feature);
 	if (!r)
 		return;
 	r->suspect.cleared_ns = now_ns;
 	if (!r->suspect.n_crashes)
 		return;
 	r->suspect.n_crashes = 0;
-	report_less(set, r, now_ns);
+	mh_suspects_report_less(set, r, now_ns);
+}
+
+/* Return: whether there were any. */
+static bool drop_cleared_crashes(struct mh_suspect *suspect, uint64_t error_ns)
+{
+	uint32_t i, n = 0, n_before = suspect->n_crashes;
+
+	for (i = 0; i < suspect->n_crashes; i++) {
+		if (suspect->crashes[i].lost_ns >=
+		    suspect->cleared_ns + error_ns)
+			suspect->crashes[n++] = suspect->crashes[i];
+	}
+	suspect->n_crashes = n;
+	suspect->is_convicted = suspect->is_convicted && n;
+	return n < n_before;
+}
+
+void mh_suspects_survived(struct mh_suspects *set,
+			  const struct mh_features *features,
+			  uint64_t placed_ns, uint64_t now_ns)
+{
+	uint32_t i;
+
+	for (i = 0; i < features->n_parts; i++) {
+		struct mh_feature part = { MH_FEATURE_PART,
+					   features->parts[i] };
+		struct suspect_row *r = mh_suspects_find(set, part);
+
+		remember_success(set, part, now_ns);
+		if (!r || placed_ns <= r->suspect.cleared_ns)
+			continue;
+		r->suspect.cleared_ns = placed_ns;
+		if (drop_cleared_crashes(&r->suspect, 0))
+			mh_suspects_report_less(set, r, now_ns);
+	}
 }
 
 uint32_t mh_suspects_crashes(const struct mh_suspects *set,
-			     uint64_t fingerprint, uint64_t now_ns)
+			     struct mh_feature feature, uint64_t now_ns)
 {
-	const struct row *r = set->rows ? find(set, fingerprint) : NULL;
+	const struct suspect_row *r = mh_suspects_find(set, feature);
 
-	return r && now_ns < expiry_ns(&r->suspect) ?
+	return r && now_ns < mh_suspect_expiry_ns(&r->suspect) ?
 		       mh_suspect_crashes(&r->suspect) :
 		       0;
 }
 
-bool mh_suspects_was_known(const struct mh_suspects *set, uint64_t fingerprint,
-			   uint64_t placed_ns, uint64_t now_ns)
+void mh_suspects_crash_times(const struct mh_suspects *set,
+			     struct mh_feature feature, uint64_t *first_ns,
+			     uint64_t *last_ns)
 {
-	const struct row *r = set->rows ? find(set, fingerprint) : NULL;
+	const struct suspect_row *r = mh_suspects_find(set, feature);
+	uint32_t i;
 
-	return r && now_ns < expiry_ns(&r->suspect) &&
-	       was_known(&r->suspect, placed_ns);
+	*first_ns = *last_ns = 0;
+	for (i = 0; r && i < r->suspect.n_crashes; i++) {
+		const struct mh_crash *crash = &r->suspect.crashes[i];
+
+		if (crash->refuted)
+			continue;
+		if (crash->lost_ns > *last_ns)
+			*last_ns = crash->lost_ns;
+		if (!*first_ns || crash->lost_ns < *first_ns)
+			*first_ns = crash->lost_ns;
+	}
 }
 
-bool mh_suspects_is_refused(struct mh_suspects *set, uint64_t fingerprint,
-			    uint64_t now_ns)
+bool mh_suspects_was_known(const struct mh_suspects *set,
+			   struct mh_feature feature, uint64_t placed_ns,
+			   uint64_t now_ns)
 {
-	struct row *r = set->rows ? find(set, fingerprint) : NULL;
+	const struct suspect_row *r = mh_suspects_find(set, feature);
 
-	if (!r || !mh_suspect_is_refused(&r->suspect) ||
-	    now_ns >= expiry_ns(&r->suspect))
-		return false;
-	r->suspect.seen_ns = now_ns;
-	if (now_ns >= r->reported_ns + REFUSAL_REPORT_NS)
-		report(set, r, now_ns);
-	return true;
+	return r && now_ns < mh_suspect_expiry_ns(&r->suspect) &&
+	       was_known(&r->suspect, placed_ns);
 }
 
-/* Whether a run began after a server had crashed, so that it was lost with the
- * server's next crash. */
-static bool began_after(const struct mh_crash *crash,
-			const struct mh_crash *earlier)
+uint32_t mh_suspects_trials(const struct mh_suspects *set,
+			    struct mh_feature feature, bool has_settled,
+			    uint64_t now_ns)
 {
-	return crash->placed_ns > earlier->lost_ns + REPORTS_NS;
-}
+	const struct suspect_row *r = mh_suspects_find(set, feature);
 
-static bool is_same_crash(const struct mh_crash *a, const struct mh_crash *b)
-{
-	if (a->id == b->id)
-		return true;
-	return a->server == b->server && !began_after(a, b) &&
-	       !began_after(b, a) &&
-	       distance(a->lost_ns, b->lost_ns) < SAME_CRASH_NS;
+	if (!r || now_ns >= mh_suspect_expiry_ns(&r->suspect))
+		return MH_TRIALS_UNLIMITED;
+	return mh_suspect_rules_of(feature)->trials(
+		&r->suspect, mh_suspects_survived_lately(set, feature, now_ns),
+		has_settled);
 }
 
 static bool merge_crash(struct mh_suspects *set, struct mh_suspect *suspect,
@@ -412,7 +507,7 @@
 
 	for (i = 0; i < suspect->n_crashes; i++) {
 		crash = &suspect->crashes[i];
-		if (!is_same_crash(crash, other))
+		if (!mh_crash_is_same(crash, other))
 			continue;
 		if (crash->refuted >= other->refuted &&
 		    crash->on_trial >= other->on_trial)
@@ -421,40 +516,36 @@
 		crash->on_trial = crash->on_trial || other->on_trial;
 		return true;
 	}
-	if (succeeded_recently(set, suspect->fingerprint, other->lost_ns))
+	if (succeeded_recently(set, suspect->feature, other->lost_ns))
 		return false;
 	return append_crash(suspect, other);
 }
 
-/* Return: whether there were any. */
-static bool drop_cleared_crashes(struct mh_suspect *suspect)
-{
-	uint32_t i, n = 0, n_before = suspect->n_crashes;
-
-	for (i = 0; i < suspect->n_crashes; i++) {
-		if (suspect->crashes[i].lost_ns >= suspect->cleared_ns)
-			suspect->crashes[n++] = suspect->crashes[i];
-	}
-	suspect->n_crashes = n;
-	return n < n_before;
-}
-
 bool mh_suspects_merge(struct mh_suspects *set, const struct mh_suspect *other,
 		       uint64_t now_ns)
 {
 	bool changed = false;
-	struct row *r;
+	struct suspect_row *r;
 	uint32_t i;
 
-	if (!other->fingerprint || now_ns >= expiry_ns(other))
+	if (!other->feature.id || now_ns >= mh_suspect_expiry_ns(other))
 		return false;
-	r = get(set, other->fingerprint, now_ns);
+	r = get(set, other->feature, now_ns);
 	if (other->cleared_ns > r->suspect.cleared_ns) {
 		r->suspect.cleared_ns = other->cleared_ns;
-		changed = drop_cleared_crashes(&r->suspect);
+		changed = drop_cleared_crashes(
+			&r->suspect, is_part(r) ? MH_SUSPECT_TIME_ERROR_NS : 0);
 	}
-	for (i = 0; i < other->n_crashes; i++)
+	for (i = 0; i < other->n_crashes; i++) {
 		changed |= merge_crash(set, &r->suspect, &other->crashes[i]);
+		record_end(set, other->crashes[i].server,
+			   other->crashes[i].lost_ns);
+	}
+	if (other->is_convicted && !r->suspect.is_convicted &&
+	    mh_suspect_rounds(&r->suspect)) {
+		r->suspect.is_convicted = true;
+		changed = true;
+	}
 	if (other->seen_ns > r->suspect.seen_ns) {
 		changed = changed || other->seen_ns > r->suspect.seen_ns +
 							      REFUSAL_REPORT_NS;
@@ -470,20 +561,22 @@
 				    const struct mh_suspect *suspect),
 		      void *data)
 {
-	struct row *r, *tmp;
+	struct suspect_row *r, *tmp;
 
 	HASH_ITER(hh, set->rows, r, tmp) {
-		if (r->reported_ns || mh_suspect_crashes(&r->suspect))
+		if (r->reported_ns ||
+		    (r->suspect.feature.kind == MH_FEATURE_REQUEST &&
+		     mh_suspect_crashes(&r->suspect)))
 			visit(data, &r->suspect);
 	}
 }
 
 void mh_suspects_expire(struct mh_suspects *set, uint64_t now_ns)
 {
-	struct row *r, *tmp;
+	struct suspect_row *r, *tmp;
 
 	HASH_ITER(hh, set->rows, r, tmp) {
-		if (now_ns >= expiry_ns(&r->suspect))
+		if (now_ns >= mh_suspect_expiry_ns(&r->suspect))
 			free_row(set, r);
 	}
 }
--- a/core/suspects.h
+++ b/core/suspects.h
@@ -1,7 +1,8 @@
 /*
- * Requests that may crash the servers that run them. A run that is lost with
- * its server counts against the request's fingerprint until the server turns
- * out to have survived, or an equal request ends well. Records are merged
+ * Features of requests that may crash the servers that run them. A run that is
+ * lost with its server counts against its features until the server turns out
+ * to have survived, or the feature shows to be harmless: an equal request ends
+ * well, or a later run with the same part outlives its begin. Records are merged
  * between processes, so that crashes count wherever they were seen.
  */
 #ifndef MH_SUSPECTS_H
@@ -11,11 +12,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Crashes that are kept for a fingerprint; a request is refused from fewer on.
- */
+#include "core/features.h"
+
+/* Crashes that are kept for a feature; requests are refused from fewer on. */
 #define MH_SUSPECT_CRASHES 8
-/* Longest time for which a fingerprint is kept after its last crash or refusal.
- */
+/* Longest time for which a feature is kept after its last crash or refusal. */
 #define MH_SUSPECT_RETENTION_MS 600000
 
 /**
@@ -24,7 +25,7 @@
  * @server: the server's incarnation
  * @placed_ns: monotonic time at which the run began, 0 if unknown
  * @lost_ns: monotonic time at which the run was lost
- * @on_trial: the run began when its fingerprint was a suspect already
+ * @on_trial: the run began when its feature was a suspect already
  * @refuted: it does not count: the server did not crash, or did by another
  *           request
  */
@@ -38,18 +39,21 @@
 };
 
 /**
- * struct mh_suspect - what is known of a fingerprint
- * @fingerprint: fingerprint of equal requests
+ * struct mh_suspect - what is known of a feature
+ * @feature: feature
  * @seen_ns: monotonic time of its last crash or refusal
- * @cleared_ns: monotonic time at which an equal request last ended well, 0 if
- *              none did
+ * @cleared_ns: no crash before this monotonic time counts: an equal request
+ *              ended well then, or a run with the part began then and its server
+ *              lived on; 0 if none did
+ * @is_convicted: the crashes suffice to refuse a part, as long as they count
  * @n_crashes: number of elements in @crashes
  * @crashes: servers that its runs were lost with, also refuted ones
  */
 struct mh_suspect {
-	uint64_t fingerprint;
+	struct mh_feature feature;
 	uint64_t seen_ns;
 	uint64_t cleared_ns;
+	bool is_convicted;
 	uint32_t n_crashes;
 	struct mh_crash crashes[MH_SUSPECT_CRASHES];
 };
@@ -72,6 +76,13 @@
  */
 uint32_t mh_suspect_crashes(const struct mh_suspect *suspect);
 
+/**
+ * mh_suspect_rounds() - length of the longest series of crashes that count, each
+ *                       of a run that began after the one before
+ * @suspect: record
+ */
+uint32_t mh_suspect_rounds(const struct mh_suspect *suspect);
+
 /**
  * mh_suspect_is_refused() - whether the crashes suffice to refuse requests
  * @suspect: record
@@ -96,19 +107,19 @@
 /**
  * mh_suspects_add_crash() - count a server that a run was lost with
  * @set: set
- * @fingerprint: fingerprint of the run's request
+ * @feature: feature of the run's request
  * @server: the server's incarnation
  * @placed_ns: monotonic time at which the run began
  * @was_responding: its response had begun: most such servers live, and other
  *                  processes are told only after the time to find out
  * @now_ns: monotonic time
  *
- * Equal requests that are lost with a server together count once.
+ * Runs with the same feature that are lost with a server together count once.
  *
  * Return: false if it doesn't count, because an equal request ended well
  * shortly before.
  */
-bool mh_suspects_add_crash(struct mh_suspects *set, uint64_t fingerprint,
+bool mh_suspects_add_crash(struct mh_suspects *set, struct mh_feature feature,
 			   uint64_t server, uint64_t placed_ns,
 			   bool was_responding, uint64_t now_ns);
 
@@ -126,7 +137,7 @@
  * mh_suspects_blame() - a server crashed by a suspect that was on trial there
  * @set: set
  * @server: the server's incarnation
- * @fingerprint: fingerprint of the suspect
+ * @blamed: features of the suspect
  * @since_ns: crashes that were counted before are kept
  * @now_ns: monotonic time
  *
@@ -134,51 +145,122 @@
  * were on trial as well.
  */
 void mh_suspects_blame(struct mh_suspects *set, uint64_t server,
-		       uint64_t fingerprint, uint64_t since_ns,
+		       const struct mh_features *blamed, uint64_t since_ns,
 		       uint64_t now_ns);
 
+/**
+ * mh_suspects_convict() - refuse the parts that have crashed enough servers, and
+ *                         keep their crashes from counting against others
+ * @set: set
+ * @has_settled: whether an open run with a feature has not crashed its server so
+ *               far; such a part is not convicted yet
+ * @data: first argument of @has_settled
+ * @now_ns: monotonic time
+ *
+ * Call it after the crashes of a lost run were added. A part that has nearly the
+ * same crashes stays: either may be the cause.
+ */
+void mh_suspects_convict(struct mh_suspects *set,
+			 bool (*has_settled)(void *data,
+					     struct mh_feature feature),
+			 void *data, uint64_t now_ns);
+
 /**
  * mh_suspects_clear() - a request ended well, so equal ones crash no server
  * @set: set
- * @fingerprint: fingerprint of the request
+ * @fingerprint: fingerprint of the whole request
  * @now_ns: monotonic time
  */
 void mh_suspects_clear(struct mh_suspects *set, uint64_t fingerprint,
 		       uint64_t now_ns);
 
 /**
- * mh_suspects_crashes() - number of crashes that count against a fingerprint
+ * mh_suspects_survived() - a server lived on after it began to respond to a run
+ * @set: set
+ * @features: features of the run's request, whose parts did not crash it
+ * @placed_ns: monotonic time at which the run began
+ * @now_ns: monotonic time
+ */
+void mh_suspects_survived(struct mh_suspects *set,
+			  const struct mh_features *features,
+			  uint64_t placed_ns, uint64_t now_ns);
+
+/**
+ * mh_suspects_survived_lately() - whether a run with a part outlived its begin a
+ *                                 short time ago
  * @set: set
- * @fingerprint: fingerprint
+ * @feature: part
+ * @now_ns: monotonic time
+ */
+bool mh_suspects_survived_lately(const struct mh_suspects *set,
+				 struct mh_feature feature, uint64_t now_ns);
+
+/**
+ * mh_suspects_crashes() - number of crashes that count against a feature
+ * @set: set
+ * @feature: feature
  * @now_ns: monotonic time
  *
  * Return: number of crashes, 0 unless it is a suspect.
  */
 uint32_t mh_suspects_crashes(const struct mh_suspects *set,
-			     uint64_t fingerprint, uint64_t now_ns);
+			     struct mh_feature feature, uint64_t now_ns);
+
+/**
+ * mh_suspects_crash_times() - when the first and the last crash that count against
+ *                             a feature were
+ * @set: set
+ * @feature: feature
+ * @first_ns: set to a monotonic time, 0 if none counts
+ * @last_ns: the same
+ */
+void mh_suspects_crash_times(const struct mh_suspects *set,
+			     struct mh_feature feature, uint64_t *first_ns,
+			     uint64_t *last_ns);
 
 /**
- * mh_suspects_was_known() - whether a fingerprint was a suspect when a run began
+ * mh_suspects_was_known() - whether a feature was a suspect when a run began
  * @set: set
- * @fingerprint: fingerprint
+ * @feature: feature
  * @placed_ns: monotonic time at which the run began
  * @now_ns: monotonic time
  */
-bool mh_suspects_was_known(const struct mh_suspects *set, uint64_t fingerprint,
-			   uint64_t placed_ns, uint64_t now_ns);
+bool mh_suspects_was_known(const struct mh_suspects *set,
+			   struct mh_feature feature, uint64_t placed_ns,
+			   uint64_t now_ns);
+
+/* Number of runs of a feature that is no suspect. */
+#define MH_TRIALS_UNLIMITED UINT32_MAX
 
 /**
- * mh_suspects_is_refused() - whether requests with a fingerprint are refused
+ * mh_suspects_trials() - how many runs with a feature may be open at a time,
+ *                        that is, may crash their server yet
  * @set: set
- * @fingerprint: fingerprint
+ * @feature: feature
+ * @has_settled: an open run with it has not crashed its server so far
  * @now_ns: monotonic time
  *
- * They are refused until the retention time after the last crash or refusal; a
- * refusal is recorded.
+ * Return: at least 1, MH_TRIALS_UNLIMITED unless it is a suspect.
  */
-bool mh_suspects_is_refused(struct mh_suspects *set, uint64_t fingerprint,
+uint32_t mh_suspects_trials(const struct mh_suspects *set,
+			    struct mh_feature feature, bool has_settled,
 			    uint64_t now_ns);
 
+/**
+ * mh_suspects_refuses() - whether requests with these features are refused
+ * @set: set
+ * @features: features
+ * @now_ns: monotonic time
+ * @by: set to the feature that decides
+ *
+ * They are refused until the retention time after the last crash or refusal; a
+ * refusal is recorded. Of two parts that have nearly the same crashes, either may
+ * be the cause: requests that hold only the refused one are let through to tell.
+ */
+bool mh_suspects_refuses(struct mh_suspects *set,
+			 const struct mh_features *features, uint64_t now_ns,
+			 struct mh_feature *by);
+
 /**
  * mh_suspects_merge() - add what another process knows
  * @set: set
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -90,11 +90,14 @@
 	mh_count(&app->process.counters, MH_C_REFUSED);
 	mh_event(app->process.log, MH_EV_REFUSED,
 		 "event=no_place entry=%s request=%llu error=%s wait_ms=%u "
-		 "spent=%llu limit=%llu retry_after_ms=%u",
+		 "spent=%llu limit=%llu retry_after_ms=%u feature=%s "
+		 "fingerprint=%016llx",
 		 entry_host(app, owner), (unsigned long long)id,
 		 mh_error_info(why->error)->name, why->wait_ms,
 		 (unsigned long long)why->spent, (unsigned long long)why->limit,
-		 why->retry_after_ms);
+		 why->retry_after_ms,
+		 why->feature.id ? mh_feature_kind_name(why->feature.kind) : "",
+		 (unsigned long long)why->feature.id);
 	mh_slot_frames_send_refusal(app->links, owner, id, why);
 }
 
--- a/net/crash_log.c
+++ b/net/crash_log.c
@@ -29,20 +29,21 @@
 	mh_event(log, MH_EV_CRASH,
 		 "event=run_lost entry=%s request=%llu server=%s "
 		 "fingerprint=%016llx parts=%s verdict=%s answering=%d "
-		 "held=%u crashes=%u",
+		 "held=%u crashes=%u part_crashes=%u",
 		 entry, (unsigned long long)run->id, run->server,
 		 (unsigned long long)run->fingerprint, parts,
 		 mh_lost_verdict_name(run->verdict), run->answering, run->held,
-		 run->crashes);
+		 run->crashes, run->part_crashes);
 }
 
 void mh_crash_log_suspect(struct mh_event_log *log, const char *from,
 			  const struct mh_suspect *suspect)
 {
 	mh_event(log, MH_EV_CRASH,
-		 "event=suspect fingerprint=%016llx crashes=%u refused=%d "
-		 "from=%s",
-		 (unsigned long long)suspect->fingerprint,
-		 mh_suspect_crashes(suspect), mh_suspect_is_refused(suspect),
-		 from);
+		 "event=suspect feature=%s fingerprint=%016llx crashes=%u "
+		 "rounds=%u refused=%d cleared=%d from=%s",
+		 mh_feature_kind_name(suspect->feature.kind),
+		 (unsigned long long)suspect->feature.id,
+		 mh_suspect_crashes(suspect), mh_suspect_rounds(suspect),
+		 mh_suspect_is_refused(suspect), suspect->cleared_ns > 0, from);
 }
--- a/net/crash_log.h
+++ b/net/crash_log.h
@@ -18,7 +18,7 @@
 			   const struct mh_lost_run *run);
 
 /**
- * mh_crash_log_suspect() - log a change of what is known of a fingerprint
+ * mh_crash_log_suspect() - log a change of what is known of a feature
  * @log: log
  * @from: host that told of it, "" if it was seen here
  * @suspect: record
--- a/net/suspect_frames.c
+++ b/net/suspect_frames.c
@@ -53,7 +53,9 @@
 		crashes[i].run_ms = run_ms(crash);
 		list[i] = &crashes[i];
 	}
-	msg.fingerprint = suspect->fingerprint;
+	msg.fingerprint = suspect->feature.id;
+	msg.kind = suspect->feature.kind;
+	msg.is_convicted = suspect->is_convicted;
 	msg.seen_age_ms = age_ms(suspect->seen_ns, now_ns);
 	msg.is_cleared = suspect->cleared_ns;
 	msg.cleared_age_ms = age_ms(suspect->cleared_ns, now_ns);
@@ -70,7 +72,12 @@
 	size_t i;
 
 	memset(suspect, 0, sizeof(*suspect));
-	suspect->fingerprint = msg->fingerprint;
+	/* Of a kind that is not known, nothing is kept. */
+	if (msg->kind >= MH_FEATURE_KINDS)
+		return;
+	suspect->feature.kind = (enum mh_feature_kind)msg->kind;
+	suspect->feature.id = msg->fingerprint;
+	suspect->is_convicted = msg->is_convicted;
 	suspect->seen_ns = time_ns(msg->seen_age_ms, now_ns);
 	if (msg->is_cleared)
 		suspect->cleared_ns = time_ns(msg->cleared_age_ms, now_ns);
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -4034,7 +4034,7 @@
   (ProtobufCMessageInit) mh__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__crash_suspect__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mh__crash_suspect__field_descriptors[7] =
 {
   {
     "fingerprint",
@@ -4096,18 +4096,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kind",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__CrashSuspect, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_convicted",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__CrashSuspect, is_convicted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__crash_suspect__field_indices_by_name[] = {
   3,   /* field[3] = cleared_age_ms */
   4,   /* field[4] = crash */
   0,   /* field[0] = fingerprint */
   2,   /* field[2] = is_cleared */
+  6,   /* field[6] = is_convicted */
+  5,   /* field[5] = kind */
   1,   /* field[1] = seen_age_ms */
 };
 static const ProtobufCIntRange mh__crash_suspect__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mh__crash_suspect__descriptor =
 {
@@ -4117,7 +4143,7 @@
   "Mh__CrashSuspect",
   "mh",
   sizeof(Mh__CrashSuspect),
-  5,
+  7,
   mh__crash_suspect__field_descriptors,
   mh__crash_suspect__field_indices_by_name,
   1,  mh__crash_suspect__number_ranges,
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -575,27 +575,42 @@
 
 
 /*
- * What the sender knows of a request that may crash servers.
+ * What the sender knows of requests that may crash servers: equal ones, or those
+ * with a part in their prompts.
  */
 struct  Mh__CrashSuspect
 {
   ProtobufCMessage base;
+  /*
+   * of equal requests, or identifier of the part
+   */
   uint64_t fingerprint;
   /*
    * since its last crash or refusal
    */
   uint32_t seen_age_ms;
   /*
-   * an equal request ended well
+   * an equal request ended well, or the part did
    */
   protobuf_c_boolean is_cleared;
+  /*
+   * no harm to a server
+   */
   uint32_t cleared_age_ms;
   size_t n_crash;
   Mh__Crash **crash;
+  /*
+   * 0 equal requests, 1 a part
+   */
+  uint32_t kind;
+  /*
+   * a part: its requests are refused
+   */
+  protobuf_c_boolean is_convicted;
 };
 #define MH__CRASH_SUSPECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__crash_suspect__descriptor) \
-    , 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/proxy/exchange_response.c
+++ b/proxy/exchange_response.c
@@ -299,7 +299,9 @@
 	/* A forwarded server error also counts as a failure of the server. */
 	if (is_server_error(x->status))
 		return MH_SLOT_FAILED;
-	return x->end == MH_RESPONSE_UNPROVEN ? MH_SLOT_UNPROVEN : MH_SLOT_OK;
+	if (x->end == MH_RESPONSE_UNPROVEN)
+		return MH_SLOT_UNPROVEN;
+	return x->status < 300 ? MH_SLOT_OK : MH_SLOT_DECLINED;
 }
 
 static void on_done(void *data)
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -559,6 +559,7 @@
 	req->slot_req.owner = 0;
 	req->slot_req.service = mh_check_alloc(strdup(slot_req->service));
 	req->slot_req.account = mh_check_alloc(strdup(slot_req->account));
+	req->slot_req.parts = NULL;
 	if (slot_req->n_parts) {
 		size_t len = slot_req->n_parts * sizeof(*slot_req->parts);
 		uint64_t *parts = mh_check_alloc(malloc(len));
--- a/tests/suspect_fixture.h
+++ b/tests/suspect_fixture.h
@@ -24,6 +24,20 @@
 	return f;
 }
 
+/* A request like no other one, whose prompt has a part that others have too. */
+static inline uint64_t request_with_part(struct fixture *f, uint64_t part)
+{
+	struct mh_slot_request a = make_request(f, 0);
+
+	a.fingerprint = 1000000 + a.id;
+	a.parts = &part;
+	a.n_parts = 1;
+	a.start_by_ns = a.deadline_ns = f->now_ns + 8000 * MS;
+	mh_dispatch_request_slot(f->d, &a);
+	mh_dispatch_tick(f->d);
+	return a.id;
+}
+
 static inline uint64_t request_equal(struct fixture *f, uint64_t fingerprint)
 {
 	struct mh_slot_request a = make_request(f, 0);
--- /dev/null
+++ b/tests/test_parts.c
@@ -0,0 +1,240 @@
+/*
+ * Tests of parts of prompts by which servers crash, in a simulation: few servers
+ * end, and requests that only share the other parts are served all the while.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "tests/parts_simulation.h"
+
+/* The users' rule: at most so many runs later than 3 s after the fifth crash,
+ * and so large a share of the sound requests as without such a fault. */
+#define MAX_LATE 3
+#define MIN_SOUND_SHARE 0.5
+#define SEEDS 5
+
+static const struct sim_case base = {
+	.servers = 12,
+	.entries = 4,
+	.sound_per_s = 48,
+	.bad_per_s = 12,
+	.first = SIM_COMMON,
+	.sound_first = SIM_COMMON,
+	.seconds = 20,
+};
+
+static void print_result(const char *name, uint64_t seed,
+			 const struct sim_result *r)
+{
+	printf("%-16s seed %llu: %u ended, %u late, sound %u of %u, refused "
+	       "%u sound %u bad, companion %u of %u, waits %u ms %u ms\n",
+	       name, (unsigned long long)seed, r->crashed, r->late,
+	       r->sound_begun, r->sound, r->sound_refused, r->bad_refused,
+	       r->companion_begun, r->companion, r->mean_wait_ms,
+	       r->longest_wait_ms);
+}
+
+static void assert_contained(const char *name, const struct sim_case *c)
+{
+	uint64_t seed;
+	bool ok = true;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		struct sim_result r = sim_run(c, seed);
+
+		print_result(name, seed, &r);
+		ok = ok && r.crashed && r.late <= MAX_LATE && r.bad_refused &&
+		     r.sound && r.sound_begun >= MIN_SOUND_SHARE * r.sound;
+	}
+	assert_true(ok);
+}
+
+/* Servers ended one after the other by requests no two of which are alike. */
+static void test_part_in_the_middle(void **state)
+{
+	struct sim_case c = base;
+
+	(void)state;
+	assert_contained("middle", &c);
+}
+
+static void test_part_that_stands_first(void **state)
+{
+	struct sim_case c = base;
+
+	(void)state;
+	c.first = SIM_NONE;
+	assert_contained("first", &c);
+}
+
+static void test_two_bad_parts_at_once(void **state)
+{
+	struct sim_case c = base;
+
+	(void)state;
+	c.two = true;
+	assert_contained("two", &c);
+}
+
+/* A part that was answered well for a while: new weights, or a new text under the
+ * same identifier. */
+static void test_part_that_turns_bad(void **state)
+{
+	struct sim_case c = base;
+
+	(void)state;
+	c.bad_from_ms = 18000;
+	assert_contained("turns bad", &c);
+}
+
+/* A part that comes with the bad one only is no reason to refuse requests that
+ * have it alone. */
+static void test_innocent_companion_is_let_in(void **state)
+{
+	struct sim_case c = base;
+	uint64_t seed;
+
+	(void)state;
+	c.first = SIM_COMPANION;
+	c.companion_from_ms = 22000;
+	assert_contained("companion", &c);
+	for (seed = 1; seed <= SEEDS; seed++) {
+		struct sim_result r = sim_run(&c, seed);
+
+		assert_true(r.companion >= 10);
+		assert_true(r.companion_begun >= MIN_SOUND_SHARE * r.companion);
+	}
+}
+
+static void test_few_bad_requests(void **state)
+{
+	struct sim_case c = base;
+
+	(void)state;
+	c.bad_per_s = 1;
+	c.seconds = 40;
+	assert_contained("one a second", &c);
+}
+
+static void test_many_bad_requests_at_many_entries(void **state)
+{
+	struct sim_case c = base;
+
+	(void)state;
+	c.servers = 60;
+	c.entries = 102;
+	c.sound_per_s = 300;
+	c.bad_per_s = 300;
+	assert_contained("102 entries", &c);
+}
+
+static void test_dispatcher_lost_at_the_third_crash(void **state)
+{
+	struct sim_case c = base;
+	uint32_t n;
+
+	(void)state;
+	for (n = 1; n <= 5; n++) {
+		c.dispatcher_lost_at = n;
+		assert_contained("dispatcher lost", &c);
+	}
+}
+
+static void test_all_dispatchers_lost_afterwards(void **state)
+{
+	struct sim_case c = base;
+
+	(void)state;
+	c.all_lost_ms = 16000;
+	assert_contained("all lost", &c);
+}
+
+static void assert_nothing_refused(const char *name, const struct sim_case *c)
+{
+	uint64_t seed;
+	bool ok = true;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		struct sim_result r = sim_run(c, seed);
+
+		print_result(name, seed, &r);
+		ok = ok && !r.sound_refused;
+	}
+	assert_true(ok);
+}
+
+/* Servers that end for reasons of their own accuse all that ran at them. */
+static void test_domain_that_ends_refuses_no_part(void **state)
+{
+	struct sim_case c = base;
+
+	(void)state;
+	c.bad_per_s = 0;
+	c.ends = SIM_ENDS_DOMAIN;
+	c.seconds = 40;
+	assert_nothing_refused("domain", &c);
+}
+
+static void test_servers_that_end_in_series_refuse_no_part(void **state)
+{
+	struct sim_case c = base;
+
+	(void)state;
+	c.servers = 36;
+	c.sound_per_s = 150;
+	c.bad_per_s = 0;
+	c.ends = SIM_ENDS_SINGLE;
+	c.seconds = 40;
+	assert_nothing_refused("series", &c);
+}
+
+static void test_cut_streams_refuse_no_part(void **state)
+{
+	struct sim_case c = base;
+
+	(void)state;
+	c.bad_per_s = 0;
+	c.ends = SIM_ENDS_CUTS;
+	c.seconds = 40;
+	assert_nothing_refused("cut streams", &c);
+}
+
+/* The cause is found among servers that end besides. */
+static void test_bad_part_among_servers_that_end(void **state)
+{
+	struct sim_case c = base;
+
+	(void)state;
+	c.servers = 36;
+	c.sound_per_s = 150;
+	c.ends = SIM_ENDS_SINGLE;
+	assert_contained("among others", &c);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_part_in_the_middle),
+		cmocka_unit_test(test_part_that_stands_first),
+		cmocka_unit_test(test_two_bad_parts_at_once),
+		cmocka_unit_test(test_part_that_turns_bad),
+		cmocka_unit_test(test_innocent_companion_is_let_in),
+		cmocka_unit_test(test_few_bad_requests),
+		cmocka_unit_test(test_many_bad_requests_at_many_entries),
+		cmocka_unit_test(test_dispatcher_lost_at_the_third_crash),
+		cmocka_unit_test(test_all_dispatchers_lost_afterwards),
+		cmocka_unit_test(test_domain_that_ends_refuses_no_part),
+		cmocka_unit_test(
+			test_servers_that_end_in_series_refuse_no_part),
+		cmocka_unit_test(test_cut_streams_refuse_no_part),
+		cmocka_unit_test(test_bad_part_among_servers_that_end),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_suspect_sharing.c
+++ b/tests/test_suspect_sharing.c
@@ -227,6 +227,87 @@
 	free_cluster(fresh);
 }
 
+#define BAD_PART 0xdead
+#define SOUND_PART 0x50
+
+static void crash_by_part(struct cluster *c, struct fixture *f)
+{
+	uint64_t id = request_with_part(f, BAD_PART);
+
+	assert_true(f->results[id].placed);
+	end(f, id, MH_SLOT_LOST);
+	advance_cluster(c, 1000);
+}
+
+static bool refuses_part(struct fixture *f, uint64_t part)
+{
+	return f->results[request_with_part(f, part)].error ==
+	       MH_ERR_CRASHES_SERVERS;
+}
+
+/* Guards against a part that crashes servers anew at each process. */
+static void test_part_is_refused_everywhere(void **state)
+{
+	struct cluster *c = new_cluster();
+	uint32_t i;
+
+	(void)state;
+	crash_by_part(c, c->d[0]);
+	crash_by_part(c, c->d[0]);
+	crash_by_part(c, c->d[1]);
+	for (i = 0; i < DISPATCHERS; i++) {
+		assert_true(refuses_part(c->d[i], BAD_PART));
+		assert_false(refuses_part(c->d[i], SOUND_PART));
+	}
+	for (i = 0; i < ENTRIES; i++)
+		assert_true(refuses_part(c->e[i], BAD_PART));
+	free_cluster(c);
+}
+
+/* Guards against a loss of all processes after which a part crashes servers anew.
+ */
+static void test_part_stays_refused_after_the_loss_of_all(void **state)
+{
+	struct cluster *c = new_cluster(), *fresh = new_cluster();
+	uint32_t i;
+	char *text;
+
+	(void)state;
+	for (i = 0; i < 3; i++)
+		crash_by_part(c, c->d[0]);
+	text = mh_ledger_encode(c->d[0]->d, c->d[0]->now_ns / MS);
+	assert_non_null(text);
+	advance_cluster(fresh, 5000);
+	assert_true(mh_ledger_decode(fresh->d[0]->d, (uint8_t *)text,
+				     strlen(text), fresh->d[0]->now_ns / MS));
+	assert_true(refuses_part(fresh->d[0], BAD_PART));
+	assert_true(refuses_part(fresh->d[1], BAD_PART));
+	assert_false(refuses_part(fresh->d[0], SOUND_PART));
+	free(text);
+	free_cluster(c);
+	free_cluster(fresh);
+}
+
+/* Guards against frames of other versions that are taken for what they are not: an
+ * older one tells no kind, a newer one may tell of a kind that is unknown. */
+static void test_kinds_of_suspects_on_links(void **state)
+{
+	Mh__CrashSuspect msg = MH__CRASH_SUSPECT__INIT;
+	struct mh_suspect suspect;
+
+	(void)state;
+	msg.fingerprint = BAD;
+	mh_suspect_read(&msg, 10000 * MS, &suspect);
+	assert_int_equal(suspect.feature.kind, MH_FEATURE_REQUEST);
+	assert_int_equal(suspect.feature.id, BAD);
+	msg.kind = 1;
+	mh_suspect_read(&msg, 10000 * MS, &suspect);
+	assert_int_equal(suspect.feature.kind, MH_FEATURE_PART);
+	msg.kind = 7;
+	mh_suspect_read(&msg, 10000 * MS, &suspect);
+	assert_int_equal(suspect.feature.id, 0);
+}
+
 /* Guards against stored records that break a dispatcher which reads them. */
 static void test_malformed_stored_suspects_are_rejected(void **state)
 {
@@ -238,6 +319,12 @@
 		"{\"wall_ms\":1,\"spent\":[],\"suspects\":[[\"a\",1,\"b\"]]}",
 		"{\"wall_ms\":1,\"spent\":[],"
 		"\"suspects\":[[\"a\",1,\"b\",\"c\",1,2,false]]}",
+		"{\"wall_ms\":1,\"spent\":[],\"parts\":{}}",
+		"{\"wall_ms\":1,\"spent\":[],\"parts\":[[\"a\"]]}",
+		"{\"wall_ms\":1,\"spent\":[],"
+		"\"parts\":[[\"a\",1,true,\"b\",\"c\",1,true,false]]}",
+		"{\"wall_ms\":1,\"spent\":[],"
+		"\"parts\":[[\"a\",1,true,\"b\",\"c\",1,true,false,-1]]}",
 	};
 	static const char old[] = "{\"wall_ms\":1,\"spent\":[]}";
 	struct fixture *f = new_crash_fixture(1);
@@ -289,7 +376,7 @@
 	advance_cluster(c, 10);
 	end(c->d[1], b, MH_SLOT_LOST);
 	late = c->d[0]->last_suspect;
-	assert_int_equal(late.fingerprint, BAD);
+	assert_int_equal(late.feature.id, BAD);
 	advance_cluster(c, 3000);
 	late.crashes[0].lost_ns += 3000 * MS;
 	assert_false(mh_dispatch_merge_suspect(c->d[1]->d, &late));
@@ -299,6 +386,8 @@
 	free_cluster(c);
 }
 
+static const struct mh_feature bad = { MH_FEATURE_REQUEST, BAD };
+
 static void merge_into(void *data, const struct mh_suspect *suspect)
 {
 	mh_suspects_merge(data, suspect, 10000 * MS);
@@ -312,13 +401,13 @@
 	struct mh_suspects *b = mh_suspects_new(NULL, NULL);
 	uint32_t n;
 
-	mh_suspects_add_crash(a, BAD, 1, 9000 * MS, false, 9010 * MS);
-	mh_suspects_add_crash(b, BAD, 1, second_placed_ms * MS, false,
+	mh_suspects_add_crash(a, bad, 1, 9000 * MS, false, 9010 * MS);
+	mh_suspects_add_crash(b, bad, 1, second_placed_ms * MS, false,
 			      second_lost_ms * MS);
 	mh_suspects_each(a, merge_into, b);
 	mh_suspects_each(b, merge_into, a);
-	n = mh_suspects_crashes(a, BAD, 10000 * MS);
-	assert_int_equal(mh_suspects_crashes(b, BAD, 10000 * MS), n);
+	n = mh_suspects_crashes(a, bad, 10000 * MS);
+	assert_int_equal(mh_suspects_crashes(b, bad, 10000 * MS), n);
 	mh_suspects_free(a);
 	mh_suspects_free(b);
 	return n;
@@ -381,15 +470,15 @@
 	mh_dispatch_each_suspect(f->d, count_suspect, &n);
 	mh_dispatch_each_suspect(c->e[0]->d, count_suspect, &n);
 	assert_int_equal(n, 0);
-	assert_int_equal(f->last_suspect.fingerprint, 0);
+	assert_int_equal(f->last_suspect.feature.id, 0);
 	/* One that is not refuted is. */
 	id = request_equal(f, 7);
 	mh_dispatch_first_byte(f->d, 1, id, 5);
 	end(f, id, MH_SLOT_LOST);
 	advance_cluster(c, 60);
-	assert_int_equal(f->last_suspect.fingerprint, 0);
+	assert_int_equal(f->last_suspect.feature.id, 0);
 	advance_cluster(c, 200);
-	assert_int_equal(f->last_suspect.fingerprint, 7);
+	assert_int_equal(f->last_suspect.feature.id, 7);
 	mh_dispatch_each_suspect(c->e[0]->d, count_suspect, &n);
 	assert_int_equal(n, 1);
 	free_cluster(c);
@@ -403,6 +492,9 @@
 		cmocka_unit_test(test_entry_that_joins_knows_the_crashes),
 		cmocka_unit_test(
 			test_crashes_survive_the_loss_of_all_processes),
+		cmocka_unit_test(test_part_is_refused_everywhere),
+		cmocka_unit_test(test_part_stays_refused_after_the_loss_of_all),
+		cmocka_unit_test(test_kinds_of_suspects_on_links),
 		cmocka_unit_test(test_malformed_stored_suspects_are_rejected),
 		cmocka_unit_test(test_cleared_request_is_cleared_everywhere),
 		cmocka_unit_test(test_relayed_crash_counts_once),
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -362,7 +362,8 @@
 	uint32_t i;
 
 	init_message(&m, HTTP_REQUEST);
-	snprintf(text, sizeof(text), "GET / HTTP/1.1\r\nHost: h\r\n%s\r\n", fields);
+	snprintf(text, sizeof(text), "GET / HTTP/1.1\r\nHost: h\r\n%s\r\n",
+		 fields);
 	assert_int_equal(
 		read_text(&m, text, strlen(text), strlen(text), &total),
 		MH_HTTP_DONE);
@@ -435,7 +436,8 @@
 	int i;
 
 	(void)state;
-	at = (size_t)sprintf(text, "GET / HTTP/1.1\r\nHost: h\r\n" PREFIX "1:1");
+	at = (size_t)sprintf(text,
+			     "GET / HTTP/1.1\r\nHost: h\r\n" PREFIX "1:1");
 	for (i = 2; i < 100; i++)
 		at += (size_t)sprintf(text + at, ",%x:1", i);
 	sprintf(text + at, "\r\n\r\n");
