Suspects: several causes that come with the same part

Requests that crash servers by themselves accuse the parts of their prompts too.

A crash of an equal request counts once in a part's series, and its whole may be the rival of its part. Runs that their server outlived for a moment, five or more since the first crash, speak for a part: it is refused after six crashes in series only, and its runs are not limited before.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -346,8 +346,7 @@
 {
 	struct pool *p = mh_dispatch_pool(d, slot_req->service);
 
-	if (mh_suspects_refuses(d->suspects, features, mh_dispatch_now_ns(d),
-				&why->feature)) {
+	if (mh_dispatch_refuses(d, features, &why->feature)) {
 		why->error = MH_ERR_CRASHES_SERVERS;
 		return false;
 	}
@@ -556,7 +555,7 @@
 							MH_RETRY_AFTER_MIN_MS);
 				continue;
 			}
-			if (mh_dispatch_refuse_crashing(d, req, now_ns))
+			if (mh_dispatch_refuse_crashing(d, req))
 				continue;
 			s = mh_dispatch_pick(d, p, req, now_ns);
 			if (s)
--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -42,13 +42,19 @@
 	return mh_features_at(req->features, 0);
 }
 
-bool mh_dispatch_refuse_crashing(struct mh_dispatch *d, struct request *req,
-				 uint64_t now_ns)
+bool mh_dispatch_refuses(struct mh_dispatch *d,
+			 const struct mh_features *features,
+			 struct mh_feature *by)
+{
+	return mh_suspects_refuses(d->suspects, features, mh_dispatch_now_ns(d),
+				   by);
+}
+
+bool mh_dispatch_refuse_crashing(struct mh_dispatch *d, struct request *req)
 {
 	struct mh_slot_refusal why = { .error = MH_ERR_CRASHES_SERVERS };
 
-	if (!mh_suspects_refuses(d->suspects, req->features, now_ns,
-				 &why.feature))
+	if (!mh_dispatch_refuses(d, req->features, &why.feature))
 		return false;
 	mh_dispatch_refuse(d, req, &why);
 	return true;
@@ -120,9 +126,9 @@
 		/* Runs that began before the first crash clear nobody. */
 		if (i && !mh_suspects_crashes(d->suspects, feature, now_ns))
 			mh_open_runs_restart(d->open_runs, feature, now_ns);
-		counts |= mh_suspects_add_crash(d->suspects, feature,
-						s->incarnation, placed_ns,
-						was_responding, now_ns);
+		counts |= mh_suspects_add_crash(
+			d->suspects, feature, features->request, s->incarnation,
+			placed_ns, was_responding, now_ns);
 	}
 	mh_suspects_convict(d->suspects, mh_dispatch_has_settled, d, now_ns);
 	return counts;
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -45,6 +45,7 @@
 	uint64_t answered_ns;
 	bool is_open;	 /* its run may crash its server yet */
 	uint64_t trials; /* features on trial in its run, bits by number */
+	bool outlived;	 /* its server lived on for a moment */
 	bool parked;
 	bool is_repeatable;
 	bool over_quota; /* served from spare slots only */
@@ -70,6 +71,7 @@
 	struct mh_features *features;
 	uint64_t placed_ns;
 	uint64_t due_ns; /* a sign of life from then on proves that it did */
+	bool outlived;	 /* for a moment, at least */
 	struct undecided_run *prev, *next;
 };
 
@@ -226,8 +228,10 @@
 
 /* Requests that may crash servers: dispatch_crash.c */
 void mh_dispatch_on_suspect(void *data, const struct mh_suspect *suspect);
-bool mh_dispatch_refuse_crashing(struct mh_dispatch *d, struct request *req,
-				 uint64_t now_ns);
+bool mh_dispatch_refuses(struct mh_dispatch *d,
+			 const struct mh_features *features,
+			 struct mh_feature *by);
+bool mh_dispatch_refuse_crashing(struct mh_dispatch *d, struct request *req);
 void mh_dispatch_drop_ended(struct server *s);
 
 /* Trials of suspect features: dispatch_trial.c */
--- a/core/suspect_conviction.c
+++ b/core/suspect_conviction.c
@@ -99,17 +99,17 @@
 static bool may_be_convicted(const struct suspect_row *r)
 {
 	return is_part(r) && !r->suspect.is_convicted &&
-	       mh_suspect_convicts(&r->suspect, false, 0);
+	       mh_suspect_convicts(&r->suspect,
+				   &(struct mh_suspect_context){ 0 }, 0);
 }
 
 static void convict(struct mh_suspects *set, struct suspect_row *r,
 		    uint64_t now_ns)
 {
 	struct mh_suspect *suspect = &r->suspect;
-	bool survived =
-		mh_suspects_survived_lately(set, suspect->feature, now_ns);
+	struct mh_suspect_context context = mh_suspects_context(set, r, now_ns);
 
-	if (!mh_suspect_convicts(suspect, survived,
+	if (!mh_suspect_convicts(suspect, &context,
 				 count_others(set, suspect, now_ns)))
 		return;
 	suspect->is_convicted = true;
@@ -139,8 +139,8 @@
 	}
 }
 
-/* Whether a part that the request does not hold may be the cause of the crashes of
- * this one, so that the request tells which of them it is. */
+/* Whether a feature that the request does not hold may be the cause of the crashes
+ * of this part, so that the request tells which of them it is. */
 static bool has_rival(const struct mh_suspects *set,
 		      const struct suspect_row *r,
 		      const struct mh_features *features)
@@ -148,7 +148,7 @@
 	struct suspect_row *other, *tmp;
 
 	HASH_ITER(hh, set->rows, other, tmp) {
-		if (other != r && is_part(other) &&
+		if (other != r &&
 		    mh_suspect_rivals(&other->suspect, &r->suspect) &&
 		    !mh_features_hold(features, other->suspect.feature))
 			return true;
--- a/core/suspect_rules.c
+++ b/core/suspect_rules.c
@@ -8,10 +8,9 @@
 #define REFUSED_CRASHES 3
 /* A part is refused after this many crashes in series. */
 #define REFUSED_ROUNDS 3
-/* One more is needed if others outlived the part lately, and so many more if
- * servers end for other reasons at the same time. */
+/* One more is needed if others outlived the part lately, and one if servers end for
+ * other reasons at the same time. */
 #define REFUSED_ROUNDS_SURVIVED 4
-#define OTHERS_MAX 1
 /* Crashes from which on other processes are told of a part. */
 #define SHARED_CRASHES 2
 /* Crashes in series from which on runs with a part that others outlived lately
@@ -19,6 +18,9 @@
  * come from runs beside the cause. */
 #define LIMITED_ROUNDS 2
 #define LIMITED_ROUNDS_SETTLED 6
+/* Runs that their servers outlived for a moment, between crashes: of a part that
+ * crashes servers there are hardly any. */
+#define OUTLIVED_MIN 5
 /* A part that shares so many crashes of another one, all but so many, may be the
  * cause of them. */
 #define RIVAL_CRASHES 2
@@ -38,13 +40,16 @@
 	return n;
 }
 
+/* Whether a crash is of a run that began after another one, and of another
+ * request: crashes of equal requests say little about their parts. */
 static bool follows(const struct mh_crash *crash,
 		    const struct mh_crash *earlier)
 {
 	return crash->placed_ns &&
 	       crash->placed_ns + MH_SUSPECT_TIME_ERROR_NS >=
 		       earlier->lost_ns &&
-	       crash->lost_ns > earlier->lost_ns;
+	       crash->lost_ns > earlier->lost_ns &&
+	       (!crash->request || crash->request != earlier->request);
 }
 
 uint32_t mh_suspect_rounds(const struct mh_suspect *suspect)
@@ -88,18 +93,18 @@
 	return any_on_trial && mh_suspect_crashes(suspect) >= REFUSED_CRASHES;
 }
 
-static bool is_request_shared(const struct mh_suspect *suspect, bool survived)
+static bool is_request_shared(const struct mh_suspect *suspect,
+			      const struct mh_suspect_context *context)
 {
 	(void)suspect;
-	(void)survived;
+	(void)context;
 	return true;
 }
 
-static uint32_t request_trials(const struct mh_suspect *suspect, bool survived,
-			       bool has_settled)
+static uint32_t request_trials(const struct mh_suspect *suspect,
+			       const struct mh_suspect_context *context)
 {
-	(void)survived;
-	(void)has_settled;
+	(void)context;
 	return mh_suspect_crashes(suspect) ? 1 : MH_TRIALS_UNLIMITED;
 }
 
@@ -109,12 +114,17 @@
 	       mh_suspect_rounds(suspect) >= REFUSED_ROUNDS;
 }
 
-bool mh_suspect_convicts(const struct mh_suspect *suspect, bool survived,
+bool mh_suspect_convicts(const struct mh_suspect *suspect,
+			 const struct mh_suspect_context *context,
 			 uint32_t n_others)
 {
-	uint32_t needed = survived ? REFUSED_ROUNDS_SURVIVED : REFUSED_ROUNDS;
+	uint32_t needed =
+		context->survived ? REFUSED_ROUNDS_SURVIVED : REFUSED_ROUNDS;
 
-	needed += n_others < OTHERS_MAX ? n_others : OTHERS_MAX;
+	if (n_others)
+		needed++;
+	if (context->n_outlived >= OUTLIVED_MIN)
+		needed = LIMITED_ROUNDS_SETTLED;
 	/* Most parts have too few crashes to look at their order. */
 	return suspect->n_crashes >= needed &&
 	       mh_suspect_rounds(suspect) >= needed;
@@ -122,19 +132,22 @@
 
 /* Each crash makes suspects of all parts that ran at its server: few of them are
  * lost with another one. */
-static bool is_part_shared(const struct mh_suspect *suspect, bool survived)
+static bool is_part_shared(const struct mh_suspect *suspect,
+			   const struct mh_suspect_context *context)
 {
-	return survived ? mh_suspect_rounds(suspect) >= LIMITED_ROUNDS :
-			  mh_suspect_crashes(suspect) >= SHARED_CRASHES;
+	return context->survived ?
+		       mh_suspect_rounds(suspect) >= LIMITED_ROUNDS :
+		       mh_suspect_crashes(suspect) >= SHARED_CRASHES;
 }
 
-static uint32_t part_trials(const struct mh_suspect *suspect, bool survived,
-			    bool has_settled)
+static uint32_t part_trials(const struct mh_suspect *suspect,
+			    const struct mh_suspect_context *context)
 {
-	uint32_t limited = 1;
+	uint32_t limited = context->survived ? LIMITED_ROUNDS : 1;
 
-	if (survived)
-		limited = has_settled ? LIMITED_ROUNDS_SETTLED : LIMITED_ROUNDS;
+	if (context->n_outlived >= OUTLIVED_MIN ||
+	    (context->survived && context->has_settled))
+		limited = LIMITED_ROUNDS_SETTLED;
 	return mh_suspect_rounds(suspect) >= limited ? 1 : MH_TRIALS_UNLIMITED;
 }
 
--- a/core/suspect_rules.h
+++ b/core/suspect_rules.h
@@ -12,6 +12,20 @@
 /* Error of times that other processes tell, which are rounded. */
 #define MH_SUSPECT_TIME_ERROR_NS (2 * MH_NS_PER_MS)
 
+/**
+ * struct mh_suspect_context - what speaks for a suspect, as far as this process
+ *                             knows
+ * @survived: a run with the feature outlived its begin lately
+ * @has_settled: an open one has not crashed its server so far
+ * @n_outlived: runs from after its first crash that their servers outlived for a
+ *              moment
+ */
+struct mh_suspect_context {
+	bool survived;
+	bool has_settled;
+	uint32_t n_outlived;
+};
+
 /**
  * struct mh_suspect_rules - rules of a kind of feature
  * @earlier_success_ns: a good end this shortly before a crash keeps it from
@@ -19,16 +33,14 @@
  * @is_refused: whether the crashes suffice to refuse requests
  * @is_shared: whether the crashes are enough to tell other processes
  * @trials: how many runs may be open at a time
- *
- * @survived tells whether a run with the feature outlived its begin lately,
- * @has_settled whether an open one has not crashed its server so far.
  */
 struct mh_suspect_rules {
 	uint64_t earlier_success_ns;
 	bool (*is_refused)(const struct mh_suspect *suspect);
-	bool (*is_shared)(const struct mh_suspect *suspect, bool survived);
-	uint32_t (*trials)(const struct mh_suspect *suspect, bool survived,
-			   bool has_settled);
+	bool (*is_shared)(const struct mh_suspect *suspect,
+			  const struct mh_suspect_context *context);
+	uint32_t (*trials)(const struct mh_suspect *suspect,
+			   const struct mh_suspect_context *context);
 };
 
 /**
@@ -40,11 +52,12 @@
 /**
  * mh_suspect_convicts() - whether the crashes suffice to convict a part
  * @suspect: record of a part
- * @survived: as above
+ * @context: what speaks for it
  * @n_others: crashes in the time of these that the part had no share in: servers
  *            end for other reasons as well
  */
-bool mh_suspect_convicts(const struct mh_suspect *suspect, bool survived,
+bool mh_suspect_convicts(const struct mh_suspect *suspect,
+			 const struct mh_suspect_context *context,
 			 uint32_t n_others);
 
 /**
--- a/core/suspects.c
+++ b/core/suspects.c
@@ -162,13 +162,24 @@
 	return ended_ns && now_ns < ended_ns + RECENT_SURVIVAL_NS;
 }
 
+struct mh_suspect_context mh_suspects_context(const struct mh_suspects *set,
+					      const struct suspect_row *r,
+					      uint64_t now_ns)
+{
+	return (struct mh_suspect_context){
+		.survived = mh_suspects_survived_lately(set, r->suspect.feature,
+							now_ns),
+		.n_outlived = r->n_outlived,
+	};
+}
+
 static bool is_shared(const struct mh_suspects *set,
 		      const struct suspect_row *r, uint64_t now_ns)
 {
-	struct mh_feature feature = r->suspect.feature;
+	struct mh_suspect_context context = mh_suspects_context(set, r, now_ns);
 
-	return mh_suspect_rules_of(feature)->is_shared(
-		&r->suspect, mh_suspects_survived_lately(set, feature, now_ns));
+	return mh_suspect_rules_of(r->suspect.feature)
+		->is_shared(&r->suspect, &context);
 }
 
 void mh_suspects_report(struct mh_suspects *set, struct suspect_row *r,
@@ -312,12 +323,14 @@
 }
 
 bool mh_suspects_add_crash(struct mh_suspects *set, struct mh_feature feature,
-			   uint64_t server, uint64_t placed_ns,
-			   bool was_responding, uint64_t now_ns)
+			   uint64_t request, uint64_t server,
+			   uint64_t placed_ns, bool was_responding,
+			   uint64_t now_ns)
 {
 	struct mh_crash crash = {
 		.id = crash_id(server, now_ns),
 		.server = server,
+		.request = request,
 		.placed_ns = placed_ns,
 		.lost_ns = now_ns,
 	};
@@ -441,8 +454,30 @@
 		if (!r || placed_ns <= r->suspect.cleared_ns)
 			continue;
 		r->suspect.cleared_ns = placed_ns;
-		if (drop_cleared_crashes(&r->suspect, 0))
-			mh_suspects_report_less(set, r, now_ns);
+		if (!drop_cleared_crashes(&r->suspect, 0))
+			continue;
+		if (!r->suspect.n_crashes)
+			r->n_outlived = 0;
+		mh_suspects_report_less(set, r, now_ns);
+	}
+}
+
+void mh_suspects_outlived(struct mh_suspects *set,
+			  const struct mh_features *features,
+			  uint64_t placed_ns)
+{
+	uint64_t first_ns, last_ns;
+	uint32_t i;
+
+	for (i = 0; set->rows && i < features->n_parts; i++) {
+		struct mh_feature part = { MH_FEATURE_PART,
+					   features->parts[i] };
+		struct suspect_row *r = mh_suspects_find(set, part);
+
+		if (!r)
+			continue;
+		mh_suspects_crash_times(set, part, &first_ns, &last_ns);
+		r->n_outlived += first_ns && placed_ns > first_ns;
 	}
 }
 
@@ -491,12 +526,13 @@
 			    uint64_t now_ns)
 {
 	const struct suspect_row *r = mh_suspects_find(set, feature);
+	struct mh_suspect_context context;
 
 	if (!r || now_ns >= mh_suspect_expiry_ns(&r->suspect))
 		return MH_TRIALS_UNLIMITED;
-	return mh_suspect_rules_of(feature)->trials(
-		&r->suspect, mh_suspects_survived_lately(set, feature, now_ns),
-		has_settled);
+	context = mh_suspects_context(set, r, now_ns);
+	context.has_settled = has_settled;
+	return mh_suspect_rules_of(feature)->trials(&r->suspect, &context);
 }
 
 static bool merge_crash(struct mh_suspects *set, struct mh_suspect *suspect,
--- a/core/suspects.h
+++ b/core/suspects.h
@@ -23,6 +23,7 @@
  * struct mh_crash - a server that may have crashed
  * @id: the same in all processes that learned of it from each other
  * @server: the server's incarnation
+ * @request: fingerprint of the run's request, 0 if unknown
  * @placed_ns: monotonic time at which the run began, 0 if unknown
  * @lost_ns: monotonic time at which the run was lost
  * @on_trial: the run began when its feature was a suspect already
@@ -32,6 +33,7 @@
 struct mh_crash {
 	uint64_t id;
 	uint64_t server;
+	uint64_t request;
 	uint64_t placed_ns;
 	uint64_t lost_ns;
 	bool on_trial;
@@ -108,6 +110,7 @@
  * mh_suspects_add_crash() - count a server that a run was lost with
  * @set: set
  * @feature: feature of the run's request
+ * @request: fingerprint of the whole request
  * @server: the server's incarnation
  * @placed_ns: monotonic time at which the run began
  * @was_responding: its response had begun: most such servers live, and other
@@ -120,8 +123,9 @@
  * shortly before.
  */
 bool mh_suspects_add_crash(struct mh_suspects *set, struct mh_feature feature,
-			   uint64_t server, uint64_t placed_ns,
-			   bool was_responding, uint64_t now_ns);
+			   uint64_t request, uint64_t server,
+			   uint64_t placed_ns, bool was_responding,
+			   uint64_t now_ns);
 
 /**
  * mh_suspects_refute() - a server did not crash
@@ -185,6 +189,17 @@
 			  const struct mh_features *features,
 			  uint64_t placed_ns, uint64_t now_ns);
 
+/**
+ * mh_suspects_outlived() - a server lived on for a moment after it began to respond
+ *                          to a run; call it once for each run
+ * @set: set
+ * @features: features of the run's request
+ * @placed_ns: monotonic time at which the run began
+ */
+void mh_suspects_outlived(struct mh_suspects *set,
+			  const struct mh_features *features,
+			  uint64_t placed_ns);
+
 /**
  * mh_suspects_survived_lately() - whether a run with a part outlived its begin a
  *                                 short time ago
--- a/core/suspects_impl.h
+++ b/core/suspects_impl.h
@@ -27,6 +27,9 @@
 	struct mh_suspect suspect;
 	uint64_t reported_ns; /* when other processes were told, 0: never */
 	uint64_t share_ns;    /* when they will be told, 0: no need to */
+	/* Runs from after its first crash that their servers outlived for a
+	 * moment. */
+	uint32_t n_outlived;
 	UT_hash_handle hh;
 };
 
@@ -59,6 +62,9 @@
 /* Records: suspects.c */
 struct suspect_row *mh_suspects_find(const struct mh_suspects *set,
 				     struct mh_feature feature);
+struct mh_suspect_context mh_suspects_context(const struct mh_suspects *set,
+					      const struct suspect_row *r,
+					      uint64_t now_ns);
 uint64_t mh_suspect_expiry_ns(const struct mh_suspect *suspect);
 /* Tells other processes of a record; the latter one if they know of it, as it
  * counts less than before. */
--- a/net/suspect_frames.c
+++ b/net/suspect_frames.c
@@ -51,6 +51,7 @@
 		crashes[i].on_trial = crash->on_trial;
 		crashes[i].refuted = crash->refuted;
 		crashes[i].run_ms = run_ms(crash);
+		crashes[i].request = crash->request;
 		list[i] = &crashes[i];
 	}
 	msg.fingerprint = suspect->feature.id;
@@ -88,6 +89,7 @@
 		suspect->crashes[suspect->n_crashes++] = (struct mh_crash){
 			.id = from->id,
 			.server = from->server,
+			.request = from->request,
 			.placed_ns = placed_ns(from->run_ms, lost_ns),
 			.lost_ns = lost_ns,
 			.on_trial = from->on_trial,
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -3931,7 +3931,7 @@
   (ProtobufCMessageInit) mh__ledger_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__crash__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mh__crash__field_descriptors[7] =
 {
   {
     "id",
@@ -4005,19 +4005,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "request",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Crash, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__crash__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   0,   /* field[0] = id */
   3,   /* field[3] = on_trial */
   4,   /* field[4] = refuted */
+  6,   /* field[6] = request */
   5,   /* field[5] = run_ms */
   1,   /* field[1] = server */
 };
 static const ProtobufCIntRange mh__crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mh__crash__descriptor =
 {
@@ -4027,7 +4040,7 @@
   "Mh__Crash",
   "mh",
   sizeof(Mh__Crash),
-  6,
+  7,
   mh__crash__field_descriptors,
   mh__crash__field_indices_by_name,
   1,  mh__crash__number_ranges,
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -568,10 +568,14 @@
    * from its begin to its loss, plus 1; 0: unknown
    */
   uint32_t run_ms;
+  /*
+   * fingerprint of the run's request, 0: unknown
+   */
+  uint64_t request;
 };
 #define MH__CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__crash__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/parts_simulation.c
+++ b/tests/parts_simulation.c
@@ -264,7 +264,8 @@
 	run->arrived_ms = sim->now_ms;
 	if (is_bad) {
 		add_part(run, c->first);
-		add_part(run, c->two && id % 2 ? SIM_BAD_TOO : SIM_BAD);
+		if (!c->whole)
+			add_part(run, c->two && id % 2 ? SIM_BAD_TOO : SIM_BAD);
 		add_part(run, subject);
 	} else {
 		run->was_companion = c->companion_from_ms &&
--- a/tests/parts_simulation.h
+++ b/tests/parts_simulation.h
@@ -39,6 +39,7 @@
  * @bad_from_ms: from when on the bad part is bad; it is sound before
  * @first: part that stands first in bad requests, SIM_NONE if the bad one does
  * @sound_first: part that stands first in sound ones
+ * @whole: no part is bad, but each bad request by itself
  * @two: every other bad request has another bad part
  * @companion_from_ms: from then on sound requests hold the companion, 0: never
  * @ends: how servers end besides
@@ -57,6 +58,7 @@
 	uint32_t bad_from_ms;
 	uint64_t first;
 	uint64_t sound_first;
+	bool whole;
 	bool two;
 	uint32_t companion_from_ms;
 	enum sim_ends ends;
--- /dev/null
+++ b/tests/test_part_suspects.c
@@ -0,0 +1,166 @@
+/* Unit tests of parts of prompts that may crash servers. */
+#include "tests/suspect_fixture.h"
+
+/* Return: whether requests with a part run beside each other, so that it is no
+ * suspect. */
+static bool part_runs_freely(struct fixture *f, uint64_t part)
+{
+	uint64_t a = request_with_part(f, part);
+	uint64_t b = request_with_part(f, part);
+	bool both = f->results[a].placed && f->results[b].placed;
+
+	end(f, a, MH_SLOT_CANCELLED);
+	end(f, b, MH_SLOT_CANCELLED);
+	return both;
+}
+
+/* Guards against a part that turns bad and is cleared by a run from before. */
+static void test_run_from_before_a_crash_clears_no_part(void **state)
+{
+	struct fixture *f = new_crash_fixture(4);
+	uint64_t before, lost;
+	uint32_t i;
+
+	(void)state;
+	before = request_with_part(f, 5);
+	lost = request_with_part(f, 5);
+	assert_string_not_equal(f->results[before].server,
+				f->results[lost].server);
+	mh_dispatch_first_byte(f->d, 1, before, 5);
+	advance_clock(f, 10);
+	end(f, lost, MH_SLOT_LOST);
+	advance_clock(f, 1000);
+	end(f, before, MH_SLOT_OK);
+	/* One more than of a part that no run outlived. */
+	for (i = 0; i < 3; i++) {
+		end(f, request_with_part(f, 5), MH_SLOT_LOST);
+		advance_clock(f, 1000);
+	}
+	assert_int_equal(f->results[request_with_part(f, 5)].error,
+			 MH_ERR_CRASHES_SERVERS);
+	free_fixture(f);
+}
+
+/* Guards against a part that stays a suspect though it did no harm. */
+static void test_run_from_after_a_crash_clears_its_part(void **state)
+{
+	struct fixture *f = new_crash_fixture(4);
+	uint64_t id;
+
+	(void)state;
+	end(f, request_with_part(f, 5), MH_SLOT_LOST);
+	advance_clock(f, 1000);
+	assert_false(part_runs_freely(f, 5));
+	id = request_with_part(f, 5);
+	mh_dispatch_first_byte(f->d, 1, id, 5);
+	advance_clock(f, 600);
+	end(f, id, MH_SLOT_OK);
+	assert_true(part_runs_freely(f, 5));
+	free_fixture(f);
+}
+
+/* Guards against parts that are suspects for a crash long after they began. */
+static void test_run_lost_late_accuses_no_part(void **state)
+{
+	struct fixture *f = new_crash_fixture(4);
+	uint64_t id = request_with_part(f, 5);
+
+	(void)state;
+	mh_dispatch_first_byte(f->d, 1, id, 5);
+	advance_clock(f, 600);
+	end(f, id, MH_SLOT_LOST);
+	assert_true(part_runs_freely(f, 5));
+	free_fixture(f);
+}
+
+/* Guards against sound parts that stay suspects for crashes whose cause is known.
+ */
+static void test_found_part_explains_the_crashes_of_others(void **state)
+{
+	struct fixture *f = new_crash_fixture(2);
+	uint64_t bad, beside[3];
+	uint32_t i, n_lost = 0;
+
+	(void)state;
+	bad = request_with_part(f, 9);
+	for (i = 0; i < 3; i++)
+		beside[i] = request_with_part(f, 5);
+	end(f, bad, MH_SLOT_LOST);
+	for (i = 0; i < 3; i++) {
+		bool lost = is_at(f, beside[i], f->results[bad].server);
+
+		n_lost += lost;
+		end(f, beside[i], lost ? MH_SLOT_LOST : MH_SLOT_CANCELLED);
+	}
+	assert_true(n_lost > 0);
+	advance_clock(f, 1000);
+	for (i = 0; i < 2; i++) {
+		end(f, request_with_part(f, 9), MH_SLOT_LOST);
+		advance_clock(f, 1000);
+	}
+	assert_int_equal(f->results[request_with_part(f, 9)].error,
+			 MH_ERR_CRASHES_SERVERS);
+	assert_true(part_runs_freely(f, 5));
+	free_fixture(f);
+}
+
+/* Guards against parts that are refused for one request which crashes servers. */
+static void test_equal_requests_convict_no_part(void **state)
+{
+	struct fixture *f = new_crash_fixture(8);
+	uint64_t part = 5;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 3; i++) {
+		struct mh_slot_request a = make_request(f, 0);
+
+		a.fingerprint = BAD;
+		a.parts = &part;
+		a.n_parts = 1;
+		mh_dispatch_request_slot(f->d, &a);
+		mh_dispatch_tick(f->d);
+		end(f, a.id, MH_SLOT_LOST);
+		advance_clock(f, 1000);
+	}
+	assert_int_equal(f->results[request_equal(f, BAD)].error,
+			 MH_ERR_CRASHES_SERVERS);
+	assert_true(f->results[request_with_part(f, part)].placed);
+	free_fixture(f);
+}
+
+/* Guards against a server's refusal that clears a part which it did not run. */
+static void test_declined_request_clears_no_part(void **state)
+{
+	struct fixture *f = new_crash_fixture(4);
+	uint64_t a, b;
+
+	(void)state;
+	a = request_with_part(f, 5);
+	end(f, a, MH_SLOT_LOST);
+	advance_clock(f, 1000);
+	a = request_with_part(f, 5);
+	mh_dispatch_first_byte(f->d, 1, a, 5);
+	advance_clock(f, 600);
+	end(f, a, MH_SLOT_DECLINED);
+	a = request_with_part(f, 5);
+	b = request_with_part(f, 5);
+	assert_true(f->results[a].placed);
+	assert_false(f->results[b].placed);
+	free_fixture(f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_run_from_before_a_crash_clears_no_part),
+		cmocka_unit_test(test_run_from_after_a_crash_clears_its_part),
+		cmocka_unit_test(test_run_lost_late_accuses_no_part),
+		cmocka_unit_test(
+			test_found_part_explains_the_crashes_of_others),
+		cmocka_unit_test(test_equal_requests_convict_no_part),
+		cmocka_unit_test(test_declined_request_clears_no_part),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
