Trials: a silent server keeps no others waiting; explain tells of parts

A run of a suspect part that its server does not respond to kept all requests with the part waiting until its time-out. After 2 s it is no longer counted; its loss still accuses its parts. The test failed before (the next request was not placed).

mangoctl explain shows, for a request that was refused for a part of its prompt, the runs that were lost with the part and what became known of it.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -579,7 +579,7 @@
 	HASH_ITER(hh, d->pools, p, tmp) {
 		mh_dispatch_decay_stats(p);
 		HASH_ITER(hh, p->servers, s, tmp_s)
-			mh_dispatch_expire_undecided(d, s, now_ns);
+			mh_dispatch_expire_open_runs(d, s, now_ns);
 		for (t = 0; t < MH_TIERS; t++) {
 			struct queue *queue = &p->queues[t];
 
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -44,6 +44,7 @@
 	bool answering; /* its first byte was received */
 	uint64_t answered_ns;
 	bool is_open;	 /* its run may crash its server yet */
+	bool is_counted; /* as an open run */
 	uint64_t trials; /* features on trial in its run, bits by number */
 	bool outlived;	 /* its server lived on for a moment */
 	bool parked;
@@ -250,7 +251,7 @@
 void mh_dispatch_record_outlived(struct mh_dispatch *d, struct request *req,
 				 uint64_t now_ns);
 void mh_dispatch_drop_undecided(struct mh_dispatch *d, struct server *s);
-void mh_dispatch_expire_undecided(struct mh_dispatch *d, struct server *s,
+void mh_dispatch_expire_open_runs(struct mh_dispatch *d, struct server *s,
 				  uint64_t now_ns);
 bool mh_dispatch_is_suspect(const struct mh_dispatch *d,
 			    const struct request *req, uint64_t now_ns);
--- a/core/dispatch_trial.c
+++ b/core/dispatch_trial.c
@@ -17,6 +17,8 @@
  * life. */
 #define PROOF_WAIT_NS (2000 * MH_NS_PER_MS)
 #define MAX_UNDECIDED_RUNS 64
+/* A run that its server does not respond to keeps others waiting for so long. */
+#define SILENCE_NS (2000 * MH_NS_PER_MS)
 /* A run of a suspect that began to be responded to this long ago is not on trial
  * any more if it is repeated alone. */
 #define TRIAL_NS (100 * MH_NS_PER_MS)
@@ -134,7 +136,7 @@
 		struct mh_feature feature = mh_features_at(req->features, i);
 		uint32_t open = mh_open_runs_count(d->open_runs, feature);
 
-		if (req->is_open && open)
+		if (req->is_counted && open)
 			open--;
 		if (open < trials_of(d, feature, now_ns))
 			continue;
@@ -230,7 +232,7 @@
 
 void mh_dispatch_open_run(struct mh_dispatch *d, struct request *req)
 {
-	req->is_open = true;
+	req->is_open = req->is_counted = true;
 	mh_open_runs_add(d->open_runs, req->features, req->placed_ns);
 }
 
@@ -259,7 +261,10 @@
 	if (!req->is_open)
 		return;
 	req->is_open = false;
-	mh_open_runs_remove(d->open_runs, req->features, req->placed_ns);
+	if (req->is_counted)
+		mh_open_runs_remove(d->open_runs, req->features,
+				    req->placed_ns);
+	req->is_counted = false;
 	/* Suspects that wait may be due. */
 	d->review = d->review || (d->parked && req->trials);
 }
@@ -280,9 +285,19 @@
 		drop_undecided(d, s, s->undecided);
 }
 
-void mh_dispatch_expire_undecided(struct mh_dispatch *d, struct server *s,
+void mh_dispatch_expire_open_runs(struct mh_dispatch *d, struct server *s,
 				  uint64_t now_ns)
 {
+	struct request *req;
+
+	DL_FOREACH(s->requests, req) {
+		if (!req->is_counted || req->answering ||
+		    now_ns < req->placed_ns + SILENCE_NS)
+			continue;
+		req->is_counted = false;
+		mh_open_runs_remove(d->open_runs, req->features,
+				    req->placed_ns);
+	}
 	while (s->undecided && now_ns >= s->undecided->due_ns + PROOF_WAIT_NS)
 		drop_undecided(d, s, s->undecided);
 }
@@ -304,7 +319,7 @@
 	s->n_undecided++;
 	settle_run(d, req, 0);
 	/* It is counted as the request was. */
-	req->is_open = false;
+	req->is_open = req->is_counted = false;
 	d->review = d->review || (d->parked && req->trials);
 }
 
@@ -315,7 +330,7 @@
 
 	if (!req->is_open)
 		return;
-	if (!req->features->n_parts ||
+	if (!req->features->n_parts || !req->is_counted ||
 	    (outcome != MH_SLOT_OK && outcome != MH_SLOT_UNPROVEN)) {
 		mh_dispatch_close_run(d, req);
 		return;
--- a/ctl/timeline.c
+++ b/ctl/timeline.c
@@ -169,18 +169,59 @@
 	return false;
 }
 
+/* Return: the part of the prompt for which the request was refused, 0 if it was
+ * not. */
+static uint64_t refused_part(const struct timeline *tl)
+{
+	char part[VALUE_BYTES];
+	size_t i;
+
+	for (i = 0; i < tl->n; i++) {
+		const char *text = tl->v[i].text;
+
+		if (tl->v[i].shown && field_is(text, "event", "no_place") &&
+		    field_is(text, "feature", "part") &&
+		    get_field(text, "fingerprint", part))
+			return strtoull(part, NULL, 16);
+	}
+	return 0;
+}
+
+/* Whether a line is of a run that was lost with this part in its prompt, or of
+ * what became known of the part. */
+static bool tells_of_part(const char *text, uint64_t part)
+{
+	char list[VALUE_BYTES], *p = list, *end;
+
+	if (field_is(text, "event", "suspect"))
+		return field_is(text, "feature", "part") &&
+		       get_field(text, "fingerprint", list) &&
+		       strtoull(list, NULL, 16) == part;
+	if (!field_is(text, "event", "run_lost") ||
+	    !get_field(text, "parts", list))
+		return false;
+	for (; *p; p = *end ? end + 1 : end) {
+		if (strtoull(p, &end, 16) == part)
+			return true;
+	}
+	return false;
+}
+
 /* Marks earlier runs that were lost with their servers and that count against
- * the request, of equal requests as well. */
+ * the request, of equal requests as well, or against a part of its prompt. */
 static void show_lost_runs(struct timeline *tl)
 {
+	uint64_t part = refused_part(tl);
 	size_t i;
 
 	for (i = 0; i < tl->n; i++) {
 		struct line *line = &tl->v[i];
 
-		if (field_is(line->text, "event", "run_lost") &&
-		    line->when_ms <= tl->end_ms &&
-		    shares_field(tl, line->text, "fingerprint"))
+		if (line->when_ms > tl->end_ms)
+			continue;
+		if ((field_is(line->text, "event", "run_lost") &&
+		     shares_field(tl, line->text, "fingerprint")) ||
+		    (part && tells_of_part(line->text, part)))
 			line->shown = true;
 	}
 }
--- a/tests/test_part_suspects.c
+++ b/tests/test_part_suspects.c
@@ -150,9 +150,30 @@
 	free_fixture(f);
 }
 
+/* Guards against requests that wait for a run which a silent server keeps. */
+static void test_silent_trial_keeps_no_others_waiting(void **state)
+{
+	struct fixture *f = new_crash_fixture(4);
+	uint64_t silent, next;
+
+	(void)state;
+	end(f, request_with_part(f, 5), MH_SLOT_LOST);
+	advance_clock(f, 1000);
+	silent = request_with_part(f, 5);
+	next = request_with_part(f, 5);
+	assert_true(f->results[silent].placed);
+	advance_clock(f, 1000);
+	assert_false(f->results[next].placed);
+	advance_clock(f, 1300);
+	advance_clock(f, 100);
+	assert_true(f->results[next].placed);
+	free_fixture(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_silent_trial_keeps_no_others_waiting),
 		cmocka_unit_test(test_run_from_before_a_crash_clears_no_part),
 		cmocka_unit_test(test_run_from_after_a_crash_clears_its_part),
 		cmocka_unit_test(test_run_lost_late_accuses_no_part),
--- a/tests/test_parts.sh
+++ b/tests/test_parts.sh
@@ -157,12 +157,29 @@
 	sound_are_served first
 }
 
+# The last bad request was refused: its story names the part, and the runs that
+# were lost with it.
+t_explain_refused_part() {
+	local id
+	id=$(awk '$3 == 503 { print $2 }' "$DIR/bad-first" | tail -n 1)
+	$BIN/mangoctl explain $id "$DIR"/proxy?.log "$DIR"/dispatcher?.log \
+		>"$DIR/explained" || return 1
+	cat "$DIR/explained"
+	grep -q 'event=no_place .*feature=part fingerprint=0*dead2' \
+		"$DIR/explained" &&
+		[ $(grep -c 'event=run_lost .*parts=dead2' \
+			"$DIR/explained") -ge 3 ] &&
+		grep -q 'event=suspect feature=part .*refused=1' \
+			"$DIR/explained"
+}
+
 check "parts: a part in the middle ends few servers" t_part_in_the_middle
 check "parts: sound requests are served beside it" t_sound_beside_the_middle
 check "parts: a part that stands first ends few servers" \
 	t_part_that_stands_first
 check "parts: sound requests are served beside the first one" \
 	t_sound_beside_the_first
+check "parts: explain tells of the part" t_explain_refused_part
 touch "$DIR/stop"
 wait $replacing
 echo "$passed passed, $failed failed"
