--- a/tests/proxy_site.sh
+++ b/tests/proxy_site.sh
@@ -171,3 +171,27 @@
 crashes() { # REQUEST-ID-PART: servers that such requests ended
 	cat "$DIR"/fragile?.log | grep -c "crashed .*id=$1"
 }
+
+# Replaces a server that has ended: its registration ends first.
+replace_fragile() { # N GENERATION SECONDS
+	local id=c$1-$2
+	sleep 1
+	platform "server?id=$(cat "$DIR/server$1")&state=gone"
+	sleep $3
+	echo $id >"$DIR/server$1"
+	start_fragile $1 $id
+	platform "register?id=$id&service=fragile&slots=4&port=$(server_port $((5 + $1)))"
+}
+
+# Replaces a server each time it ends, until $DIR/stop exists. $DIR/serverN has its
+# identifier.
+keep_replacing() { # N SECONDS-WITHOUT-REGISTRATION
+	local generation=0
+	while [ ! -e "$DIR/stop" ]; do
+		if ! is_alive fragile$1; then
+			generation=$((generation + 1))
+			replace_fragile $1 $generation $2
+		fi
+		sleep 0.05
+	done
+}
--- a/tests/test_crashing.sh
+++ b/tests/test_crashing.sh
@@ -18,28 +18,6 @@
 # Time after a crash until its successor is in use.
 DOWN_MS=4500
 
-# Replaces a server that has ended: its registration ends first.
-replace_server() { # N GENERATION
-	local id=c$1-$2
-	sleep 1
-	platform "server?id=$(cat "$DIR/server$1")&state=gone"
-	sleep 2.2
-	echo $id >"$DIR/server$1"
-	start_fragile $1 $id
-	platform "register?id=$id&service=fragile&slots=4&port=$(server_port $((5 + $1)))"
-}
-
-keep_replacing() { # N
-	local generation=0
-	while [ ! -e "$DIR/stop" ]; do
-		if ! is_alive fragile$1; then
-			generation=$((generation + 1))
-			replace_server $1 $generation
-		fi
-		sleep 0.05
-	done
-}
-
 # Sends the same request through a proxy every 250 ms, at the same moments as
 # the others.
 send_bad() { # PROXY
@@ -73,7 +51,7 @@
 	# Until then, a dispatcher allows few retries.
 	sleep $RETRY_WINDOW_S
 	for i in $SERVERS; do
-		keep_replacing $i &
+		keep_replacing $i 2.2 &
 	done
 	for i in $PROXIES; do
 		send_bad $i &
--- a/tests/test_parts.sh
+++ b/tests/test_parts.sh
@@ -25,27 +25,6 @@
 	awk '{ printf "%d", $1 * 1000 }' /proc/uptime
 }
 
-replace_server() { # N GENERATION
-	local id=c$1-$2
-	sleep 1
-	platform "server?id=$(cat "$DIR/server$1")&state=gone"
-	sleep 2
-	echo $id >"$DIR/server$1"
-	start_fragile $1 $id
-	platform "register?id=$id&service=fragile&slots=4&port=$(server_port $((5 + $1)))"
-}
-
-keep_replacing() { # N
-	local generation=0
-	while [ ! -e "$DIR/stop" ]; do
-		if ! is_alive fragile$1; then
-			generation=$((generation + 1))
-			replace_server $1 $generation
-		fi
-		sleep 0.1
-	done
-}
-
 # Sends a request with given shared parts; prints when, what and the outcome.
 send_parts() { # PROXY NAME PARTS
 	local now
@@ -135,7 +114,7 @@
 sleep $RETRY_WINDOW_S
 replacing=""
 for i in $SERVERS; do
-	keep_replacing $i &
+	keep_replacing $i 2 &
 	replacing="$replacing $!"
 done
 
