Suspects: plainer names; one copy of the hexadecimal digit

Read as a newcomer: a part is confirmed as a cause, crashes count against features, a feature with nearly the same crashes is an alternative; a server lives on briefly, or survives. The value of a hexadecimal digit was written twice. A refusal that rests on no feature logs an empty fingerprint. Nothing else changes (same-code: names and these places).

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -426,8 +426,8 @@
 	mh_dispatch_record_first_byte(req, first_ms, mh_dispatch_now_ns(d));
 	mh_dispatch_run_responds(d, req, mh_dispatch_now_ns(d));
 	mh_dispatch_record_response(d, req, mh_dispatch_now_ns(d));
-	mh_dispatch_record_survived(d, req, mh_dispatch_now_ns(d));
-	mh_dispatch_record_life(d, req->server, mh_dispatch_now_ns(d));
+	mh_dispatch_resolve_unproven(d, req, mh_dispatch_now_ns(d));
+	mh_dispatch_record_alive(d, req->server, mh_dispatch_now_ns(d));
 }
 
 void mh_dispatch_enter_queue(struct request *req)
--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -1,7 +1,6 @@
 /*
- * Requests that crash servers. A suspect, whose run was lost with a server,
- * runs one at a time, and two suspects are kept apart as soon as one of them
- * was lost twice, so that what a server crashes by becomes unambiguous.
+ * Requests that crash servers: counts a run that is lost with its server against
+ * the features of its request.
  */
 #include <utlist.h>
 
@@ -88,11 +87,11 @@
 				      req->placed_ns, now_ns));
 }
 
-/* Features that the loss of a run speaks against, as bits by their number: the
- * whole request, and its parts if it had just begun. Beside parts on trial, those
- * that other runs outlived lately are not the cause. */
-static uint64_t accused_features(const struct mh_dispatch *d,
-				 const struct request *req, uint64_t now_ns)
+/* Features that a lost run counts against, as bits by their number: the whole
+ * request, and its parts if it had just begun. Beside parts on trial, those that
+ * recently did no harm are not the cause. */
+static uint64_t features_to_count(const struct mh_dispatch *d,
+				  const struct request *req, uint64_t now_ns)
 {
 	uint64_t on_trial = parts_on_trial(d, req, now_ns), bits = 1;
 	uint32_t i;
@@ -111,26 +110,27 @@
 
 /* Counts a crash against features of a run, given as bits by their number.
  * Return: whether it counts against any. */
-static bool accuse(struct mh_dispatch *d, const struct server *s,
-		   const struct mh_features *features, uint64_t accused,
-		   uint64_t placed_ns, bool was_responding, uint64_t now_ns)
+static bool count_crash(struct mh_dispatch *d, const struct server *s,
+			const struct mh_features *features, uint64_t bits,
+			uint64_t placed_ns, bool was_responding,
+			uint64_t now_ns)
 {
 	struct mh_feature feature;
 	bool counts = false;
 	uint32_t i;
 
 	for (i = 0; i < mh_features_count(features); i++) {
-		if (!(accused >> i & 1))
+		if (!(bits >> i & 1))
 			continue;
 		feature = mh_features_at(features, i);
-		/* Runs that began before the first crash clear nobody. */
+		/* Runs that began before the first crash prove nothing. */
 		if (i && !mh_suspects_crashes(d->suspects, feature, now_ns))
 			mh_open_runs_restart(d->open_runs, feature, now_ns);
 		counts |= mh_suspects_add_crash(
 			d->suspects, feature, features->request, s->incarnation,
 			placed_ns, was_responding, now_ns);
 	}
-	mh_suspects_convict(d->suspects, mh_dispatch_has_settled, d, now_ns);
+	mh_suspects_confirm(d->suspects, mh_dispatch_has_settled, d, now_ns);
 	return counts;
 }
 
@@ -143,7 +143,7 @@
 		return MH_LOST_UNMARKED;
 	if ((!s->takes_work && !s->vanished) || s->is_leaving)
 		return MH_LOST_LEAVING;
-	mh_dispatch_record_outlived(d, req, now_ns);
+	mh_dispatch_record_survival(d, req, now_ns);
 	mh_open_runs_unsettle(d->open_runs, req->features, s->incarnation);
 	if (is_on_trial(d, req, now_ns)) {
 		s->trial_lost_ns = now_ns;
@@ -153,18 +153,20 @@
 		return MH_LOST_BESIDE;
 	}
 	s->lost_ns = now_ns;
-	return accuse(d, s, req->features, accused_features(d, req, now_ns),
-		      req->placed_ns, req->answering, now_ns) ?
+	return count_crash(d, s, req->features,
+			   features_to_count(d, req, now_ns), req->placed_ns,
+			   req->answering, now_ns) ?
 		       MH_LOST_COUNTED :
 		       MH_LOST_SUCCEEDED;
 }
 
-/* Counts a run that ended without a response, or with one that its server may
- * not have outlived. */
-static void accuse_ended(struct mh_dispatch *d, const struct server *s,
-			 const struct ended_run *run, uint64_t now_ns)
+/* Counts a run that ended without a response, or with one after which its server
+ * may have crashed. */
+static void count_ended_run(struct mh_dispatch *d, const struct server *s,
+			    const struct ended_run *run, uint64_t now_ns)
 {
-	accuse(d, s, run->features, UINT64_MAX, run->placed_ns, false, now_ns);
+	count_crash(d, s, run->features, UINT64_MAX, run->placed_ns, false,
+		    now_ns);
 }
 
 /* The newest runs replace the oldest ones. */
@@ -232,8 +234,8 @@
 	if (req->answering || s->last_answer_ns > req->placed_ns)
 		return;
 	if (s->vanished)
-		accuse(d, s, req->features, UINT64_MAX, req->placed_ns, false,
-		       now_ns);
+		count_crash(d, s, req->features, UINT64_MAX, req->placed_ns,
+			    false, now_ns);
 	if (s->takes_work)
 		keep_ended(s->silent, &s->n_silent, req, now_ns);
 }
@@ -248,8 +250,8 @@
 
 /* Runs whose responses had ended when this one began ended well: their server
  * lives. */
-void mh_dispatch_record_survived(struct mh_dispatch *d,
-				 const struct request *req, uint64_t now_ns)
+void mh_dispatch_resolve_unproven(struct mh_dispatch *d,
+				  const struct request *req, uint64_t now_ns)
 {
 	struct server *s = req->server;
 	uint32_t i, kept = 0;
@@ -276,11 +278,11 @@
 
 	for (i = 0; i < MAX_ENDED_RUNS && s->silent[i].features; i++) {
 		if (s->last_answer_ns <= s->silent[i].placed_ns)
-			accuse_ended(d, s, &s->silent[i], now_ns);
+			count_ended_run(d, s, &s->silent[i], now_ns);
 	}
 	for (i = 0; i < MAX_ENDED_RUNS && s->unproven[i].features; i++) {
 		if (now_ns < s->unproven[i].ended_ns + REGISTRATION_NS)
-			accuse_ended(d, s, &s->unproven[i], now_ns);
+			count_ended_run(d, s, &s->unproven[i], now_ns);
 	}
 	mh_dispatch_drop_ended(s);
 }
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -46,7 +46,7 @@
 	bool is_open;	 /* its run may crash its server yet */
 	bool is_counted; /* as an open run */
 	uint64_t trials; /* features on trial in its run, bits by number */
-	bool outlived;	 /* its server lived on for a moment */
+	bool survived_briefly; /* its server lived on for SETTLE_NS, at least */
 	bool parked;
 	bool is_repeatable;
 	bool over_quota; /* served from spare slots only */
@@ -67,12 +67,12 @@
 
 #define MAX_ENDED_RUNS 16
 
-/* A run that ended well before it is known whether its server outlived it. */
+/* A run that ended well, though its server may crash by it yet. */
 struct undecided_run {
 	struct mh_features *features;
 	uint64_t placed_ns;
 	uint64_t due_ns; /* a sign of life from then on proves that it did */
-	bool outlived;	 /* for a moment, at least */
+	bool survived_briefly; /* the server did, for a shorter time at least */
 	struct undecided_run *prev, *next;
 };
 
@@ -114,8 +114,9 @@
 	 * whole, or the server crashed at that moment. What it does next tells
 	 * which. */
 	struct ended_run unproven[MAX_ENDED_RUNS];
-	uint32_t n_unproven;		 /* ever recorded */
-	struct undecided_run *undecided; /* by due_ns, almost */
+	uint32_t n_unproven; /* ever recorded */
+	/* In the order in which they ended. */
+	struct undecided_run *undecided;
 	uint32_t n_undecided;
 	UT_hash_handle hh;
 };
@@ -246,9 +247,9 @@
 void mh_dispatch_close_run(struct mh_dispatch *d, struct request *req);
 void mh_dispatch_end_run(struct mh_dispatch *d, struct request *req,
 			 enum mh_slot_outcome outcome, uint64_t now_ns);
-void mh_dispatch_record_life(struct mh_dispatch *d, struct server *s,
-			     uint64_t now_ns);
-void mh_dispatch_record_outlived(struct mh_dispatch *d, struct request *req,
+void mh_dispatch_record_alive(struct mh_dispatch *d, struct server *s,
+			      uint64_t now_ns);
+void mh_dispatch_record_survival(struct mh_dispatch *d, struct request *req,
 				 uint64_t now_ns);
 void mh_dispatch_drop_undecided(struct mh_dispatch *d, struct server *s);
 void mh_dispatch_expire_open_runs(struct mh_dispatch *d, struct server *s,
@@ -270,8 +271,8 @@
 				   const struct request *req, uint64_t now_ns);
 void mh_dispatch_record_gone(struct mh_dispatch *d, struct server *s);
 void mh_dispatch_record_unproven(const struct request *req, uint64_t now_ns);
-void mh_dispatch_record_survived(struct mh_dispatch *d,
-				 const struct request *req, uint64_t now_ns);
+void mh_dispatch_resolve_unproven(struct mh_dispatch *d,
+				  const struct request *req, uint64_t now_ns);
 void mh_dispatch_record_response(struct mh_dispatch *d,
 				 const struct request *req, uint64_t now_ns);
 
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -379,7 +379,7 @@
 		/* fallthrough */
 	case MH_SLOT_UNPROVEN:
 		s->last_answer_ns = now_ns;
-		mh_dispatch_record_life(d, s, now_ns);
+		mh_dispatch_record_alive(d, s, now_ns);
 		record_success(req, total_ms);
 		update_mean(&s->failure_rate, 0, FAILURE_GAIN);
 		break;
--- a/core/dispatch_trial.c
+++ b/core/dispatch_trial.c
@@ -1,7 +1,9 @@
 /*
  * Trials of features that may crash servers. A run is open until its server has
- * outlived the begin of its response. Of a suspect feature few runs are open at
- * a time, and a run that ends its time open clears the parts of its prompt.
+ * lived on for SURVIVAL_NS after it began to respond; then the parts of its prompt
+ * are cleared of earlier crashes. Of a suspect feature few runs are open at a time,
+ * and two suspects are kept apart as soon as one of them was lost twice, so that
+ * what a server crashes by becomes unambiguous.
  */
 #include <stdlib.h>
 #include <utlist.h>
@@ -11,16 +13,16 @@
 /* A server that shows a sign of life this long after it began to respond did not
  * crash by the run: servers crash as they begin to respond. */
 #define SURVIVAL_NS (500 * MH_NS_PER_MS)
-/* A run with several parts on trial waits for so long after the last crash. */
-#define PURER_RUNS_NS (1000 * MH_NS_PER_MS)
-/* Runs that have ended are kept for as long until their server shows a sign of
- * life. */
+/* A run with several parts on trial waits for this long after the last crash. */
+#define SIMPLER_RUNS_NS (1000 * MH_NS_PER_MS)
+/* Runs that have ended are kept for this long after that until their server shows
+ * a sign of life. */
 #define PROOF_WAIT_NS (2000 * MH_NS_PER_MS)
 #define MAX_UNDECIDED_RUNS 64
-/* A run that its server does not respond to keeps others waiting for so long. */
+/* A run that its server does not respond to keeps others waiting for this long. */
 #define SILENCE_NS (2000 * MH_NS_PER_MS)
-/* A run of a suspect that began to be responded to this long ago is not on trial
- * any more if it is repeated alone. */
+/* A request may run again, beside a copy of it, this long after the server began to
+ * respond to that. */
 #define TRIAL_NS (100 * MH_NS_PER_MS)
 /* Few servers that crash by a run live longer than this after they began to
  * respond to it. */
@@ -98,11 +100,10 @@
 	return false;
 }
 
-/* Whether a run should wait for others that tell more: of several parts on trial
- * together, neither is cleared or convicted alone, while one that is alone in a
- * sound request clears itself. */
-static bool waits_for_purer_runs(const struct mh_dispatch *d,
-				 const struct request *req, uint64_t now_ns)
+/* Whether a run has to wait, as it has several parts on trial: its loss would not
+ * tell which of them is the cause, a run with one of them does. */
+static bool waits_for_simpler_runs(const struct mh_dispatch *d,
+				   const struct request *req, uint64_t now_ns)
 {
 	uint64_t last_ns = 0, first_ns, crash_ns;
 	uint32_t n = 0, i;
@@ -118,7 +119,7 @@
 		if (crash_ns > last_ns)
 			last_ns = crash_ns;
 	}
-	return n > 1 && now_ns < last_ns + PURER_RUNS_NS;
+	return n > 1 && now_ns < last_ns + SIMPLER_RUNS_NS;
 }
 
 /* Whether a run can begin under the limits of its features: anywhere, or only
@@ -130,7 +131,7 @@
 	uint32_t i;
 
 	*only_at = 0;
-	if (waits_for_purer_runs(d, req, now_ns))
+	if (waits_for_simpler_runs(d, req, now_ns))
 		return false;
 	for (i = 0; i < mh_features_count(req->features); i++) {
 		struct mh_feature feature = mh_features_at(req->features, i);
@@ -314,7 +315,7 @@
 	run->features = mh_features_ref(req->features);
 	run->placed_ns = req->placed_ns;
 	run->due_ns = due_ns;
-	run->outlived = req->outlived;
+	run->survived_briefly = req->survived_briefly;
 	DL_APPEND(s->undecided, run);
 	s->n_undecided++;
 	settle_run(d, req, 0);
@@ -347,8 +348,8 @@
 	mh_dispatch_close_run(d, req);
 }
 
-/* Its server lived until now. */
-void mh_dispatch_record_outlived(struct mh_dispatch *d, struct request *req,
+/* Its server was alive until now. */
+void mh_dispatch_record_survival(struct mh_dispatch *d, struct request *req,
 				 uint64_t now_ns)
 {
 	if (!req->is_open || !req->answering ||
@@ -359,33 +360,34 @@
 	mh_dispatch_close_run(d, req);
 }
 
-/* Its server lived on for a moment after it began to respond. */
-static void record_moment(struct mh_dispatch *d, struct request *req,
-			  uint64_t now_ns)
+/* Its server lived on for SETTLE_NS after it began to respond. */
+static void record_brief_survival(struct mh_dispatch *d, struct request *req,
+				  uint64_t now_ns)
 {
-	if (!req->is_open || req->outlived || !req->answering ||
+	if (!req->is_open || req->survived_briefly || !req->answering ||
 	    now_ns < req->answered_ns + SETTLE_NS)
 		return;
-	req->outlived = true;
-	mh_suspects_outlived(d->suspects, req->features, req->placed_ns);
+	req->survived_briefly = true;
+	mh_suspects_survived_briefly(d->suspects, req->features,
+				     req->placed_ns);
 }
 
-void mh_dispatch_record_life(struct mh_dispatch *d, struct server *s,
-			     uint64_t now_ns)
+void mh_dispatch_record_alive(struct mh_dispatch *d, struct server *s,
+			      uint64_t now_ns)
 {
 	struct undecided_run *run, *tmp;
 	struct request *req;
 
 	DL_FOREACH(s->requests, req) {
-		record_moment(d, req, now_ns);
-		mh_dispatch_record_outlived(d, req, now_ns);
+		record_brief_survival(d, req, now_ns);
+		mh_dispatch_record_survival(d, req, now_ns);
 	}
 	DL_FOREACH_SAFE(s->undecided, run, tmp) {
-		if (!run->outlived &&
+		if (!run->survived_briefly &&
 		    now_ns + SURVIVAL_NS >= run->due_ns + SETTLE_NS) {
-			run->outlived = true;
-			mh_suspects_outlived(d->suspects, run->features,
-					     run->placed_ns);
+			run->survived_briefly = true;
+			mh_suspects_survived_briefly(d->suspects, run->features,
+						     run->placed_ns);
 		}
 		if (now_ns < run->due_ns)
 			continue;
--- a/core/features.h
+++ b/core/features.h
@@ -1,6 +1,6 @@
 /*
- * Features of a request by which a fault can be told: the whole request, and
- * the parts of its prompt that other requests share.
+ * Features of a request by which the cause of a fault can be identified: the whole
+ * request, and the parts of its prompt that other requests share.
  */
 #ifndef MH_FEATURES_H
 #define MH_FEATURES_H
--- a/core/id.c
+++ b/core/id.c
@@ -24,7 +24,7 @@
 	return true;
 }
 
-static int hex_value(char c)
+int mh_hex_value(char c)
 {
 	if (c >= '0' && c <= '9')
 		return c - '0';
@@ -54,8 +54,8 @@
 				return false;
 			continue;
 		}
-		hi = hex_value(text[i]);
-		lo = hex_value(text[i + 1]);
+		hi = mh_hex_value(text[i]);
+		lo = mh_hex_value(text[i + 1]);
 		if (hi < 0 || lo < 0)
 			return false;
 		id->b[n++] = (uint8_t)(hi << 4 | lo);
--- a/core/id.h
+++ b/core/id.h
@@ -17,6 +17,14 @@
 	uint8_t b[MH_ID_BYTES];
 };
 
+/**
+ * mh_hex_value() - value of a hexadecimal digit
+ * @c: character
+ *
+ * Return: 0 to 15, -1 if it is none.
+ */
+int mh_hex_value(char c);
+
 /**
  * mh_id_is_zero() - whether an id is unset
  * @id: id to test
--- a/core/suspect_conviction.c
+++ b/core/suspect_confirmation.c
@@ -2,8 +2,8 @@
 #include "core/clock.h"
 #include "core/suspects_impl.h"
 
-/* Whether a server's end counts against a part that crashed others before, and
- * that no run outlived lately: it has a cause of its own. */
+/* Whether a server's end counts against a part that crashed others before and did
+ * no harm recently: it has a cause of its own. */
 static bool has_own_cause(const struct mh_suspects *set,
 			  const struct ended_server *end,
 			  const struct mh_suspect *except, uint64_t now_ns)
@@ -89,34 +89,34 @@
 }
 
 /* A part that may be the cause itself is not cleared by another one. */
-static bool may_explain(const struct suspect_row *cause,
-			const struct suspect_row *r)
+static bool may_clear(const struct suspect_row *cause,
+		      const struct suspect_row *r)
 {
 	return cause != r && is_part(r) &&
-	       !mh_suspect_rivals(&r->suspect, &cause->suspect);
+	       !mh_suspect_may_explain(&r->suspect, &cause->suspect);
 }
 
-static bool may_be_convicted(const struct suspect_row *r)
+static bool may_be_confirmed(const struct suspect_row *r)
 {
-	return is_part(r) && !r->suspect.is_convicted &&
-	       mh_suspect_convicts(&r->suspect,
+	return is_part(r) && !r->suspect.is_confirmed &&
+	       mh_suspect_suffices(&r->suspect,
 				   &(struct mh_suspect_context){ 0 }, 0);
 }
 
-static void convict(struct mh_suspects *set, struct suspect_row *r,
+static void confirm(struct mh_suspects *set, struct suspect_row *r,
 		    uint64_t now_ns)
 {
 	struct mh_suspect *suspect = &r->suspect;
 	struct mh_suspect_context context = mh_suspects_context(set, r, now_ns);
 
-	if (!mh_suspect_convicts(suspect, &context,
+	if (!mh_suspect_suffices(suspect, &context,
 				 count_others(set, suspect, now_ns)))
 		return;
-	suspect->is_convicted = true;
+	suspect->is_confirmed = true;
 	mh_suspects_report(set, r, now_ns);
 }
 
-void mh_suspects_convict(struct mh_suspects *set,
+void mh_suspects_confirm(struct mh_suspects *set,
 			 bool (*has_settled)(void *data,
 					     struct mh_feature feature),
 			 void *data, uint64_t now_ns)
@@ -124,15 +124,15 @@
 	struct suspect_row *cause, *r, *tmp, *tmp_r;
 
 	HASH_ITER(hh, set->rows, r, tmp) {
-		if (may_be_convicted(r) &&
+		if (may_be_confirmed(r) &&
 		    !has_settled(data, r->suspect.feature))
-			convict(set, r, now_ns);
+			confirm(set, r, now_ns);
 	}
 	HASH_ITER(hh, set->rows, cause, tmp) {
 		if (!is_refused_part(cause))
 			continue;
 		HASH_ITER(hh, set->rows, r, tmp_r) {
-			if (may_explain(cause, r) &&
+			if (may_clear(cause, r) &&
 			    refute_explained(&r->suspect, &cause->suspect))
 				mh_suspects_report_less(set, r, now_ns);
 		}
@@ -141,15 +141,15 @@
 
 /* Whether a feature that the request does not hold may be the cause of the crashes
  * of this part, so that the request tells which of them it is. */
-static bool has_rival(const struct mh_suspects *set,
-		      const struct suspect_row *r,
-		      const struct mh_features *features)
+static bool has_alternative(const struct mh_suspects *set,
+			    const struct suspect_row *r,
+			    const struct mh_features *features)
 {
 	struct suspect_row *other, *tmp;
 
 	HASH_ITER(hh, set->rows, other, tmp) {
 		if (other != r &&
-		    mh_suspect_rivals(&other->suspect, &r->suspect) &&
+		    mh_suspect_may_explain(&other->suspect, &r->suspect) &&
 		    !mh_features_hold(features, other->suspect.feature))
 			return true;
 	}
@@ -161,7 +161,7 @@
 {
 	return r && mh_suspect_is_refused(&r->suspect) &&
 	       now_ns < mh_suspect_expiry_ns(&r->suspect) &&
-	       (!is_part(r) || !has_rival(set, r, features));
+	       (!is_part(r) || !has_alternative(set, r, features));
 }
 
 bool mh_suspects_refuses(struct mh_suspects *set,
--- a/core/suspect_rules.c
+++ b/core/suspect_rules.c
@@ -8,23 +8,22 @@
 #define REFUSED_CRASHES 3
 /* A part is refused after this many crashes in series. */
 #define REFUSED_ROUNDS 3
-/* One more is needed if others outlived the part lately, and one if servers end for
+/* One more is needed if the part recently did no harm, and one if servers end for
  * other reasons at the same time. */
 #define REFUSED_ROUNDS_SURVIVED 4
 /* Crashes from which on other processes are told of a part. */
 #define SHARED_CRASHES 2
-/* Crashes in series from which on runs with a part that others outlived lately
- * are limited: if no open one does well, and in any case. Most such parts only
- * come from runs beside the cause. */
+/* Crashes in series from which on runs with a part that recently did no harm are
+ * limited: if no open one does well, and in any case. Most such parts only belong to
+ * runs beside the cause. */
 #define LIMITED_ROUNDS 2
 #define LIMITED_ROUNDS_SETTLED 6
-/* Runs that their servers outlived for a moment, between crashes: of a part that
- * crashes servers there are hardly any. */
-#define OUTLIVED_MIN 5
-/* A part that shares so many crashes of another one, all but so many, may be the
- * cause of them. */
-#define RIVAL_CRASHES 2
-#define RIVAL_MISSING 1
+/* Brief survivals between crashes; a part that crashes servers has hardly any. */
+#define BRIEF_SURVIVALS_MIN 5
+/* A feature that has at least this many crashes of a part, and lacks at most this
+ * many, may be their cause. */
+#define COMMON_CRASHES_MIN 2
+#define MISSING_CRASHES_MAX 1
 /* An equal request that ended well this recently keeps a crash from counting.
  */
 #define RECENT_SUCCESS_NS (10000 * MH_NS_PER_MS)
@@ -110,11 +109,11 @@
 
 static bool is_part_refused(const struct mh_suspect *suspect)
 {
-	return suspect->is_convicted &&
+	return suspect->is_confirmed &&
 	       mh_suspect_rounds(suspect) >= REFUSED_ROUNDS;
 }
 
-bool mh_suspect_convicts(const struct mh_suspect *suspect,
+bool mh_suspect_suffices(const struct mh_suspect *suspect,
 			 const struct mh_suspect_context *context,
 			 uint32_t n_others)
 {
@@ -123,7 +122,7 @@
 
 	if (n_others)
 		needed++;
-	if (context->n_outlived >= OUTLIVED_MIN)
+	if (context->n_brief_survivals >= BRIEF_SURVIVALS_MIN)
 		needed = LIMITED_ROUNDS_SETTLED;
 	/* Most parts have too few crashes to look at their order. */
 	return suspect->n_crashes >= needed &&
@@ -145,7 +144,7 @@
 {
 	uint32_t limited = context->survived ? LIMITED_ROUNDS : 1;
 
-	if (context->n_outlived >= OUTLIVED_MIN ||
+	if (context->n_brief_survivals >= BRIEF_SURVIVALS_MIN ||
 	    (context->survived && context->has_settled))
 		limited = LIMITED_ROUNDS_SETTLED;
 	return mh_suspect_rounds(suspect) >= limited ? 1 : MH_TRIALS_UNLIMITED;
@@ -204,18 +203,18 @@
 	return false;
 }
 
-bool mh_suspect_rivals(const struct mh_suspect *rival,
-		       const struct mh_suspect *suspect)
+bool mh_suspect_may_explain(const struct mh_suspect *cause,
+			    const struct mh_suspect *suspect)
 {
 	uint32_t i, common = 0, missing = 0;
 
 	for (i = 0; i < suspect->n_crashes; i++) {
 		if (suspect->crashes[i].refuted)
 			continue;
-		if (has_crash(rival, &suspect->crashes[i]))
+		if (has_crash(cause, &suspect->crashes[i]))
 			common++;
 		else
 			missing++;
 	}
-	return common >= RIVAL_CRASHES && missing <= RIVAL_MISSING;
+	return common >= COMMON_CRASHES_MIN && missing <= MISSING_CRASHES_MAX;
 }
--- a/core/suspect_rules.h
+++ b/core/suspect_rules.h
@@ -13,17 +13,16 @@
 #define MH_SUSPECT_TIME_ERROR_NS (2 * MH_NS_PER_MS)
 
 /**
- * struct mh_suspect_context - what speaks for a suspect, as far as this process
- *                             knows
- * @survived: a run with the feature outlived its begin lately
- * @has_settled: an open one has not crashed its server so far
- * @n_outlived: runs from after its first crash that their servers outlived for a
- *              moment
+ * struct mh_suspect_context - evidence for a suspect that only this process has
+ * @survived: a server recently lived on after a run with the feature
+ * @has_settled: an open run with it has not crashed its server so far
+ * @n_brief_survivals: runs since its first crash after which their servers lived
+ *                     on for a short time, at least
  */
 struct mh_suspect_context {
 	bool survived;
 	bool has_settled;
-	uint32_t n_outlived;
+	uint32_t n_brief_survivals;
 };
 
 /**
@@ -50,13 +49,13 @@
 const struct mh_suspect_rules *mh_suspect_rules_of(struct mh_feature feature);
 
 /**
- * mh_suspect_convicts() - whether the crashes suffice to convict a part
+ * mh_suspect_suffices() - whether the crashes suffice to confirm a part
  * @suspect: record of a part
- * @context: what speaks for it
+ * @context: evidence for it
  * @n_others: crashes in the time of these that the part had no share in: servers
  *            end for other reasons as well
  */
-bool mh_suspect_convicts(const struct mh_suspect *suspect,
+bool mh_suspect_suffices(const struct mh_suspect *suspect,
 			 const struct mh_suspect_context *context,
 			 uint32_t n_others);
 
@@ -68,15 +67,15 @@
 bool mh_crash_is_same(const struct mh_crash *a, const struct mh_crash *b);
 
 /**
- * mh_suspect_rivals() - whether the crashes of one suspect may be the fault of
+ * mh_suspect_may_explain() - whether the crashes of one suspect may be the fault of
  *                       another one
- * @rival: possible cause
+ * @cause: possible cause
  * @suspect: suspect
  *
  * Return: whether all crashes but one that count against @suspect count against
- * @rival as well, and those are several.
+ * @cause as well, and those are several.
  */
-bool mh_suspect_rivals(const struct mh_suspect *rival,
-		       const struct mh_suspect *suspect);
+bool mh_suspect_may_explain(const struct mh_suspect *cause,
+			    const struct mh_suspect *suspect);
 
 #endif
--- a/core/suspects.c
+++ b/core/suspects.c
@@ -12,8 +12,8 @@
  * after its last crash or refusal. */
 #define SUSPECT_RETENTION_NS (60000 * MH_NS_PER_MS)
 #define REFUSED_RETENTION_NS (MH_SUSPECT_RETENTION_MS * MH_NS_PER_MS)
-/* A run with the part outlived its begin this recently: the part is a common
- * one that did no harm. */
+/* A server that lived on after a run with the part this recently shows that it did
+ * no harm. */
 #define RECENT_SURVIVAL_NS (10000 * MH_NS_PER_MS)
 /* A server that cut a response and lives accepts a connection within this time.
  * Crashes that are refuted by then concern no other process: with servers that
@@ -137,17 +137,16 @@
 	return r;
 }
 
-static const struct success *success_of(const struct mh_suspects *set,
-					struct mh_feature feature)
+static uint32_t success_slot(struct mh_feature feature)
 {
-	return &set->successes[feature.id & (SUCCESS_SLOTS - 1)];
+	return feature.id & (SUCCESS_SLOTS - 1);
 }
 
 /* Return: when the feature last showed to be harmless, 0 if it is not known. */
 static uint64_t last_success_ns(const struct mh_suspects *set,
 				struct mh_feature feature)
 {
-	const struct success *ok = success_of(set, feature);
+	const struct success *ok = &set->successes[success_slot(feature)];
 
 	return ok->key.id == feature.id && ok->key.kind == feature.kind ?
 		       ok->ended_ns :
@@ -169,7 +168,7 @@
 	return (struct mh_suspect_context){
 		.survived = mh_suspects_survived_lately(set, r->suspect.feature,
 							now_ns),
-		.n_outlived = r->n_outlived,
+		.n_brief_survivals = r->n_brief_survivals,
 	};
 }
 
@@ -221,7 +220,7 @@
 static void remember_success(struct mh_suspects *set, struct mh_feature feature,
 			     uint64_t now_ns)
 {
-	struct success *ok = (struct success *)success_of(set, feature);
+	struct success *ok = &set->successes[success_slot(feature)];
 
 	ok->key = key_of(feature);
 	ok->ended_ns = now_ns;
@@ -435,7 +434,7 @@
 			suspect->crashes[n++] = suspect->crashes[i];
 	}
 	suspect->n_crashes = n;
-	suspect->is_convicted = suspect->is_convicted && n;
+	suspect->is_confirmed = suspect->is_confirmed && n;
 	return n < n_before;
 }
 
@@ -457,14 +456,14 @@
 		if (!drop_cleared_crashes(&r->suspect, 0))
 			continue;
 		if (!r->suspect.n_crashes)
-			r->n_outlived = 0;
+			r->n_brief_survivals = 0;
 		mh_suspects_report_less(set, r, now_ns);
 	}
 }
 
-void mh_suspects_outlived(struct mh_suspects *set,
-			  const struct mh_features *features,
-			  uint64_t placed_ns)
+void mh_suspects_survived_briefly(struct mh_suspects *set,
+				  const struct mh_features *features,
+				  uint64_t placed_ns)
 {
 	uint64_t first_ns, last_ns;
 	uint32_t i;
@@ -477,7 +476,7 @@
 		if (!r)
 			continue;
 		mh_suspects_crash_times(set, part, &first_ns, &last_ns);
-		r->n_outlived += first_ns && placed_ns > first_ns;
+		r->n_brief_survivals += first_ns && placed_ns > first_ns;
 	}
 }
 
@@ -577,9 +576,9 @@
 		record_end(set, other->crashes[i].server,
 			   other->crashes[i].lost_ns);
 	}
-	if (other->is_convicted && !r->suspect.is_convicted &&
+	if (other->is_confirmed && !r->suspect.is_confirmed &&
 	    mh_suspect_rounds(&r->suspect)) {
-		r->suspect.is_convicted = true;
+		r->suspect.is_confirmed = true;
 		changed = true;
 	}
 	if (other->seen_ns > r->suspect.seen_ns) {
--- a/core/suspects.h
+++ b/core/suspects.h
@@ -2,7 +2,7 @@
  * Features of requests that may crash the servers that run them. A run that is
  * lost with its server counts against its features until the server turns out
  * to have survived, or the feature shows to be harmless: an equal request ends
- * well, or a later run with the same part outlives its begin. Records are merged
+ * well, or a later run with the same part does no harm. Records are merged
  * between processes, so that crashes count wherever they were seen.
  */
 #ifndef MH_SUSPECTS_H
@@ -47,7 +47,7 @@
  * @cleared_ns: no crash before this monotonic time counts: an equal request
  *              ended well then, or a run with the part began then and its server
  *              lived on; 0 if none did
- * @is_convicted: the crashes suffice to refuse a part, as long as they count
+ * @is_confirmed: the crashes suffice to refuse a part, as long as they count
  * @n_crashes: number of elements in @crashes
  * @crashes: servers that its runs were lost with, also refuted ones
  */
@@ -55,7 +55,7 @@
 	struct mh_feature feature;
 	uint64_t seen_ns;
 	uint64_t cleared_ns;
-	bool is_convicted;
+	bool is_confirmed;
 	uint32_t n_crashes;
 	struct mh_crash crashes[MH_SUSPECT_CRASHES];
 };
@@ -153,18 +153,19 @@
 		       uint64_t now_ns);
 
 /**
- * mh_suspects_convict() - refuse the parts that have crashed enough servers, and
- *                         keep their crashes from counting against others
+ * mh_suspects_confirm() - confirm the parts that have crashed enough servers, which
+ *                         are refused from then on, and keep their crashes from
+ *                         counting against others
  * @set: set
  * @has_settled: whether an open run with a feature has not crashed its server so
- *               far; such a part is not convicted yet
+ *               far; such a part is not confirmed yet
  * @data: first argument of @has_settled
  * @now_ns: monotonic time
  *
  * Call it after the crashes of a lost run were added. A part that has nearly the
  * same crashes stays: either may be the cause.
  */
-void mh_suspects_convict(struct mh_suspects *set,
+void mh_suspects_confirm(struct mh_suspects *set,
 			 bool (*has_settled)(void *data,
 					     struct mh_feature feature),
 			 void *data, uint64_t now_ns);
@@ -190,19 +191,19 @@
 			  uint64_t placed_ns, uint64_t now_ns);
 
 /**
- * mh_suspects_outlived() - a server lived on for a moment after it began to respond
- *                          to a run; call it once for each run
+ * mh_suspects_survived_briefly() - a server lived on for a short time after it began
+ *                                  to respond to a run; call it once for a run
  * @set: set
  * @features: features of the run's request
  * @placed_ns: monotonic time at which the run began
  */
-void mh_suspects_outlived(struct mh_suspects *set,
-			  const struct mh_features *features,
-			  uint64_t placed_ns);
+void mh_suspects_survived_briefly(struct mh_suspects *set,
+				  const struct mh_features *features,
+				  uint64_t placed_ns);
 
 /**
- * mh_suspects_survived_lately() - whether a run with a part outlived its begin a
- *                                 short time ago
+ * mh_suspects_survived_lately() - whether a server recently lived on after a run
+ *                                 with a part
  * @set: set
  * @feature: part
  * @now_ns: monotonic time
--- a/core/suspects_impl.h
+++ b/core/suspects_impl.h
@@ -27,9 +27,8 @@
 	struct mh_suspect suspect;
 	uint64_t reported_ns; /* when other processes were told, 0: never */
 	uint64_t share_ns;    /* when they will be told, 0: no need to */
-	/* Runs from after its first crash that their servers outlived for a
-	 * moment. */
-	uint32_t n_outlived;
+	/* Runs since its first crash after which their servers lived on. */
+	uint32_t n_brief_survivals;
 	UT_hash_handle hh;
 };
 
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -41,6 +41,8 @@
 #define LINK_TIMEOUT_MS 1500
 #define MAX_FRAME_BYTES (8u << 20)
 #define MAX_QUEUE_BYTES (16u << 20)
+/* A 64-bit number in hexadecimal, with the end of the string. */
+#define HEX_BYTES 17
 /* After SIGTERM: time for entries to switch to another dispatcher. */
 #define SHUTDOWN_GRACE_NS (600 * MH_NS_PER_MS)
 
@@ -86,18 +88,22 @@
 			const struct mh_slot_refusal *why)
 {
 	struct mh_dispatcher_app *app = data;
+	char fingerprint[HEX_BYTES] = "";
 
+	if (why->feature.id)
+		snprintf(fingerprint, sizeof(fingerprint), "%016llx",
+			 (unsigned long long)why->feature.id);
 	mh_count(&app->process.counters, MH_C_REFUSED);
 	mh_event(app->process.log, MH_EV_REFUSED,
 		 "event=no_place entry=%s request=%llu error=%s wait_ms=%u "
 		 "spent=%llu limit=%llu retry_after_ms=%u feature=%s "
-		 "fingerprint=%016llx",
+		 "fingerprint=%s",
 		 entry_host(app, owner), (unsigned long long)id,
 		 mh_error_info(why->error)->name, why->wait_ms,
 		 (unsigned long long)why->spent, (unsigned long long)why->limit,
 		 why->retry_after_ms,
 		 why->feature.id ? mh_feature_kind_name(why->feature.kind) : "",
-		 (unsigned long long)why->feature.id);
+		 fingerprint);
 	mh_slot_frames_send_refusal(app->links, owner, id, why);
 }
 
--- a/net/suspect_frames.c
+++ b/net/suspect_frames.c
@@ -56,7 +56,7 @@
 	}
 	msg.fingerprint = suspect->feature.id;
 	msg.kind = suspect->feature.kind;
-	msg.is_convicted = suspect->is_convicted;
+	msg.is_confirmed = suspect->is_confirmed;
 	msg.seen_age_ms = age_ms(suspect->seen_ns, now_ns);
 	msg.is_cleared = suspect->cleared_ns;
 	msg.cleared_age_ms = age_ms(suspect->cleared_ns, now_ns);
@@ -78,7 +78,7 @@
 		return;
 	suspect->feature.kind = (enum mh_feature_kind)msg->kind;
 	suspect->feature.id = msg->fingerprint;
-	suspect->is_convicted = msg->is_convicted;
+	suspect->is_confirmed = msg->is_confirmed;
 	suspect->seen_ns = time_ns(msg->seen_age_ms, now_ns);
 	if (msg->is_cleared)
 		suspect->cleared_ns = time_ns(msg->cleared_age_ms, now_ns);
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -4122,12 +4122,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "is_convicted",
+    "is_confirmed",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Mh__CrashSuspect, is_convicted),
+    offsetof(Mh__CrashSuspect, is_confirmed),
     NULL,
     NULL,
     0,             /* flags */
@@ -4139,7 +4139,7 @@
   4,   /* field[4] = crash */
   0,   /* field[0] = fingerprint */
   2,   /* field[2] = is_cleared */
-  6,   /* field[6] = is_convicted */
+  6,   /* field[6] = is_confirmed */
   5,   /* field[5] = kind */
   1,   /* field[1] = seen_age_ms */
 };
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -610,7 +610,7 @@
   /*
    * a part: its requests are refused
    */
-  protobuf_c_boolean is_convicted;
+  protobuf_c_boolean is_confirmed;
 };
 #define MH__CRASH_SUSPECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__crash_suspect__descriptor) \
--- a/tests/parts_simulation.c
+++ b/tests/parts_simulation.c
@@ -75,6 +75,7 @@
 	struct node nodes[SIM_MAX_NODES + 2];
 	uint32_t n_nodes;
 	uint32_t in_use; /* dispatcher, of 0 and 1 */
+	bool is_dispatcher_lost;
 	bool all_lost;
 	struct server servers[SIM_MAX_SERVERS];
 	struct run *runs;
@@ -316,7 +317,7 @@
 	if (sim->result.crashed == COUNTED_CRASHES)
 		sim->fifth_ms = sim->now_ms;
 	if (sim->result.crashed == sim->c->dispatcher_lost_at)
-		sim->in_use = 2; /* replaced below */
+		sim->is_dispatcher_lost = true;
 }
 
 static void revive_servers(struct sim *sim)
@@ -433,7 +434,8 @@
 
 static void change_dispatchers(struct sim *sim)
 {
-	if (sim->in_use > 1) {
+	if (sim->is_dispatcher_lost) {
+		sim->is_dispatcher_lost = false;
 		sim->in_use = 1;
 		move_requests(sim);
 	}
--- a/tests/test_part_suspects.c
+++ b/tests/test_part_suspects.c
@@ -31,7 +31,7 @@
 	end(f, lost, MH_SLOT_LOST);
 	advance_clock(f, 1000);
 	end(f, before, MH_SLOT_OK);
-	/* One more than of a part that no run outlived. */
+	/* One more than of a part that no run survived_briefly. */
 	for (i = 0; i < 3; i++) {
 		end(f, request_with_part(f, 5), MH_SLOT_LOST);
 		advance_clock(f, 1000);
@@ -60,7 +60,7 @@
 }
 
 /* Guards against parts that are suspects for a crash long after they began. */
-static void test_run_lost_late_accuses_no_part(void **state)
+static void test_run_lost_late_counts_against_no_part(void **state)
 {
 	struct fixture *f = new_crash_fixture(4);
 	uint64_t id = request_with_part(f, 5);
@@ -105,7 +105,7 @@
 }
 
 /* Guards against parts that are refused for one request which crashes servers. */
-static void test_equal_requests_convict_no_part(void **state)
+static void test_equal_requests_confirm_no_part(void **state)
 {
 	struct fixture *f = new_crash_fixture(8);
 	uint64_t part = 5;
@@ -176,10 +176,10 @@
 		cmocka_unit_test(test_silent_trial_keeps_no_others_waiting),
 		cmocka_unit_test(test_run_from_before_a_crash_clears_no_part),
 		cmocka_unit_test(test_run_from_after_a_crash_clears_its_part),
-		cmocka_unit_test(test_run_lost_late_accuses_no_part),
+		cmocka_unit_test(test_run_lost_late_counts_against_no_part),
 		cmocka_unit_test(
 			test_found_part_explains_the_crashes_of_others),
-		cmocka_unit_test(test_equal_requests_convict_no_part),
+		cmocka_unit_test(test_equal_requests_confirm_no_part),
 		cmocka_unit_test(test_declined_request_clears_no_part),
 	};
 
