Test of notices: pause the server that proxies use most

Traced: servers are chosen by latency, and on a busy machine the server that the test had picked was hardly used. Nothing promises an even use.

The server that got most requests so far is paused now; all bounds stay.

--- a/tests/test_notices.sh
+++ b/tests/test_notices.sh
@@ -71,6 +71,14 @@
 	arrivals | grep -c " $1-.* 503 "
 }
 
+# Prints the number of the server that most requests of a part reached.
+busiest() { # PART
+	arrivals | awk -v part=$1 '
+		{ split($3, id, "-") }
+		id[1] == part && ++n[$2] > most { most = n[$2]; server = $2 }
+		END { print substr(server, 2) }'
+}
+
 shed() { # SERVER MS FIELDS
 	platform "shed?id=s$1&ms=$2&text=$3"
 }
@@ -106,18 +114,19 @@
 }
 
 t_pause_is_kept() {
-	local load
+	local load server
 	load_all pause 5 &
 	load=$!
 	sleep 1
-	shed 2 2500 Retry-After:1.5
+	server=$(busiest pause)
+	shed $server 2500 Retry-After:1.5
 	wait $load
 	refusals pause
 	arrivals_in_pauses pause 1500 | tail -n 3
 	[ $(refusals pause) -ge 4 ] &&
 		[ $(max_in_pauses pause 1500) -le $MAX_ARRIVALS ] &&
 		[ -z "$(grep -v '^200 ' "$DIR/pause.status")" ] &&
-		all_use_server 2
+		all_use_server $server
 }
 
 # Guards against a pause that the proxy doesn't learn of, because the only caller
@@ -179,7 +188,7 @@
 	load_all change 5 &
 	load=$!
 	sleep 0.5
-	shed 4 1500 Retry-After:3
+	shed $(busiest change) 1500 Retry-After:3
 	sleep 0.7
 	for n in 1 2; do
 		kill_hard dispatcher$n
