Suspects: a run that clears a part ends its confirmation

A confirmation ends with the run that clears the part of a crash; the next crash decides anew. One from before the clearing is not merged. Both tests fail on the code before (2 of 15 in test_suspect_sharing).

--- a/core/suspects.c
+++ b/core/suspects.c
@@ -434,7 +434,8 @@
 			suspect->crashes[n++] = suspect->crashes[i];
 	}
 	suspect->n_crashes = n;
-	suspect->is_confirmed = suspect->is_confirmed && n;
+	/* What is left may not suffice: the next crash decides anew. */
+	suspect->is_confirmed = suspect->is_confirmed && n == n_before;
 	return n < n_before;
 }
 
@@ -576,7 +577,10 @@
 		record_end(set, other->crashes[i].server,
 			   other->crashes[i].lost_ns);
 	}
+	/* Unless it was confirmed before it was cleared. */
 	if (other->is_confirmed && !r->suspect.is_confirmed &&
+	    other->cleared_ns + MH_SUSPECT_TIME_ERROR_NS >=
+		    r->suspect.cleared_ns &&
 	    mh_suspect_rounds(&r->suspect)) {
 		r->suspect.is_confirmed = true;
 		changed = true;
--- a/tests/test_suspect_sharing.c
+++ b/tests/test_suspect_sharing.c
@@ -342,6 +342,74 @@
 	free_fixture(f);
 }
 
+static void keep_suspect(void *data, const struct mh_suspect *suspect)
+{
+	*(struct mh_suspect *)data = *suspect;
+}
+
+/* Guards against a confirmation of before that outlasts a run which cleared the
+ * part. */
+static void test_old_confirmation_is_not_merged(void **state)
+{
+	struct mh_suspects *set = mh_suspects_new(NULL, NULL);
+	struct mh_suspect other = {
+		.feature = { MH_FEATURE_PART, BAD },
+		.seen_ns = 9000 * MS,
+		.cleared_ns = 5000 * MS,
+		.n_crashes = 1,
+		.crashes = { { .id = 1,
+			       .server = 1,
+			       .placed_ns = 8900 * MS,
+			       .lost_ns = 9000 * MS } },
+	};
+	struct mh_suspect known = { 0 };
+
+	(void)state;
+	mh_suspects_merge(set, &other, 10000 * MS);
+	other.cleared_ns = 2000 * MS;
+	other.is_confirmed = true;
+	mh_suspects_merge(set, &other, 10000 * MS);
+	mh_suspects_each(set, keep_suspect, &known);
+	assert_int_equal(known.n_crashes, 1);
+	assert_false(known.is_confirmed);
+	other.cleared_ns = 5000 * MS;
+	mh_suspects_merge(set, &other, 10000 * MS);
+	mh_suspects_each(set, keep_suspect, &known);
+	assert_true(known.is_confirmed);
+	mh_suspects_free(set);
+}
+
+/* Guards against a part that stays refused by the crashes which are left after a
+ * server lived on with it. */
+static void test_cleared_part_is_refused_no_more(void **state)
+{
+	const uint64_t part = BAD;
+	struct mh_features *features = mh_features_new(1, &part, 1);
+	struct mh_suspects *set = mh_suspects_new(NULL, NULL);
+	struct mh_suspect confirmed = {
+		.feature = { MH_FEATURE_PART, BAD },
+		.seen_ns = 5000 * MS,
+		.is_confirmed = true,
+	};
+	struct mh_feature by;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 4; i++)
+		confirmed.crashes[confirmed.n_crashes++] = (struct mh_crash){
+			.id = i + 1,
+			.server = i + 1,
+			.placed_ns = (1000 * i + 900) * MS,
+			.lost_ns = (1000 * i + 1000) * MS,
+		};
+	mh_suspects_merge(set, &confirmed, 6000 * MS);
+	assert_true(mh_suspects_refuses(set, features, 6000 * MS, &by));
+	mh_suspects_survived(set, features, 1500 * MS, 6000 * MS);
+	assert_false(mh_suspects_refuses(set, features, 6000 * MS, &by));
+	mh_suspects_free(set);
+	mh_features_unref(features);
+}
+
 /* Guards against a dispatcher that goes on holding crashes against a request
  * which another one has cleared. */
 static void test_cleared_request_is_cleared_everywhere(void **state)
@@ -498,6 +566,8 @@
 		cmocka_unit_test(test_part_stays_refused_after_the_loss_of_all),
 		cmocka_unit_test(test_kinds_of_suspects_on_links),
 		cmocka_unit_test(test_malformed_stored_suspects_are_rejected),
+		cmocka_unit_test(test_old_confirmation_is_not_merged),
+		cmocka_unit_test(test_cleared_part_is_refused_no_more),
 		cmocka_unit_test(test_cleared_request_is_cleared_everywhere),
 		cmocka_unit_test(test_relayed_crash_counts_once),
 		cmocka_unit_test(
