Entries without a dispatcher find a part that crashes servers together

Seen: with no dispatcher left, each entry had to find such a part by crashes of its own.

Cause: nobody passed on what one of them saw, and with shared evidence each still tried for itself, so that servers ended by tries at the same time, and the part that sound requests share was refused before any entry showed it to be harmless.

- They tell of each crash, not from the second on.
- After a crash each waits for a random time of 200 ms times their number at most before it tries the part, so that most tries come one after the other.

--- a/core/clock.h
+++ b/core/clock.h
@@ -37,6 +37,12 @@
 	return a_ns < b_ns ? a_ns : b_ns;
 }
 
+/* Return: the later of two times. */
+static inline uint64_t mh_later(uint64_t a_ns, uint64_t b_ns)
+{
+	return a_ns > b_ns ? a_ns : b_ns;
+}
+
 /**
  * struct mh_rng - pseudo-random sequence (splitmix64)
  * @state: seed, then position in the sequence
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -45,7 +45,7 @@
 
 	d->conf = *conf;
 	d->clock = clock;
-	d->rng.state = seed;
+	d->rng.state = d->seed = seed;
 	d->ops = ops;
 	d->data = data;
 	d->n_sharing = 1;
@@ -145,8 +145,10 @@
 
 void mh_dispatch_set_share(struct mh_dispatch *d, uint32_t n_sharing)
 {
-	if (n_sharing)
-		d->n_sharing = n_sharing;
+	if (!n_sharing)
+		return;
+	d->n_sharing = n_sharing;
+	mh_suspects_share_early(d->suspects, n_sharing > 1);
 }
 
 void mh_dispatch_set_service(struct mh_dispatch *d,
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -175,6 +175,7 @@
 	struct mh_dispatch_conf conf;
 	const struct mh_clock *clock;
 	struct mh_rng rng;
+	uint64_t seed;
 	const struct mh_dispatch_ops *ops;
 	void *data;
 	uint32_t n_sharing;
--- a/core/dispatch_trial.c
+++ b/core/dispatch_trial.c
@@ -29,6 +29,8 @@
 #define SETTLE_NS (150 * MH_NS_PER_MS)
 /* From this number of crashes on a suspect is kept apart from others. */
 #define APART_CRASHES 2
+/* Time in which others learn how a trial ended: it settles, or crashes its server. */
+#define TURN_NS (200 * MH_NS_PER_MS)
 
 bool mh_dispatch_has_just_begun(const struct request *req, uint64_t now_ns)
 {
@@ -122,13 +124,29 @@
 	return n > 1 && now_ns < last_ns + SIMPLER_RUNS_NS;
 }
 
+/* Whether a trial may begin. Those that share the servers without a dispatcher do
+ * not know of each other's open runs: after a crash each waits for a random time, so
+ * that most trials begin one after the other. */
+static bool is_turn(const struct mh_dispatch *d, struct mh_feature feature,
+		    uint64_t now_ns)
+{
+	uint64_t first_ns, last_ns;
+	struct mh_rng rng;
+
+	if (d->n_sharing == 1)
+		return true;
+	mh_suspects_crash_times(d->suspects, feature, &first_ns, &last_ns);
+	rng.state = d->seed ^ feature.id ^ last_ns;
+	return now_ns >= last_ns + mh_rng_next(&rng) % (d->n_sharing * TURN_NS);
+}
+
 /* Whether a run can begin under the limits of its features: anywhere, or only
  * where others with the same features have settled. */
 bool mh_dispatch_may_run(const struct mh_dispatch *d, const struct request *req,
 			 uint64_t now_ns, uint64_t *only_at)
 {
+	uint32_t i, trials;
 	uint64_t server;
-	uint32_t i;
 
 	*only_at = 0;
 	if (waits_for_simpler_runs(d, req, now_ns))
@@ -139,7 +157,9 @@
 
 		if (req->is_counted && open)
 			open--;
-		if (open < trials_of(d, feature, now_ns))
+		trials = trials_of(d, feature, now_ns);
+		if (open < trials && (trials == MH_TRIALS_UNLIMITED ||
+				      is_turn(d, feature, now_ns)))
 			continue;
 		if (feature.kind == MH_FEATURE_REQUEST) {
 			if (is_copy_on_trial(d, req, now_ns))
--- a/core/suspect_rules.c
+++ b/core/suspect_rules.c
@@ -8,8 +8,9 @@
 #define REFUSED_CRASHES 3
 /* A part is refused after this many crashes in series. */
 #define REFUSED_ROUNDS 3
-/* One more is needed if the part recently did no harm, and one if servers end for
- * other reasons at the same time. */
+/* One more is needed if the part recently did no harm, one if servers end for other
+ * reasons at the same time, and one among entries without a dispatcher, which learn
+ * late of each other's good runs, unless the record is full. */
 #define REFUSED_ROUNDS_SURVIVED 4
 /* Crashes from which on other processes are told of a part. */
 #define SHARED_CRASHES 2
@@ -122,6 +123,9 @@
 
 	if (n_others)
 		needed++;
+	if (context->is_shared_early &&
+	    mh_suspect_crashes(suspect) < MH_SUSPECT_CRASHES)
+		needed++;
 	if (context->n_brief_survivals >= BRIEF_SURVIVALS_MIN)
 		needed = LIMITED_ROUNDS_SETTLED;
 	/* Most parts have too few crashes to look at their order. */
@@ -134,6 +138,8 @@
 static bool is_part_shared(const struct mh_suspect *suspect,
 			   const struct mh_suspect_context *context)
 {
+	if (context->is_shared_early)
+		return mh_suspect_crashes(suspect) > 0;
 	return context->survived ?
 		       mh_suspect_rounds(suspect) >= LIMITED_ROUNDS :
 		       mh_suspect_crashes(suspect) >= SHARED_CRASHES;
--- a/core/suspect_rules.h
+++ b/core/suspect_rules.h
@@ -16,12 +16,14 @@
  * struct mh_suspect_context - evidence for a suspect that only this process has
  * @survived: a server recently lived on after a run with the feature
  * @has_settled: an open run with it has not crashed its server so far
+ * @is_shared_early: other processes see too few crashes each to find it
  * @n_brief_survivals: runs since its first crash after which their servers lived
  *                     on for a short time, at least
  */
 struct mh_suspect_context {
 	bool survived;
 	bool has_settled;
+	bool is_shared_early;
 	uint32_t n_brief_survivals;
 };
 
--- a/core/suspects.c
+++ b/core/suspects.c
@@ -43,6 +43,11 @@
 	r->share_ns = share_ns;
 }
 
+void mh_suspects_share_early(struct mh_suspects *set, bool on)
+{
+	set->is_shared_early = on;
+}
+
 static void free_row(struct mh_suspects *set, struct suspect_row *r)
 {
 	set_share_time(set, r, 0);
@@ -168,6 +173,7 @@
 	return (struct mh_suspect_context){
 		.survived = mh_suspects_survived_lately(set, r->suspect.feature,
 							now_ns),
+		.is_shared_early = set->is_shared_early,
 		.n_brief_survivals = r->n_brief_survivals,
 	};
 }
--- a/core/suspects.h
+++ b/core/suspects.h
@@ -100,6 +100,13 @@
 mh_suspects_new(void (*changed)(void *data, const struct mh_suspect *suspect),
 		void *data);
 
+/**
+ * mh_suspects_share_early() - whether to tell other processes of each crash
+ * @set: set
+ * @on: they see too few crashes each to find what they have in common
+ */
+void mh_suspects_share_early(struct mh_suspects *set, bool on);
+
 /**
  * mh_suspects_free() - free a set
  * @set: set or NULL
--- a/core/suspects_impl.h
+++ b/core/suspects_impl.h
@@ -49,6 +49,7 @@
 	uint32_t n_ended;		      /* ever recorded */
 	struct success successes[SUCCESS_SLOTS];
 	uint32_t n_to_share;
+	bool is_shared_early;
 	void (*changed)(void *data, const struct mh_suspect *suspect);
 	void *data;
 };
--- a/proxy/app.c
+++ b/proxy/app.c
@@ -8,6 +8,7 @@
 #include "config/bounds.h"
 #include "net/process.h"
 #include "platform/directory.h"
+#include "platform/shared_suspects.h"
 #include "proxy/client.h"
 #include "proxy/exchange.h"
 #include "proxy/slot_client.h"
@@ -35,6 +36,7 @@
 	struct mh_exchanges *exchanges;
 	struct mh_clients *clients;
 	struct mh_directory *directory;
+	struct mh_shared_suspects *shared_suspects;
 	struct mh_routes *routes;
 	bool unlisted;
 	bool ready;
@@ -104,13 +106,35 @@
 		mh_directory_apply_document(app->directory, bytes, len);
 }
 
+static void on_suspect(void *data, const struct mh_suspect *suspect)
+{
+	struct mh_proxy_app *app = data;
+
+	mh_shared_suspects_tell(app->shared_suspects, suspect);
+}
+
 static const struct mh_slot_client_ops slot_client_ops = {
-	on_granted,
-	on_refused,
-	on_move,
-	on_peer_document,
+	on_granted, on_refused, on_move, on_peer_document, on_suspect,
 };
 
+static void on_shared_suspect(void *data, const struct mh_suspect *suspect)
+{
+	struct mh_proxy_app *app = data;
+
+	mh_slot_client_merge_suspect(app->slot_client, suspect);
+}
+
+static void each_suspect(void *data,
+			 void (*visit)(void *visit_data,
+				       const struct mh_suspect *suspect),
+			 void *visit_data)
+{
+	struct mh_proxy_app *app = data;
+
+	mh_dispatch_each_suspect(mh_slot_client_local(app->slot_client), visit,
+				 visit_data);
+}
+
 static void on_routes(void *data, struct mh_routes *routes)
 {
 	struct mh_proxy_app *app = data;
@@ -187,6 +211,8 @@
 			    (uint32_t)(app->read_phase_ms * factor));
 	mh_directory_follow_dispatchers(app->directory, reads_lists);
 	mh_directory_follow_entries(app->directory, reads_lists);
+	mh_shared_suspects_run(app->shared_suspects, reads_lists,
+			       mh_slot_client_sharing(app->slot_client));
 	mh_slot_client_set_registered(app->slot_client,
 				      mh_directory_entries(app->directory));
 	app->reads_store = factor > 0;
@@ -302,6 +328,16 @@
 		.metrics = app->process.metrics,
 		.log = app->process.log,
 	};
+	struct mh_shared_suspects_env suspects_env = {
+		.loop = app->process.loop,
+		.timers = &app->process.timers,
+		.clock = &mh_system_clock,
+		.counters = &app->process.counters,
+		.log = app->process.log,
+		.received = on_shared_suspect,
+		.each = each_suspect,
+		.data = app,
+	};
 	struct mh_directory_env directory_env = {
 		.loop = app->process.loop,
 		.timers = &app->process.timers,
@@ -330,6 +366,8 @@
 		mh_slot_client_new(app->process.loop, &mh_system_clock,
 				   &slot_client_conf, &app->process.counters,
 				   app->process.log, &slot_client_ops, app);
+	app->shared_suspects = mh_shared_suspects_new(
+		&suspects_env, app->settings.store, app->settings.host);
 	app->probes = mh_probes_new(app->process.loop, &app->process.timers,
 				    &mh_system_clock, &app->process.counters,
 				    app->notices, on_server_accepted, app);
@@ -384,6 +422,7 @@
 	if (!app)
 		return;
 	mh_directory_free(app->directory);
+	mh_shared_suspects_free(app->shared_suspects);
 	mh_exchanges_free(app->exchanges);
 	mh_clients_free(app->clients);
 	mh_probes_free(app->probes);
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -10,6 +10,7 @@
 #include "core/candidates.h"
 #include "core/check_alloc.h"
 #include "core/ledger_cache.h"
+#include "core/slot_request.h"
 #include "core/store_reads.h"
 #include "core/usage_relay.h"
 #include "net/crash_log.h"
@@ -35,7 +36,7 @@
 /* A request that waits for a slot or holds one. */
 struct request {
 	uint64_t id;
-	struct mh_slot_request slot_req; /* owns its strings */
+	struct mh_slot_request slot_req; /* a copy */
 	char *server;			 /* NULL while waiting */
 	uint64_t granted_ns;
 	UT_hash_handle hh;
@@ -93,14 +94,8 @@
 
 static void free_request(struct mh_slot_client *sc, struct request *req)
 {
-	uint32_t i;
-
 	HASH_DEL(sc->requests, req);
-	free((char *)req->slot_req.service);
-	free((char *)req->slot_req.account);
-	free((uint64_t *)req->slot_req.parts);
-	for (i = 0; i < req->slot_req.n_avoid; i++)
-		free((char *)req->slot_req.avoid[i]);
+	mh_slot_request_release(&req->slot_req);
 	free(req->server);
 	free(req);
 }
@@ -406,6 +401,7 @@
 	struct mh_slot_client *sc = data;
 
 	mh_suspect_relay_forward(&sc->suspects, suspect, NULL);
+	sc->ops->suspect(sc->data, suspect);
 }
 
 static const struct mh_dispatch_ops local_ops = { local_grant, local_refuse,
@@ -552,24 +548,10 @@
 			    const struct mh_slot_request *slot_req)
 {
 	struct request *req = mh_check_alloc(calloc(1, sizeof(*req)));
-	uint32_t i;
 
 	req->id = slot_req->id;
-	req->slot_req = *slot_req;
+	req->slot_req = mh_slot_request_copy(slot_req);
 	req->slot_req.owner = 0;
-	req->slot_req.service = mh_check_alloc(strdup(slot_req->service));
-	req->slot_req.account = mh_check_alloc(strdup(slot_req->account));
-	req->slot_req.parts = NULL;
-	if (slot_req->n_parts) {
-		size_t len = slot_req->n_parts * sizeof(*slot_req->parts);
-		uint64_t *parts = mh_check_alloc(malloc(len));
-
-		memcpy(parts, slot_req->parts, len);
-		req->slot_req.parts = parts;
-	}
-	for (i = 0; i < slot_req->n_avoid; i++)
-		req->slot_req.avoid[i] =
-			mh_check_alloc(strdup(slot_req->avoid[i]));
 	HASH_ADD(hh, sc->requests, id, sizeof(req->id), req);
 	if (sc->current)
 		send_slot_request(sc, req);
@@ -622,12 +604,28 @@
 		mh_dispatch_server_probed(sc->local, server);
 }
 
+void mh_slot_client_merge_suspect(struct mh_slot_client *sc,
+				  const struct mh_suspect *suspect)
+{
+	mh_suspect_relay_merge(&sc->suspects, suspect, NULL);
+}
+
+const struct mh_dispatch *mh_slot_client_local(const struct mh_slot_client *sc)
+{
+	return sc->local;
+}
+
 const struct mh_notice_relay *
 mh_slot_client_notices(const struct mh_slot_client *sc)
 {
 	return &sc->notices;
 }
 
+uint32_t mh_slot_client_sharing(const struct mh_slot_client *sc)
+{
+	return mh_candidates_sharing(&sc->candidates);
+}
+
 struct mh_store_reads
 mh_slot_client_store_reads(const struct mh_slot_client *sc)
 {
@@ -692,12 +690,8 @@
 			request_local_slots(sc);
 	}
 	if (!sc->current && is_fallback_due(sc, now_ns)) {
-		uint64_t local_next_ns;
-
 		mh_catalog_tick(sc->catalog, now_ns);
-		local_next_ns = mh_dispatch_tick(sc->local);
-		if (local_next_ns < next_ns)
-			next_ns = local_next_ns;
+		next_ns = mh_earlier(next_ns, mh_dispatch_tick(sc->local));
 	}
 	mh_links_flush(sc->links);
 	return next_ns;
--- a/proxy/slot_client.h
+++ b/proxy/slot_client.h
@@ -23,6 +23,7 @@
  * @refused: the request gets no slot
  * @move: release the slot and request another one
  * @document: a peer sent this configuration document
+ * @suspect: other entries should learn of what the local dispatcher recorded
  */
 struct mh_slot_client_ops {
 	void (*granted)(void *data, uint64_t id,
@@ -32,6 +33,7 @@
 	void (*move)(void *data, uint64_t id);
 	void (*document)(void *data, uint64_t version, const uint8_t *bytes,
 			 size_t len);
+	void (*suspect)(void *data, const struct mh_suspect *suspect);
 };
 
 /**
@@ -176,6 +178,27 @@
 void mh_slot_client_server_probed(struct mh_slot_client *sc,
 				  const char *server);
 
+/**
+ * mh_slot_client_sharing() - number of entries that share the servers when there
+ *                            is no dispatcher, at least
+ * @sc: slot client
+ */
+uint32_t mh_slot_client_sharing(const struct mh_slot_client *sc);
+
+/**
+ * mh_slot_client_merge_suspect() - add what another entry knows of a suspect
+ * @sc: slot client
+ * @suspect: its record
+ */
+void mh_slot_client_merge_suspect(struct mh_slot_client *sc,
+				  const struct mh_suspect *suspect);
+
+/**
+ * mh_slot_client_local() - local dispatcher
+ * @sc: slot client
+ */
+const struct mh_dispatch *mh_slot_client_local(const struct mh_slot_client *sc);
+
 /**
  * mh_slot_client_notices() - relay of what servers asked for
  * @sc: slot client
--- a/proxy/suspect_relay.c
+++ b/proxy/suspect_relay.c
@@ -24,6 +24,14 @@
 	}
 }
 
+void mh_suspect_relay_merge(const struct mh_suspect_relay *relay,
+			    const struct mh_suspect *suspect,
+			    const struct mh_candidate *from)
+{
+	if (mh_dispatch_merge_suspect(relay->local, suspect))
+		mh_suspect_relay_forward(relay, suspect, from);
+}
+
 void mh_suspect_relay_receive(const struct mh_suspect_relay *relay,
 			      const Mh__CrashSuspect *msg,
 			      const struct mh_candidate *from)
@@ -31,8 +39,7 @@
 	struct mh_suspect suspect;
 
 	mh_suspect_read(msg, now_of(relay), &suspect);
-	if (mh_dispatch_merge_suspect(relay->local, &suspect))
-		mh_suspect_relay_forward(relay, &suspect, from);
+	mh_suspect_relay_merge(relay, &suspect, from);
 }
 
 struct recipient {
--- a/proxy/suspect_relay.h
+++ b/proxy/suspect_relay.h
@@ -38,7 +38,17 @@
 			      const struct mh_candidate *from);
 
 /**
- * mh_suspect_relay_receive() - keep a record and pass it on if it is new
+ * mh_suspect_relay_merge() - keep a record and pass it on if it is new
+ * @relay: relay
+ * @suspect: record
+ * @from: dispatcher that sent it, NULL for none
+ */
+void mh_suspect_relay_merge(const struct mh_suspect_relay *relay,
+			    const struct mh_suspect *suspect,
+			    const struct mh_candidate *from);
+
+/**
+ * mh_suspect_relay_receive() - the same for a record of a dispatcher
  * @relay: relay
  * @msg: record as received
  * @from: dispatcher that sent it
--- a/tests/parts_simulation.c
+++ b/tests/parts_simulation.c
@@ -26,6 +26,7 @@
 #define DEADLINE_MS 5000
 #define MAX_ATTEMPTS 2
 #define PART_MAX 3
+#define MAX_MESSAGES 16384 /* on their way at a time */
 
 enum state { WAITING, RUNNING, ENDED };
 
@@ -59,6 +60,13 @@
 	uint64_t back_ms;
 };
 
+/* What a node tells the others of a suspect, until it arrives. */
+struct message {
+	uint64_t due_ms;
+	uint32_t from;
+	struct mh_suspect record;
+};
+
 struct sim;
 
 struct node {
@@ -78,6 +86,9 @@
 	bool is_dispatcher_lost;
 	bool all_lost;
 	struct server servers[SIM_MAX_SERVERS];
+	struct message messages[MAX_MESSAGES];
+	uint32_t n_messages;  /* ever sent */
+	uint32_t n_delivered; /* those of them that arrived */
 	struct run *runs;
 	uint32_t n_runs;
 	uint32_t oldest;   /* that has not ended */
@@ -179,11 +190,30 @@
 {
 	struct node *node = data;
 	struct sim *sim = node->sim;
-	uint32_t i;
 
-	for (i = 0; !sim->c->apart && i < sim->n_nodes; i++) {
-		if (i != node->number)
-			mh_dispatch_merge_suspect(sim->nodes[i].d, record);
+	assert(sim->n_messages - sim->n_delivered < MAX_MESSAGES);
+	sim->messages[sim->n_messages++ % MAX_MESSAGES] = (struct message){
+		sim->now_ms + sim->c->share_ms,
+		node->number,
+		*record,
+	};
+}
+
+static void deliver_messages(struct sim *sim)
+{
+	while (sim->n_delivered < sim->n_messages) {
+		const struct message *msg =
+			&sim->messages[sim->n_delivered % MAX_MESSAGES];
+		uint32_t i;
+
+		if (sim->now_ms < msg->due_ms)
+			return;
+		for (i = 0; i < sim->n_nodes; i++) {
+			if (i != msg->from)
+				mh_dispatch_merge_suspect(sim->nodes[i].d,
+							  &msg->record);
+		}
+		sim->n_delivered++;
 	}
 }
 
@@ -530,6 +560,7 @@
 		change_dispatchers(sim);
 		for (id = sim->oldest; id < sim->n_runs; id++)
 			step_run(sim, id);
+		deliver_messages(sim);
 		while (sim->oldest < sim->n_runs &&
 		       sim->runs[sim->oldest].state == ENDED)
 			sim->oldest++;
--- a/tests/parts_simulation.h
+++ b/tests/parts_simulation.h
@@ -33,7 +33,7 @@
  * @servers: servers, of 4 slots
  * @entries: entries that requests come to in turn
  * @alone: no dispatcher runs: each entry uses its own share
- * @apart: entries and dispatchers are not told of suspects by others
+ * @share_ms: how long it takes until others are told of a suspect
  * @sound_per_s: sound requests a second
  * @bad_per_s: requests a second that hold a bad part
  * @bad_from_ms: from when on the bad part is bad; it is sound before
@@ -52,7 +52,7 @@
 	uint32_t servers;
 	uint32_t entries;
 	bool alone;
-	bool apart;
+	uint32_t share_ms;
 	uint32_t sound_per_s;
 	uint32_t bad_per_s;
 	uint32_t bad_from_ms;
--- a/tests/test_parts.sh
+++ b/tests/test_parts.sh
@@ -12,14 +12,19 @@
 
 SERVERS=$(seq 12)
 PROXIES="1 2 3 4"
-BAD_PER_S=3
-SOUND_PER_S=12
+MORE_PROXIES="5 6 7 8 9 10 11 12"
+# At all proxies together.
+BAD_PER_S=12
+SOUND_PER_S=48
 LOAD_S=${LOAD_S:-11}
 # The users' stable_window_ms, and the runs that they allow later than that after
 # the fifth crash; sound requests are counted from twice that time on.
 SETTLED_MS=3000
 MAX_LATE_RUNS=3
 COUNTED_CRASHES=5
+# Proxies use their own share of the servers within this time of the last
+# dispatcher's end.
+ALONE_S=3
 
 stand_in_now_ms() {
 	awk '{ printf "%d", $1 * 1000 }' /proc/uptime
@@ -36,9 +41,11 @@
 	rm -f "$DIR/$2.body"
 }
 
-# Sends requests at a steady rate, each in the background.
+# Sends requests at a steady rate, each in the background. Proxies begin one after
+# the other within a second.
 send_steadily() { # PROXY NAME PER-SECOND PARTS
 	local i n=$(($3 * LOAD_S)) parts
+	sleep .$((RANDOM % 10))
 	for i in $(seq $n); do
 		parts=${4//%/$((i % 4))}
 		send_parts $1 $2-$1-$i "$parts" >>"$DIR/$2-$1-$i.sent" &
@@ -47,13 +54,14 @@
 	wait
 }
 
-# Load of one case. "%" in the parts stands for one of four numbers.
-run_load() { # NAME BAD-PARTS SOUND-PARTS
-	local i pids=""
-	for i in $PROXIES; do
-		send_steadily $i bad-$1 $BAD_PER_S "$2" &
+# Load of one case on some proxies. "%" in the parts stands for one of four numbers.
+run_load() { # NAME BAD-PARTS SOUND-PARTS [PROXIES]
+	local i pids="" proxies=${4:-$PROXIES} n
+	n=$(echo $proxies | wc -w)
+	for i in $proxies; do
+		send_steadily $i bad-$1 $((BAD_PER_S / n)) "$2" &
 		pids="$pids $!"
-		send_steadily $i sound-$1 $SOUND_PER_S "$3" &
+		send_steadily $i sound-$1 $((SOUND_PER_S / n)) "$3" &
 		pids="$pids $!"
 	done
 	wait $pids
@@ -152,6 +160,39 @@
 			"$DIR/explained"
 }
 
+# Guards against a part that each entry has to find for itself: without a
+# dispatcher they have only the store to tell each other.
+t_part_at_entries_alone() {
+	local i
+	kill_hard dispatcher1
+	kill_hard dispatcher2
+	for i in $MORE_PROXIES; do
+		start_proxy $i
+	done
+	sleep $ALONE_S
+	run_load alone a0:60,dead3:400 a0:60,b%:400 "$PROXIES $MORE_PROXIES"
+	few_servers_end alone
+}
+
+t_sound_at_entries_alone() {
+	sound_are_served alone
+}
+
+# Guards against an entry that starts without a dispatcher and has to find the part
+# again: the others have told the store.
+t_entry_that_starts_alone() {
+	local crashed
+	kill_hard proxy1
+	start_proxy 1
+	wait_until 10 ready 1 || return 1
+	sleep 1
+	crashed=$(times crashed alone | wc -l)
+	[ "$(status_of 1 /fragile/alone/ok -d text \
+		-H 'X-Mangohead-Prompt-Prefix: a0:60,dead3:400,ff:50')" = 503 ] &&
+		grep -q crashes_servers "$DIR/body" &&
+		[ $(times crashed alone | wc -l) = $crashed ]
+}
+
 check "parts: a part in the middle ends few servers" t_part_in_the_middle
 check "parts: sound requests are served beside it" t_sound_beside_the_middle
 check "parts: a part that stands first ends few servers" \
@@ -159,6 +200,10 @@
 check "parts: sound requests are served beside the first one" \
 	t_sound_beside_the_first
 check "parts: explain tells of the part" t_explain_refused_part
+check "parts: entries alone lose few servers" t_part_at_entries_alone
+check "parts: sound requests are served by entries alone" \
+	t_sound_at_entries_alone
+check "parts: an entry that starts alone knows the part" t_entry_that_starts_alone
 touch "$DIR/stop"
 wait $replacing
 echo "$passed passed, $failed failed"
--- a/tests/test_suspect_sharing.c
+++ b/tests/test_suspect_sharing.c
@@ -4,6 +4,7 @@
  */
 #include "net/suspect_frames.h"
 #include "platform/ledger.h"
+#include "platform/suspect_rows.h"
 #include "tests/suspect_fixture.h"
 
 #define DISPATCHERS 2
@@ -322,11 +323,13 @@
 		"{\"wall_ms\":1,\"spent\":[],\"parts\":{}}",
 		"{\"wall_ms\":1,\"spent\":[],\"parts\":[[\"a\"]]}",
 		"{\"wall_ms\":1,\"spent\":[],"
-		"\"parts\":[[\"a\",1,true,\"b\",\"c\",1,true,false]]}",
+		"\"parts\":[[\"a\",1,true,-1]]}",
 		"{\"wall_ms\":1,\"spent\":[],"
-		"\"parts\":[[\"a\",1,true,\"b\",\"c\",1,true,false,-1,\"d\"]]}",
+		"\"parts\":[[\"a\",1,true,0,\"b\",\"c\",1,true,false]]}",
 		"{\"wall_ms\":1,\"spent\":[],"
-		"\"parts\":[[\"a\",1,true,\"b\",\"c\",1,true,false,1]]}",
+		"\"parts\":[[\"a\",1,true,0,\"b\",\"c\",1,true,false,-1,\"d\"]]}",
+		"{\"wall_ms\":1,\"spent\":[],"
+		"\"parts\":[[\"a\",1,true,0,\"b\",\"c\",1,true,false,1]]}",
 	};
 	static const char old[] = "{\"wall_ms\":1,\"spent\":[]}";
 	struct fixture *f = new_crash_fixture(1);
@@ -347,6 +350,27 @@
 	*(struct mh_suspect *)data = *suspect;
 }
 
+/* Guards against entries without a dispatcher that learn of crashes only: a part
+ * that one of them cleared would be refused by the others. */
+static void test_rows_tell_when_a_part_was_cleared(void **state)
+{
+	const struct mh_suspect told = {
+		.feature = { MH_FEATURE_PART, BAD },
+		.seen_ns = 9000 * MS,
+		.cleared_ns = 8000 * MS,
+	};
+	struct mh_suspect heard = { 0 };
+	json_t *rows = json_array();
+
+	(void)state;
+	json_array_append_new(rows, mh_suspect_row_encode(&told, 10000 * MS));
+	assert_true(mh_suspect_rows_decode(rows, MH_FEATURE_PART, 100,
+					   20000 * MS, keep_suspect, &heard));
+	assert_int_equal(heard.feature.id, BAD);
+	assert_in_range(heard.cleared_ns / MS, 17890, 17910);
+	json_decref(rows);
+}
+
 /* Guards against a confirmation of before that outlasts a run which cleared the
  * part. */
 static void test_old_confirmation_is_not_merged(void **state)
@@ -566,6 +590,7 @@
 		cmocka_unit_test(test_part_stays_refused_after_the_loss_of_all),
 		cmocka_unit_test(test_kinds_of_suspects_on_links),
 		cmocka_unit_test(test_malformed_stored_suspects_are_rejected),
+		cmocka_unit_test(test_rows_tell_when_a_part_was_cleared),
 		cmocka_unit_test(test_old_confirmation_is_not_merged),
 		cmocka_unit_test(test_cleared_part_is_refused_no_more),
 		cmocka_unit_test(test_cleared_request_is_cleared_everywhere),
