Suspects: trials of a refused part end

Requests that hold only one of two parts with nearly the same crashes are let through to tell which is the cause. If the record of the refused part was full, their crashes were not kept, so that each further one was let through as well: without an end, a server each. Seen by reading; test_trials_of_a_refused_part_end fails on the code before.

A run of a suspect that crashes its server replaces the oldest crash that the longest series does not need, in refused records too: after two such crashes the other part no longer explains them.

--- a/core/suspects.c
+++ b/core/suspects.c
@@ -246,8 +246,8 @@
 	       lost_ns < r->suspect.cleared_ns + earlier_ns;
 }
 
-/* Which of the crashes to replace by a new one so that the longest series stays.
- */
+/* Which of the crashes to replace by a new one so that the longest series stays: the
+ * oldest of those that it does not need. */
 static uint32_t least_needed(const struct mh_suspect *suspect,
 			     const struct mh_crash *crash)
 {
@@ -259,7 +259,9 @@
 
 		with.crashes[i] = *crash;
 		rounds = mh_suspect_rounds(&with);
-		if (rounds <= most)
+		if (rounds < most ||
+		    (rounds == most && suspect->crashes[i].lost_ns >=
+					       suspect->crashes[best].lost_ns))
 			continue;
 		most = rounds;
 		best = i;
@@ -294,7 +296,8 @@
 		suspect->crashes[suspect->n_crashes++] = *crash;
 		return true;
 	}
-	if (crash->refuted || mh_suspect_is_refused(suspect))
+	if (crash->refuted ||
+	    (mh_suspect_is_refused(suspect) && !crash->on_trial))
 		return false;
 	for (i = 0; i < MH_SUSPECT_CRASHES && !suspect->crashes[i].refuted; i++)
 		;
--- a/tests/test_suspect_sharing.c
+++ b/tests/test_suspect_sharing.c
@@ -434,6 +434,43 @@
 	mh_features_unref(features);
 }
 
+/* Guards against requests with a refused part that are let through again and again
+ * to tell whether another part, which they lack, is the cause. */
+static void test_trials_of_a_refused_part_end(void **state)
+{
+	struct mh_feature part = { MH_FEATURE_PART, BAD }, by;
+	struct mh_features *features = mh_features_new(1, &part.id, 1);
+	struct mh_suspects *set = mh_suspects_new(NULL, NULL);
+	struct mh_suspect known = {
+		.feature = part,
+		.seen_ns = 9000 * MS,
+		.is_confirmed = true,
+	};
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < MH_SUSPECT_CRASHES; i++)
+		known.crashes[known.n_crashes++] = (struct mh_crash){
+			.id = i + 1,
+			.server = i + 1,
+			.placed_ns = (1000 * i + 900) * MS,
+			.lost_ns = (1000 * i + 1000) * MS,
+		};
+	mh_suspects_merge(set, &known, 9000 * MS);
+	known.feature.id = BAD + 1;
+	mh_suspects_merge(set, &known, 9000 * MS);
+	for (i = 0; i < 2; i++) {
+		assert_false(
+			mh_suspects_refuses(set, features, 9000 * MS, &by));
+		mh_suspects_add_crash(set, part, 1 + i, 100 + i,
+				      (9500 + 1000 * i) * MS, false,
+				      (9600 + 1000 * i) * MS);
+	}
+	assert_true(mh_suspects_refuses(set, features, 12000 * MS, &by));
+	mh_suspects_free(set);
+	mh_features_unref(features);
+}
+
 /* Guards against a dispatcher that goes on holding crashes against a request
  * which another one has cleared. */
 static void test_cleared_request_is_cleared_everywhere(void **state)
@@ -593,6 +630,7 @@
 		cmocka_unit_test(test_rows_tell_when_a_part_was_cleared),
 		cmocka_unit_test(test_old_confirmation_is_not_merged),
 		cmocka_unit_test(test_cleared_part_is_refused_no_more),
+		cmocka_unit_test(test_trials_of_a_refused_part_end),
 		cmocka_unit_test(test_cleared_request_is_cleared_everywhere),
 		cmocka_unit_test(test_relayed_crash_counts_once),
 		cmocka_unit_test(
