Test: a dispatcher that is cut off from the store, but not from its proxy

At a start, the proxy reads the store itself and learns configuration and leaving servers within 2 s.

--- a/tests/test_finding.sh
+++ b/tests/test_finding.sh
@@ -9,8 +9,8 @@
 . tests/proxy_site.sh
 . tests/checks.sh
 
-# A proxy whose store does not answer, with seeds.
-start_storeless_proxy() { # N DISPATCHER...
+# A proxy with the addresses of dispatchers.
+start_seeded_proxy() { # N DISPATCHER...
 	local n=$1 p list=
 	p=$(proxy_port $n)
 	shift
@@ -21,10 +21,16 @@
 	status = \"127.0.0.1:$((p + 1))\"
 	[dispatchers]
 	seeds = [${list%,}]"
-	sed -i 's/^store.*/store = "127.0.0.1:1"/' "$DIR/proxy$n.toml"
+	[ -z "$STORELESS" ] ||
+		sed -i 's/^store.*/store = "127.0.0.1:1"/' "$DIR/proxy$n.toml"
 	start proxy$n $BIN/mangohead-proxy --config "$DIR/proxy$n.toml"
 }
 
+# The same, and its store does not answer.
+start_storeless_proxy() { # N DISPATCHER...
+	STORELESS=1 start_seeded_proxy "$@"
+}
+
 serves() { # N
 	[ "$(status_of $1 /once/ok)" = 200 ]
 }
@@ -33,6 +39,17 @@
 	grep -q "event=dispatcher_known peer=dispatcher-$2 " "$DIR/proxy$1.log"
 }
 
+# A dispatcher whose store does not answer.
+start_storeless_dispatcher() { # N
+	local p
+	p=$(dispatcher_port $1)
+	write_settings dispatcher $1 "links = \"127.0.0.1:$p\"
+	status = \"127.0.0.1:$((p + 1))\""
+	sed -i 's/^store.*/store = "127.0.0.1:1"/' "$DIR/dispatcher$1.toml"
+	start dispatcher$1 $BIN/mangohead-dispatcher \
+		--config "$DIR/dispatcher$1.toml"
+}
+
 # Proxy 1 has chosen a dispatcher after its own share.
 uses_a_dispatcher() {
 	grep -o 'event=dispatcher from=[^ ]* to=[^ ]*' "$DIR/proxy1.log" |
@@ -90,6 +107,23 @@
 }
 
 # A seed that is frozen does not keep the proxy from the other one.
+# The only dispatcher of a proxy's seeds is cut off from the store, but not from
+# the proxy: that reads the store itself, and learns as fast.
+t_seed_cut_off_from_the_store() {
+	start_storeless_dispatcher 3
+	start_seeded_proxy 2 3
+	wait_until 3 ready 2 && serves 2 &&
+		[ "$(KEY=unknown status_of 2 /once/ok)" = 401 ] || return 1
+	config 22 || return 1
+	platform 'server?id=s1&state=draining' || return 1
+	wait_until 2 grep -q 'event=config version=22 ' "$DIR/proxy2.log" &&
+		wait_until 2 grep -q 'event=server server=s1 .*state=1' \
+			"$DIR/proxy2.log" || return 1
+	platform 'server?id=s1&state=ready'
+	kill_hard proxy2
+	kill_hard dispatcher3
+}
+
 t_frozen_seed() {
 	kill -STOP $(pid_of dispatcher1)
 	start_storeless_proxy 2 1 2
@@ -191,6 +225,8 @@
 	t_configuration_and_leaving_without_store
 check "finding: dispatchers killed in turn" t_dispatchers_killed_in_turn
 check "finding: all dispatchers lost and back" t_all_dispatchers_lost_and_back
+check "finding: a seed that is cut off from the store" \
+	t_seed_cut_off_from_the_store
 check "finding: a frozen seed" t_frozen_seed
 check "finding: a request before the first configuration" \
 	t_first_request_waits
