--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -11,12 +11,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "tests/parts_simulation.h"
+#include "tests/parts_checks.h"
 
-/* The users' rule: at most so many runs later than 3 s after the fifth crash,
- * and so large a share of the sound requests as without such a fault. */
-#define MAX_LATE 3
-#define MIN_SOUND_SHARE 0.5
 #define SEEDS 5
 #define MANY_SEEDS 40 /* where a fault shows in few of them */
 
@@ -30,39 +26,13 @@
 	.seconds = 20,
 };
 
-static void print_result(const char *name, uint64_t seed,
-			 const struct sim_result *r)
-{
-	printf("%-16s seed %llu: %u ended, %u late, sound %u of %u, refused "
-	       "%u sound %u bad, companion %u of %u, waits %u ms %u ms\n",
-	       name, (unsigned long long)seed, r->crashed, r->late,
-	       r->sound_begun, r->sound, r->sound_refused, r->bad_refused,
-	       r->companion_begun, r->companion, r->mean_wait_ms,
-	       r->longest_wait_ms);
-}
-
-static void assert_contained(const char *name, const struct sim_case *c)
-{
-	uint64_t seed;
-	bool ok = true;
-
-	for (seed = 1; seed <= SEEDS; seed++) {
-		struct sim_result r = sim_run(c, seed);
-
-		print_result(name, seed, &r);
-		ok = ok && r.crashed && r.late <= MAX_LATE && r.bad_refused &&
-		     r.sound && r.sound_begun >= MIN_SOUND_SHARE * r.sound;
-	}
-	assert_true(ok);
-}
-
 /* Servers ended one after the other by requests no two of which are alike. */
 static void test_part_in_the_middle(void **state)
 {
 	struct sim_case c = base;
 
 	(void)state;
-	assert_contained("middle", &c);
+	assert_contained("middle", &c, SEEDS);
 }
 
 static void test_part_that_stands_first(void **state)
@@ -71,7 +41,7 @@
 
 	(void)state;
 	c.first = SIM_NONE;
-	assert_contained("first", &c);
+	assert_contained("first", &c, SEEDS);
 }
 
 static void test_several_bad_parts_at_once(void **state)
@@ -80,9 +50,9 @@
 
 	(void)state;
 	c.bad_parts = 2;
-	assert_contained("two", &c);
+	assert_contained("two", &c, SEEDS);
 	c.bad_parts = 3;
-	assert_contained("three", &c);
+	assert_contained("three", &c, SEEDS);
 }
 
 /* A part that was answered well for a while: new weights, or a new text under the
@@ -93,7 +63,7 @@
 
 	(void)state;
 	c.bad_from_ms = 18000;
-	assert_contained("turns bad", &c);
+	assert_contained("turns bad", &c, SEEDS);
 }
 
 /* A part that comes with the bad one only is no reason to refuse requests that
@@ -106,7 +76,7 @@
 	(void)state;
 	c.first = SIM_COMPANION;
 	c.companion_from_ms = 22000;
-	assert_contained("companion", &c);
+	assert_contained("companion", &c, SEEDS);
 	for (seed = 1; seed <= SEEDS; seed++) {
 		struct sim_result r = sim_run(&c, seed);
 
@@ -122,7 +92,7 @@
 	(void)state;
 	c.bad_per_s = 1;
 	c.seconds = 40;
-	assert_contained("one a second", &c);
+	assert_contained("one a second", &c, SEEDS);
 }
 
 static void test_many_bad_requests_at_many_entries(void **state)
@@ -134,7 +104,7 @@
 	c.entries = 102;
 	c.sound_per_s = 300;
 	c.bad_per_s = 300;
-	assert_contained("102 entries", &c);
+	assert_contained("102 entries", &c, SEEDS);
 }
 
 static void test_dispatcher_lost_at_the_third_crash(void **state)
@@ -145,7 +115,7 @@
 	(void)state;
 	for (n = 1; n <= 5; n++) {
 		c.dispatcher_lost_at = n;
-		assert_contained("dispatcher lost", &c);
+		assert_contained("dispatcher lost", &c, SEEDS);
 	}
 }
 
@@ -155,7 +125,7 @@
 
 	(void)state;
 	c.all_lost_ms = 16000;
-	assert_contained("all lost", &c);
+	assert_contained("all lost", &c, SEEDS);
 }
 
 static void assert_nothing_refused(const char *name, const struct sim_case *c,
@@ -243,7 +213,7 @@
 	c.servers = 36;
 	c.sound_per_s = 150;
 	c.ends = SIM_ENDS_SINGLE;
-	assert_contained("among others", &c);
+	assert_contained("among others", &c, SEEDS);
 }
 
 int main(void)
--- a/tests/test_parts_alone.c
+++ b/tests/test_parts_alone.c
@@ -9,11 +9,8 @@
 #include <cmocka.h>
 #include <stdio.h>
 
-#include "tests/parts_simulation.h"
+#include "tests/parts_checks.h"
 
-/* As in test_parts.c. */
-#define MAX_LATE 3
-#define MIN_SOUND_SHARE 0.5
 #define SEEDS 5
 
 static const struct sim_case base = {
@@ -28,30 +25,6 @@
 	.seconds = 30,
 };
 
-static void print_result(const char *name, uint64_t seed,
-			 const struct sim_result *r)
-{
-	printf("%-12s seed %llu: %u ended, %u late, sound %u of %u, refused %u "
-	       "sound\n",
-	       name, (unsigned long long)seed, r->crashed, r->late,
-	       r->sound_begun, r->sound, r->sound_refused);
-}
-
-static void assert_contained(const char *name, const struct sim_case *c)
-{
-	uint64_t seed;
-	bool ok = true;
-
-	for (seed = 1; seed <= SEEDS; seed++) {
-		struct sim_result r = sim_run(c, seed);
-
-		print_result(name, seed, &r);
-		ok = ok && r.crashed && r.late <= MAX_LATE && r.bad_refused &&
-		     r.sound && r.sound_begun >= MIN_SOUND_SHARE * r.sound;
-	}
-	assert_true(ok);
-}
-
 /* Guards against a part that each entry has to find for itself, and against sound
  * requests that are refused for the part that they share with the bad ones. */
 static void test_part_at_entries_alone(void **state)
@@ -59,9 +32,9 @@
 	struct sim_case c = base;
 
 	(void)state;
-	assert_contained("middle", &c);
+	assert_contained("middle", &c, SEEDS);
 	c.first = SIM_NONE;
-	assert_contained("first", &c);
+	assert_contained("first", &c, SEEDS);
 }
 
 static void test_few_and_many_entries_alone(void **state)
@@ -70,12 +43,12 @@
 
 	(void)state;
 	c.entries = 4;
-	assert_contained("4 entries", &c);
+	assert_contained("4 entries", &c, SEEDS);
 	c.servers = 60;
 	c.entries = 102;
 	c.sound_per_s = c.bad_per_s = 300;
 	c.seconds = 20;
-	assert_contained("102 entries", &c);
+	assert_contained("102 entries", &c, SEEDS);
 }
 
 /* Guards against what is known of one part being mixed up with another one. */
@@ -85,11 +58,11 @@
 
 	(void)state;
 	c.bad_parts = 2;
-	assert_contained("two", &c);
+	assert_contained("two", &c, SEEDS);
 	c.bad_parts = 1;
 	c.first = SIM_COMPANION;
 	c.companion_from_ms = 22000;
-	assert_contained("companion", &c);
+	assert_contained("companion", &c, SEEDS);
 }
 
 /* Guards against good runs of before that hide the crashes of a part that turns
@@ -100,7 +73,7 @@
 
 	(void)state;
 	c.bad_from_ms = 18000;
-	assert_contained("turns bad", &c);
+	assert_contained("turns bad", &c, SEEDS);
 }
 
 /* Few requests: no entry sees the part twice within seconds. */
@@ -111,7 +84,7 @@
 	(void)state;
 	c.bad_per_s = 1;
 	c.seconds = 40;
-	assert_contained("one a second", &c);
+	assert_contained("one a second", &c, SEEDS);
 }
 
 /* The store answers slowly. */
@@ -121,7 +94,7 @@
 
 	(void)state;
 	c.share_ms = 200;
-	assert_contained("slow store", &c);
+	assert_contained("slow store", &c, SEEDS);
 }
 
 /* Servers that end for reasons of their own: no part may be refused for that. */
