--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -156,7 +156,7 @@
 	assert_nothing_refused("by itself", &c, SEEDS);
 }
 
-/* Servers that end for reasons of their own count_crash all that ran at them. */
+/* Servers that end for reasons of their own accuse all that ran at them. */
 static void test_domain_that_ends_refuses_no_part(void **state)
 {
 	struct sim_case c = base;
