--- a/tests/test_parts.sh
+++ b/tests/test_parts.sh
@@ -178,11 +178,26 @@
 	sound_are_served alone
 }
 
+# Removes what a proxy told the others.
+forget_told() { # N
+	local key=proxy-$1 len
+	len=${#key}
+	printf "\\0\\0\\0\\x$(printf %x $((len + 1)))\\x$(printf %x $len)$key" |
+		curl -sf --data-binary @- \
+			"http://127.0.0.1:$STORE/log-append?topic=keyed.suspects&part=0"
+}
+
 # Guards against an entry that starts without a dispatcher and has to find the part
-# again: the others have told the store.
+# again: what the others refuse stays in the store. Here only proxy 2 tells it, whose
+# newest record is of another part.
 t_entry_that_starts_alone() {
-	local crashed
+	local crashed i
 	kill_hard proxy1
+	for i in $PROXIES $MORE_PROXIES; do
+		forget_told $i || return 1
+	done
+	send_parts 2 bad-other-2-1 a0:60,dead4:400
+	sleep 1
 	start_proxy 1
 	wait_until 10 ready 1 || return 1
 	sleep 1
