Stand-in: limits, refusals written again, odd responses to a resumed stream

Servers of the stand-in state limits, repeat refusals, and answer the rest of a cut stream with nine kinds of responses that must not continue it.

--- a/tests/standins/conn.c
+++ b/tests/standins/conn.c
@@ -49,7 +49,7 @@
 
 const char *query_param(const struct conn *c, const char *name)
 {
-	static _Thread_local char value[128];
+	static _Thread_local char value[512];
 	const struct mh_http_text *t = &c->reader.head.target;
 	const char *p = memchr(t->p, '?', t->len), *end = t->p + t->len;
 	size_t len = strlen(name), n = 0;
--- a/tests/standins/conn.h
+++ b/tests/standins/conn.h
@@ -9,8 +9,10 @@
 
 struct conn {
 	int fd;
-	struct server *server; /* NULL: the store */
-	bool shed;	       /* the last request was turned away */
+	struct server *server;	  /* NULL: the store */
+	bool shed;		  /* the last request was turned away */
+	uint32_t requests;	  /* that a server got on it */
+	struct mh_buffer refusal; /* of the first one, to be repeated */
 	struct mh_http_reader reader;
 	struct mh_buffer body;
 	struct mh_buffer out;
--- a/tests/standins/shapes.c
+++ b/tests/standins/shapes.c
@@ -11,6 +11,10 @@
  * wholeclose and wholecrlf are whole and without framing. plaincut and
  * plainreset are no streams and have no framing.
  *
+ * then-KIND: a stream that is cut in its fourth event, and when it is to be resumed
+ * another response: html, unsigned, nocontent, notmodified, redirect, error (500
+ * without a length), interim (102, then 500), busy (429), cut (once more).
+ *
  * Without end, until the other side closes: endlessevent, endlesserror (500),
  * endlessslow (500, a byte at a time), endlesshead, endlessslowhead,
  * endlessinterim (1xx), endlesslines (empty lines before a head),
@@ -159,6 +163,54 @@
 	return false;
 }
 
+#define WRONG "WRONG TEXT"
+
+struct resumed_shape {
+	const char *name;
+	int status;
+	const char *fields; /* and the body */
+	bool closes;
+};
+
+static const struct resumed_shape resumed[] = {
+	{ "then-html", 200,
+	  SIGNED "Content-Type: text/html\r\nContent-Length: 10\r\n\r\n" WRONG,
+	  false },
+	{ "then-unsigned", 200,
+	  "Content-Type: text/event-stream\r\n"
+	  "Content-Length: 10\r\n\r\n" WRONG,
+	  false },
+	{ "then-nocontent", 204, SIGNED "\r\n", false },
+	{ "then-notmodified", 304, SIGNED "\r\n", false },
+	{ "then-redirect", 302,
+	  SIGNED "Location: /once/ok\r\nContent-Length: 10\r\n\r\n" WRONG,
+	  false },
+	{ "then-error", 500,
+	  SIGNED "Content-Type: text/event-stream\r\n"
+		 "Connection: close\r\n\r\ndata: " WRONG "\n\n",
+	  true },
+	{ "then-interim", 500, SIGNED "Content-Length: 10\r\n\r\n" WRONG,
+	  false },
+	{ "then-busy", 429, SIGNED "Content-Length: 10\r\n\r\n" WRONG, false },
+	{ "then-cut", 200,
+	  SIGNED "Content-Type: text/event-stream\r\n"
+		 "Connection: close\r\n\r\nid: 4\nda",
+	  true },
+};
+
+static bool serve_resumed_shape(struct conn *c,
+				const struct resumed_shape *shape)
+{
+	struct mh_http_text last = header(c, "Last-Event-Id");
+
+	if (last.p[0] == '-')
+		return serve_stream_shape(c, &streams[0]);
+	if (!strcmp(shape->name, "then-interim"))
+		mh_buffer_printf(&c->out, "HTTP/1.1 102 X\r\n\r\n");
+	begin_response(c, shape->status, shape->fields);
+	return send_all(c) && !shape->closes;
+}
+
 struct endless_shape {
 	const char *name;
 	int status; /* of the response that begins it, 0: none */
@@ -226,6 +278,13 @@
 {
 	size_t i;
 
+	for (i = 0; i < sizeof(resumed) / sizeof(resumed[0]); i++) {
+		if (!target_ends_with(c, resumed[i].name))
+			continue;
+		*ok = serve_resumed_shape(c, &resumed[i]);
+		return true;
+	}
+
 	for (i = 0; i < sizeof(streams) / sizeof(streams[0]); i++) {
 		if (!target_ends_with(c, streams[i].name))
 			continue;
--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -13,6 +13,15 @@
  *                               gone, of the incarnation that began then
  *   POST /test/leaving?id=&on=[&text=]  on=1: all responses of a server have
  *                               Server-Leaving with this text, by default 1
+ *   POST /test/limit?id=&text=  all responses of a server have Server-Limit with
+ *                               this text, if it isn't empty; | separates several
+ *   POST /test/repeat?id=&mode=  a server refuses the first request of each
+ *                               connection, and repeats these bytes 20 ms after
+ *                               each later one came in, which it runs for 300 ms.
+ *                               Mode "named": with the request's id, "unnamed":
+ *                               without; "later": the first request is served,
+ *                               and only the later ones get such bytes, without
+ *                               an id; "": ends that
  *   POST /test/shed?id=&ms=&text=  for that time a server does not run requests
  *                               and responds with 503 and these header fields,
  *                               such as Retry-After:1.5; | separates several
@@ -33,7 +42,8 @@
  *   GET  /test/arrivals         a line for each request that reached a server:
  *                               time (CLOCK_BOOTTIME, ms), server, id, status of
  *                               a refusal or "run", "leaving" if it said so,
- *                               start of the server, header fields of a refusal
+ *                               start of the server, header fields of a refusal,
+ *                               limit that it states
  *   GET  /test/ends             a line for each run that has ended: begin and
  *                               end (CLOCK_BOOTTIME, ms), server, id, target,
  *                               account, "whole" (response sent), "gone", or
@@ -77,6 +87,8 @@
 #define HEARTBEAT_MS 300
 #define HOLD_MS 3000
 #define ANSWER_LATE_MS 60
+#define REPEAT_AFTER_MS 20
+#define REPEAT_RUN_MS 280
 #define CRASH_SOON_MS 60
 #define CRASH_LATE_MS 400
 #define CRASH_OF_PART_MS 80
@@ -95,6 +107,8 @@
 	bool fails_all;
 	unsigned long long born_ms;
 	char leaving[32]; /* value of Server-Leaving, "" without the field */
+	char limit[512];  /* values of Server-Limit, "" without the field */
+	char repeats[16]; /* mode of the repeated refusals, "" without them */
 	uint64_t sheds_until_ms;
 	char shed_fields[256];
 };
@@ -180,6 +194,12 @@
 
 		snprintf(s->leaving, sizeof(s->leaving), "%s",
 			 on ? *text ? text : "1" : "");
+	} else if (path_is(c, "/test/repeat") && s) {
+		snprintf(s->repeats, sizeof(s->repeats), "%s",
+			 query_param(c, "mode"));
+	} else if (path_is(c, "/test/limit") && s) {
+		snprintf(s->limit, sizeof(s->limit), "%s",
+			 query_param(c, "text"));
 	} else if (path_is(c, "/test/shed") && s) {
 		snprintf(s->shed_fields, sizeof(s->shed_fields), "%s",
 			 query_param(c, "text"));
@@ -268,14 +288,27 @@
 	       t->p[t->len - len - 1] == '/';
 }
 
+/* What the server says in all responses. Each limit of the list "VALUE|VALUE"
+ * becomes a line. */
+static void write_notices(const struct conn *c, struct mh_buffer *out)
+{
+	char values[sizeof(c->server->limit)], *save = NULL, *value;
+
+	if (*c->server->leaving)
+		mh_buffer_printf(out, "Server-Leaving: %s\r\n",
+				 c->server->leaving);
+	memcpy(values, c->server->limit, sizeof(values));
+	for (value = strtok_r(values, "|", &save); value;
+	     value = strtok_r(NULL, "|", &save))
+		mh_buffer_printf(out, "Server-Limit: %s\r\n", value);
+}
+
 void begin_response(struct conn *c, int status, const char *fields)
 {
 	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
 
 	mh_buffer_printf(&c->out, "HTTP/1.1 %d X\r\n", status);
-	if (*c->server->leaving)
-		mh_buffer_printf(&c->out, "Server-Leaving: %s\r\n",
-				 c->server->leaving);
+	write_notices(c, &c->out);
 	mh_buffer_printf(&c->out,
 			 "X-Mangohead-Request-Id: %.*s\r\n"
 			 "X-Mangohead-Server-Load: 1,0,%d\r\n"
@@ -289,10 +322,11 @@
 
 	pthread_mutex_lock(&lock);
 	mh_buffer_printf(
-		&arrivals, "%llu %s %.*s %s %s %llu %s\n",
+		&arrivals, "%llu %s %.*s %s %s %llu %s %s\n",
 		(unsigned long long)mono_now_ms(), c->server->id, (int)id.len,
 		id.p, what, strcmp(c->server->leaving, "1") ? "-" : "leaving",
-		c->server->born_ms, c->shed ? c->server->shed_fields : "-");
+		c->server->born_ms, c->shed ? c->server->shed_fields : "-",
+		*c->server->limit ? c->server->limit : "-");
 	pthread_mutex_unlock(&lock);
 }
 
@@ -438,12 +472,59 @@
 	crash(c);
 }
 
+static void write_refusal(struct conn *c, bool is_named)
+{
+	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
+
+	mh_buffer_release(&c->refusal);
+	mh_buffer_printf(&c->refusal, "HTTP/1.1 503 X\r\n"
+				      "X-Mangohead-Not-Executed: 1\r\n"
+				      "Content-Length: 0\r\n");
+	if (is_named)
+		mh_buffer_printf(&c->refusal,
+				 "X-Mangohead-Request-Id: %.*s\r\n",
+				 (int)id.len, id.p);
+	write_notices(c, &c->refusal);
+	mh_buffer_printf(&c->refusal, "\r\n");
+}
+
+/* Serves a request at a server that repeats refusals.
+ * Return: whether it did; *ok tells whether the connection stays open. */
+static bool serve_repeat(struct conn *c, bool *ok)
+{
+	bool is_first = c->requests == 1;
+	bool is_later = !strcmp(c->server->repeats, "later");
+
+	if (is_first != is_later)
+		write_refusal(c, !strcmp(c->server->repeats, "named"));
+	if (!c->refusal.len)
+		return false;
+	mh_buffer_add(&c->out, mh_buffer_front(&c->refusal), c->refusal.len);
+	if (is_first) {
+		record_arrival(c, "503");
+		c->shed = true; /* in the list of ends */
+		*ok = send_all(c);
+		return true;
+	}
+	record_arrival(c, "run");
+	record_run(c);
+	sleep_ms(REPEAT_AFTER_MS);
+	*ok = send_all(c);
+	if (!*ok)
+		return true;
+	sleep_ms(REPEAT_RUN_MS);
+	begin_response(c, 200, SIGNED "Content-Length: 5\r\n\r\nhello");
+	*ok = send_all(c);
+	return true;
+}
+
 static bool serve_run(struct conn *c)
 {
 	struct mh_http_text expected = header(c, "X-Mangohead-Expect-Instance");
 	size_t id_len = strlen(c->server->id);
 	bool ok;
 
+	c->requests++;
 	while (mono_now_ms() < c->server->silent_until_ms)
 		sleep_ms(10);
 	if (expected.len != id_len ||
@@ -459,6 +540,8 @@
 		record_arrival(c, "503");
 		return serve_shed(c);
 	}
+	if (*c->server->repeats && serve_repeat(c, &ok))
+		return ok;
 	record_arrival(c, "run");
 	if (target_ends_with(c, "reject")) {
 		begin_response(c, 503,
@@ -573,6 +656,7 @@
 	mh_http_reader_release(&c->reader);
 	mh_buffer_release(&c->body);
 	mh_buffer_release(&c->out);
+	mh_buffer_release(&c->refusal);
 	mh_buffer_release(&in);
 	free(c);
 	return NULL;
--- a/tests/test_cut_streams.sh
+++ b/tests/test_cut_streams.sh
@@ -65,6 +65,30 @@
 	resumes --http1.0
 }
 
+# Guards against the text, the head or the end of another response in the middle
+# of a stream that was cut and could not be resumed.
+t_odd_response_does_not_continue_a_stream() {
+	local kind version rc
+	for kind in html unsigned nocontent notmodified redirect error interim \
+		busy cut; do
+		for version in --http1.0 --http1.1; do
+			ID=odd-$kind$version call 1 /resume/then-$kind $version \
+				-N -o "$DIR/odd"
+			rc=$?
+			echo $kind $version $rc
+			cat "$DIR/odd"
+			[ $rc != 0 ] || return 1
+			[ "$(events_of "$DIR/odd")" = '1 d1 2 d2 3 d3 ' ] ||
+				return 1
+			grep -qE 'WRONG|HTTP/1|X-Mangohead' "$DIR/odd" &&
+				return 1
+			[ "$(runs | grep -c " odd-$kind$version ")" = 2 ] ||
+				return 1
+		done
+	done
+	true
+}
+
 # Guards against an error that is cut being sent to another server, whose response
 # can't continue it.
 t_cut_error_is_not_resumed() {
@@ -167,6 +191,8 @@
 check "cut streams: resumed for an HTTP/1.0 caller" \
 	t_cut_stream_is_resumed_with_http_1_0
 check "cut streams: a cut error is not resumed" t_cut_error_is_not_resumed
+check "cut streams: an odd response does not continue one" \
+	t_odd_response_does_not_continue_a_stream
 check "cut streams: whole ones stay whole" t_whole_streams
 check "cut streams: a plain answer without a length keeps its frame" \
 	t_plain_response_without_length_keeps_its_frame
