--- a/core/metrics.c
+++ b/core/metrics.c
@@ -78,6 +78,28 @@
 	free(m);
 }
 
+/* Names come from other writers: one that is too long or holds a quote would make
+ * the whole page unreadable. */
+static bool are_well_formed(const char *labels)
+{
+	if (strlen(labels) > LABEL_BYTES)
+		return false;
+	for (;;) {
+		size_t n = strspn(labels, "abcdefghijklmnopqrstuvwxyz_");
+
+		if (!n || strncmp(labels + n, "=\"", 2))
+			return false;
+		labels += n + 2;
+		labels += strcspn(labels, "\"\\\n");
+		if (*labels++ != '"')
+			return false;
+		if (!*labels)
+			return true;
+		if (*labels++ != ',')
+			return false;
+	}
+}
+
 static struct mh_series *add(struct mh_metrics *m, enum mh_histogram id,
 			     const char *key)
 {
@@ -101,8 +123,9 @@
 	char key[LABEL_BYTES + 4];
 	struct mh_series *s;
 
-	snprintf(key, sizeof(key), "%c:%.*s", 'a' + (int)id, LABEL_BYTES,
-		 labels);
+	if (!are_well_formed(labels))
+		labels = OVERFLOW_LABELS;
+	snprintf(key, sizeof(key), "%c:%s", 'a' + (int)id, labels);
 	HASH_FIND_STR(m->by_key, key, s);
 	if (s)
 		return s;
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -65,7 +65,8 @@
  * @id: which histogram
  * @labels: labels in Prometheus' syntax, without braces: 'a="b",c="d"'
  *
- * The number of series is bounded; those beyond the bound share one series.
+ * The number of series is bounded; those beyond the bound share one series, as do
+ * those whose labels are not well-formed, as a value holds a quote or is very long.
  *
  * Return: series, valid as long as @m.
  */
--- a/tests/test_metrics.c
+++ b/tests/test_metrics.c
@@ -120,6 +120,30 @@
 	mh_metrics_free(m);
 }
 
+/* Guards against a page that no reader takes, for one odd name of a server. */
+static void test_odd_names_spoil_no_page(void **state)
+{
+	static const char *const odd[] = { "a\"b", "a\\", "a\nb" };
+	struct mh_metrics *m = mh_metrics_new();
+	char name[256] = "";
+	char *text;
+	size_t i;
+
+	(void)state;
+	memset(name, 'x', sizeof(name) - 1);
+	for (i = 0; i < 4; i++) {
+		const char *server = i < 3 ? odd[i] : name;
+
+		mh_metrics_observe(m, MH_H_FIRST_BYTE, 3, "server=\"%s\"",
+				   server);
+	}
+	text = mh_metrics_text(m);
+	assert_line(text, "mangohead_first_byte_ms_count{overflow=\"1\"} 4");
+	assert_int_equal(count_of(text, "mangohead_first_byte_ms_count{"), 1);
+	free(text);
+	mh_metrics_free(m);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -127,6 +151,7 @@
 		cmocka_unit_test(test_histograms_are_kept_apart),
 		cmocka_unit_test(test_number_of_series_is_bounded),
 		cmocka_unit_test(test_gauges),
+		cmocka_unit_test(test_odd_names_spoil_no_page),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
