--- a/core/counter_names.h
+++ b/core/counter_names.h
@@ -63,10 +63,14 @@
 	  "backend servers that said that they leave")                         \
 	X(SERVER_PAUSES, server_pauses,                                        \
 	  "pauses that backend servers asked for")                             \
+	X(SERVER_LIMITS, server_limits,                                        \
+	  "changes of the limit of a backend server")                          \
+	X(LIMIT_WAITS, limit_waits,                                            \
+	  "requests that only the limits of servers kept waiting")             \
 	X(HELD_BACK, held_back,                                                \
 	  "slots not used, as the server leaves or asked for a pause")         \
 	X(BAD_NOTICES, bad_notices,                                            \
-	  "responses whose field on leaving or a pause was malformed")         \
+	  "responses whose field for a notice or a limit was malformed")       \
 	X(STORE_CALLS, store_calls, "calls to the platform's store")           \
 	X(LOG_DROPPED, log_lines_dropped, "log lines left out or dropped")
 
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -53,6 +53,7 @@
 	d->rates_updated_ns = d->began_ns;
 	d->suspects = mh_suspects_new(mh_dispatch_on_suspect, d);
 	d->open_runs = mh_open_runs_new();
+	d->limits = mh_server_notices_new(clock);
 	return d;
 }
 
@@ -97,6 +98,7 @@
 	mh_dispatch_free_quotas(d);
 	mh_suspects_free(d->suspects);
 	mh_open_runs_free(d->open_runs);
+	mh_server_notices_free(d->limits);
 	free(d);
 }
 
@@ -208,6 +210,9 @@
 	mh_dispatch_drop_undecided(d, s);
 	s->is_leaving = false;
 	mh_dispatch_drop_pauses(s);
+	s->limit = (struct mh_server_limit){ .max_millihz = MH_NO_LIMIT };
+	s->limited_ns = 0;
+	mh_send_window_init(&s->sends, d->seed ^ s->id_hash);
 }
 
 static struct server *add_server(struct mh_dispatch *d,
@@ -230,6 +235,7 @@
 			       const struct mh_backend_server *info)
 {
 	struct server *s = mh_dispatch_find_server(d, info->id);
+	bool is_new;
 
 	if (s && (strcmp(s->info.service, info->service) ||
 		  strcmp(s->info.address, info->address))) {
@@ -251,7 +257,10 @@
 		mh_dispatch_drop_ended(s);
 	if (s->info.born_ms != info->born_ms)
 		reset_server(d, s);
+	is_new = !s->incarnation || s->info.born_ms != info->born_ms;
 	s->info.born_ms = info->born_ms;
+	if (is_new)
+		mh_dispatch_begin_limit(d, s);
 	s->incarnation = s->id_hash ^ mh_dispatch_mix(info->born_ms);
 	s->info.places = info->places;
 	s->vanished = info->is_gone && (s->takes_work || s->vanished);
@@ -456,6 +465,13 @@
 	       outcome == MH_SLOT_UNREACHABLE || outcome == MH_SLOT_HELD_BACK;
 }
 
+/* Whether the server got nothing of a request that had its slot. */
+static bool is_unsent(enum mh_slot_outcome outcome)
+{
+	return outcome == MH_SLOT_UNUSED || outcome == MH_SLOT_UNREACHABLE ||
+	       outcome == MH_SLOT_HELD_BACK;
+}
+
 static void free_if_gone(struct mh_dispatch *d, struct server *s)
 {
 	if (!s->takes_work && !s->held)
@@ -475,6 +491,9 @@
 		mh_dispatch_record_outcome(d, req, outcome, total_ms,
 					   mh_dispatch_now_ns(d));
 		mh_dispatch_end_run(d, req, outcome, mh_dispatch_now_ns(d));
+		if (is_unsent(outcome))
+			mh_send_window_take_back(&s->sends, req->placed_ns,
+						 mh_dispatch_now_ns(d));
 		mh_dispatch_release_slot(req);
 		/* Requests held back by pauses are due again. */
 		if (mh_dispatch_now_ns(d) < s->pool->pauses_end_ns)
@@ -527,7 +546,9 @@
 		  uint64_t now_ns)
 {
 	mh_dispatch_leave_queue(d, req);
+	mh_dispatch_report_limited(d, req, now_ns);
 	req->placed_ns = now_ns;
+	mh_send_window_add(&s->sends, 1, 0, now_ns);
 	mh_dispatch_begin_trials(d, req, now_ns);
 	mh_dispatch_open_run(d, req);
 	mh_dispatch_take_slot(s, req);
@@ -564,8 +585,10 @@
 				place(d, req, s, now_ns);
 			else if (mh_dispatch_is_suspect(d, req, now_ns))
 				mh_dispatch_park(d, req);
-			else if (!mh_dispatch_hold_back(d, req, now_ns))
+			else if (!mh_dispatch_hold_back(d, req, now_ns)) {
+				mh_dispatch_note_limited(d, req, now_ns);
 				return;
+			}
 		}
 	}
 }
@@ -653,6 +676,7 @@
 		if (!mh_dispatch_server_takes_work(s))
 			continue;
 		view->servers++;
+		view->limited += s->limit.max_millihz != MH_NO_LIMIT;
 		view->places += mh_dispatch_server_slots(d, s);
 		if (at + SERVER_STATS_BYTES < sizeof(view->server_stats))
 			at += (size_t)snprintf(
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -203,6 +203,8 @@
  *        request another one, with @is_moved set
  * @lost: a run was lost
  * @suspect: other dispatchers should learn of this
+ * @limited: the limits of servers alone kept a request that is granted a slot now
+ *           waiting for this time; may be NULL
  */
 struct mh_dispatch_ops {
 	void (*grant)(void *data, uint32_t owner, uint64_t id,
@@ -212,6 +214,8 @@
 	void (*move)(void *data, uint32_t owner, uint64_t id);
 	void (*lost)(void *data, const struct mh_lost_run *run);
 	void (*suspect)(void *data, const struct mh_suspect *suspect);
+	void (*limited)(void *data, uint32_t owner, uint64_t id,
+			uint32_t wait_ms);
 };
 
 /**
@@ -237,6 +241,10 @@
  * begins with it. */
 #define MH_RETRY_USAGE_PREFIX "\x01"
 
+/* The same for requests that were sent to a server with a limit, the server's
+ * identifier behind the prefix. */
+#define MH_SENDS_USAGE_PREFIX "\x02"
+
 struct mh_dispatch;
 
 /**
@@ -431,15 +439,28 @@
 			      const struct mh_server_ref *server, uint32_t ms);
 
 /**
- * mh_dispatch_each_leaving() - walk the servers that said that they leave
+ * mh_dispatch_server_limit() - take what a server stated of its limit
+ * @d: dispatcher
+ * @server: server; ignored if a later incarnation of it is registered
+ * @stated: statement
+ *
+ * Return: what it changed.
+ */
+enum mh_limit_change
+mh_dispatch_server_limit(struct mh_dispatch *d,
+			 const struct mh_server_ref *server,
+			 const struct mh_server_limit *stated);
+
+/**
+ * mh_dispatch_each_notice() - walk the servers that leave or have a limit
  * @d: dispatcher
  * @visit: called for each
  * @data: first argument of @visit
  */
-void mh_dispatch_each_leaving(const struct mh_dispatch *d,
-			      void (*visit)(void *data,
-					    const struct mh_server_ref *server),
-			      void *data);
+void mh_dispatch_each_notice(
+	const struct mh_dispatch *d,
+	void (*visit)(void *data, const struct mh_server_notice *notice),
+	void *data);
 
 /**
  * mh_dispatch_merge_suspect() - add what another dispatcher knows
@@ -536,6 +557,7 @@
 /**
  * struct mh_dispatch_view - state of a service, for logs and metrics
  * @servers: number of servers that take work
+ * @limited: those of them that have a limit
  * @places: number of their slots
  * @held: slots in use
  * @waiting: requests that wait, by tier
@@ -544,6 +566,7 @@
  */
 struct mh_dispatch_view {
 	uint32_t servers;
+	uint32_t limited;
 	uint32_t places;
 	uint32_t held;
 	uint32_t waiting[MH_TIERS];
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -10,6 +10,7 @@
 #include "core/dispatch.h"
 #include "core/heap.h"
 #include "core/open_runs.h"
+#include "core/send_window.h"
 #include "core/sliding_window.h"
 #include "core/suspects.h"
 
@@ -48,6 +49,7 @@
 	uint64_t trials; /* features on trial in its run, bits by number */
 	bool survived_briefly; /* its server lived on for SETTLE_NS, at least */
 	bool parked;
+	uint64_t limited_ns; /* since when limits alone keep it waiting, or 0 */
 	bool is_repeatable;
 	bool over_quota; /* served from spare slots only */
 	uint32_t n_avoid;
@@ -91,6 +93,9 @@
 	bool vanished;	 /* its registration ended, and it was not draining */
 	bool is_leaving; /* it said so in a response */
 	struct pause *pauses;
+	struct mh_server_limit limit;
+	uint64_t limited_ns;	     /* when a limit was last in force */
+	struct mh_send_window sends; /* counted also without a limit */
 	uint32_t held;
 	uint32_t unanswered; /* held requests without a first byte */
 	struct request *requests;
@@ -184,6 +189,9 @@
 	struct quota *quotas;
 	struct mh_suspects *suspects;
 	struct mh_open_runs *open_runs;
+	/* Limits that hold, also of servers that are not registered yet, or not
+	 * at the moment. */
+	struct mh_server_notices *limits;
 	uint64_t suspect_changes;
 	/* Suspects, and requests held back by pauses, that can't run now. */
 	struct request *parked;
@@ -199,8 +207,10 @@
 /* Servers: dispatch_server.c */
 struct server *mh_dispatch_pick(struct mh_dispatch *d, struct pool *p,
 				const struct request *req, uint64_t now_ns);
-uint32_t mh_dispatch_free_slots(const struct mh_dispatch *d,
-				const struct server *s, uint64_t now_ns);
+uint32_t mh_dispatch_free_slots(const struct mh_dispatch *d, struct server *s,
+				uint64_t now_ns);
+uint32_t mh_dispatch_limit_wait_ms(const struct mh_dispatch *d,
+				   struct server *s, uint64_t now_ns);
 void mh_dispatch_move_overdue(struct mh_dispatch *d, struct pool *p,
 			      uint64_t now_ns);
 void mh_dispatch_take_slot(struct server *s, struct request *req);
@@ -284,11 +294,20 @@
 			uint32_t owner, uint64_t now_ns);
 bool mh_dispatch_hold_back(struct mh_dispatch *d, struct request *req,
 			   uint64_t now_ns);
+struct server *mh_dispatch_incarnation(const struct mh_dispatch *d,
+				       const struct mh_server_ref *ref);
 void mh_dispatch_review_parked(struct mh_dispatch *d, struct pool *p,
 			       uint64_t now_ns);
 void mh_dispatch_drop_pauses(struct server *s);
 void mh_dispatch_drop_owner_pauses(struct mh_dispatch *d, uint32_t owner);
 
+/* Limits of servers: dispatch_limit.c */
+void mh_dispatch_begin_limit(struct mh_dispatch *d, struct server *s);
+void mh_dispatch_note_limited(const struct mh_dispatch *d, struct request *req,
+			      uint64_t now_ns);
+void mh_dispatch_report_limited(struct mh_dispatch *d,
+				const struct request *req, uint64_t now_ns);
+
 /* Refusals: dispatch_review.c */
 bool mh_dispatch_is_too_late(const struct request *req, double wait_ms,
 			     uint64_t now_ns);
--- a/core/dispatch_notice.c
+++ b/core/dispatch_notice.c
@@ -69,7 +69,7 @@
 
 /* Return: the server, unless a former incarnation is meant. A later one may be
  * registered in a moment. */
-static struct server *find_incarnation(const struct mh_dispatch *d,
+struct server *mh_dispatch_incarnation(const struct mh_dispatch *d,
 				       const struct mh_server_ref *ref)
 {
 	struct server *s = mh_dispatch_find_server(d, ref->id);
@@ -80,7 +80,7 @@
 bool mh_dispatch_server_leaving(struct mh_dispatch *d,
 				const struct mh_server_ref *server)
 {
-	struct server *s = find_incarnation(d, server);
+	struct server *s = mh_dispatch_incarnation(d, server);
 
 	if (!s || s->is_leaving)
 		return false;
@@ -92,7 +92,7 @@
 void mh_dispatch_server_pause(struct mh_dispatch *d, uint32_t owner,
 			      const struct mh_server_ref *server, uint32_t ms)
 {
-	struct server *s = find_incarnation(d, server);
+	struct server *s = mh_dispatch_incarnation(d, server);
 	uint64_t now_ns = mh_dispatch_now_ns(d), until_ns;
 	struct pause *p;
 
@@ -132,22 +132,26 @@
 	}
 }
 
-void mh_dispatch_each_leaving(const struct mh_dispatch *d,
-			      void (*visit)(void *data,
-					    const struct mh_server_ref *server),
-			      void *data)
+void mh_dispatch_each_notice(
+	const struct mh_dispatch *d,
+	void (*visit)(void *data, const struct mh_server_notice *notice),
+	void *data)
 {
 	struct server *s, *tmp_s;
 	struct pool *p, *tmp_p;
 
 	HASH_ITER(hh, d->pools, p, tmp_p) {
 		HASH_ITER(hh, p->servers, s, tmp_s) {
-			struct mh_server_ref ref = { s->info.id,
-						     s->info.address,
-						     s->info.born_ms };
-
-			if (s->is_leaving)
-				visit(data, &ref);
+			struct mh_server_notice notice = {
+				.server = s->info.id,
+				.born_ms = s->info.born_ms,
+				.is_leaving = s->is_leaving,
+				.limit = s->limit,
+			};
+
+			if (s->is_leaving ||
+			    s->limit.max_millihz != MH_NO_LIMIT)
+				visit(data, &notice);
 		}
 	}
 }
--- a/core/dispatch_quota.c
+++ b/core/dispatch_quota.c
@@ -131,6 +131,7 @@
 {
 	size_t prefix = strlen(MH_RETRY_USAGE_PREFIX);
 	struct grantor *g;
+	struct server *s;
 
 	if (!strncmp(account, MH_RETRY_USAGE_PREFIX, prefix)) {
 		mh_retry_window_add_retries(
@@ -138,6 +139,14 @@
 			units, mh_dispatch_now_ns(d));
 		return;
 	}
+	prefix = strlen(MH_SENDS_USAGE_PREFIX);
+	if (!strncmp(account, MH_SENDS_USAGE_PREFIX, prefix)) {
+		s = mh_dispatch_find_server(d, account + prefix);
+		if (s)
+			mh_send_window_add(&s->sends, units, age_ms,
+					   mh_dispatch_now_ns(d));
+		return;
+	}
 	g = get_grantor(d, get_quota(d, account), grantor);
 	mh_usage_add(&g->reported, units, age_ms, mh_dispatch_now_ns(d));
 }
--- a/core/dispatch_review.c
+++ b/core/dispatch_review.c
@@ -23,6 +23,22 @@
 	d->ops->refuse(d->data, owner, id, why);
 }
 
+/* Whether all servers of a pool have a limit. */
+static bool are_all_limited(const struct pool *p)
+{
+	struct server *s, *tmp;
+	bool any = false;
+
+	HASH_ITER(hh, p->servers, s, tmp) {
+		if (!mh_dispatch_server_takes_work(s))
+			continue;
+		if (s->limit.max_millihz == MH_NO_LIMIT)
+			return false;
+		any = true;
+	}
+	return any;
+}
+
 void mh_dispatch_refuse_late(struct mh_dispatch *d, struct request *req,
 			     double wait_ms)
 {
@@ -39,24 +55,84 @@
 	ms += (uint32_t)(mh_rng_next(&d->rng) % (ms / 2 + 1));
 	if (req->over_quota)
 		why.error = MH_ERR_ACCOUNT_LIMIT;
+	else if (are_all_limited(req->pool))
+		why.error = MH_ERR_SERVERS_LIMITED;
 	why.retry_after_ms = ms;
 	mh_dispatch_refuse(d, req, &why);
 }
 
-/* Capacity of a pool, in slots of servers with normal latency. */
-static double capacity(const struct mh_dispatch *d, const struct pool *p)
+/**
+ * struct capacity - what the servers of a pool can serve
+ * @places: slots of servers with normal latency; a server with a limit counts as
+ *          those that this many requests use
+ * @wait_ms: time until a server takes the next request, if all have limits and
+ *           none takes one now
+ */
+struct capacity {
+	double places;
+	double wait_ms;
+};
+
+static double sum_expected_ms(const struct mh_heap *heap)
+{
+	double ms = 0;
+	uint32_t i;
+
+	for (i = 0; i < heap->n; i++) {
+		const struct request *req = heap->v[i];
+
+		ms += mh_dispatch_expected_ms(req->pool, req);
+	}
+	return ms;
+}
+
+/* Mean expected run time of the requests that wait. */
+static double mean_expected_ms(const struct pool *p)
 {
+	double ms = 0;
+	uint32_t n = 0;
+	int t;
+
+	for (t = 0; t < MH_TIERS; t++) {
+		const struct queue *queue = &p->queues[t];
+
+		ms += sum_expected_ms(&queue->timely) +
+		      sum_expected_ms(&queue->late);
+		n += queue->timely.n + queue->late.n;
+	}
+	return n ? ms / n : 0;
+}
+
+static struct capacity capacity(const struct mh_dispatch *d, struct pool *p,
+				uint64_t now_ns)
+{
+	double run_ms = mean_expected_ms(p), least_wait_ms = -1;
+	bool all_limited = are_all_limited(p);
+	struct capacity c = { 0 };
 	struct server *s, *tmp;
-	double n = 0;
 
 	HASH_ITER(hh, p->servers, s, tmp) {
 		double latency_ratio =
 			s->latency_ratio > 1 ? s->latency_ratio : 1;
-
-		if (mh_dispatch_server_takes_work(s))
-			n += mh_dispatch_server_slots(d, s) / latency_ratio;
+		double places, hz, wait_ms;
+
+		if (!mh_dispatch_server_takes_work(s))
+			continue;
+		places = mh_dispatch_server_slots(d, s) / latency_ratio;
+		if (s->limit.max_millihz != MH_NO_LIMIT) {
+			hz = mh_send_window_hz(s->limit.max_millihz,
+					       d->n_sharing);
+			if (places > hz * run_ms / MH_MS_PER_S)
+				places = hz * run_ms / MH_MS_PER_S;
+			wait_ms = mh_dispatch_limit_wait_ms(d, s, now_ns);
+			if (least_wait_ms < 0 || wait_ms < least_wait_ms)
+				least_wait_ms = wait_ms;
+		}
+		c.places += places;
 	}
-	return n;
+	if (all_limited && least_wait_ms > 0)
+		c.wait_ms = least_wait_ms;
+	return c;
 }
 
 static int by_target(const void *a, const void *b)
@@ -91,11 +167,13 @@
 	       is_past(now_ns, wait_ms + first_ms, req->start_by_ns);
 }
 
-/* Return: @ahead_ms plus the expected run times, in ms, of the requests that
+/* @begin_ms: time until the first of all waiting requests gets a slot.
+ * Return: @ahead_ms plus the expected run times, in ms, of the requests that
  * remain in this heap. */
 static double review_heap(struct mh_dispatch *d, struct mh_heap *heap,
 			  int (*order)(const void *a, const void *b),
-			  double ahead_ms, double places, uint64_t now_ns)
+			  double ahead_ms, double places, double begin_ms,
+			  uint64_t now_ns)
 {
 	uint32_t i, n = heap->n;
 	void **v;
@@ -107,8 +185,8 @@
 	qsort(v, n, sizeof(*v), order);
 	for (i = 0; i < n; i++) {
 		struct request *req = v[i];
-		double wait_ms =
-			places > 0 ? ahead_ms / places : NO_CAPACITY_WAIT_MS;
+		double wait_ms = places > 0 ? begin_ms + ahead_ms / places :
+					      NO_CAPACITY_WAIT_MS;
 
 		if (mh_dispatch_is_too_late(req, wait_ms, now_ns))
 			mh_dispatch_refuse_late(d, req, wait_ms);
@@ -121,18 +199,19 @@
 
 void mh_dispatch_review(struct mh_dispatch *d, struct pool *p, uint64_t now_ns)
 {
-	double places = capacity(d, p), left = places, ahead_ms = 0;
+	struct capacity c = capacity(d, p, now_ns);
+	double left = c.places, ahead_ms = 0;
 	int t;
 
 	for (t = 0; t < MH_TIERS; t++) {
 		struct queue *queue = &p->queues[t];
 
-		if (left < MIN_CAPACITY_FRACTION * places)
-			left = MIN_CAPACITY_FRACTION * places;
+		if (left < MIN_CAPACITY_FRACTION * c.places)
+			left = MIN_CAPACITY_FRACTION * c.places;
 		ahead_ms = review_heap(d, &queue->timely, by_target, ahead_ms,
-				       left, now_ns);
+				       left, c.wait_ms, now_ns);
 		ahead_ms = review_heap(d, &queue->late, by_deadline, ahead_ms,
-				       left, now_ns);
+				       left, c.wait_ms, now_ns);
 		left -= queue->arrivals_per_s * queue->hold_ms / MH_MS_PER_S;
 	}
 }
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -37,6 +37,11 @@
  * as down; four failures in a row reach it. A server that fails at once always
  * has free slots and would attract the work of a busy pool. */
 #define DOWN_MARGIN 0.4
+/* Cost of a server whose limit is used up: servers without a limit go first. */
+#define LIMIT_COST 1.0
+/* A server with a limit gets a request at least this often if its limit allows,
+ * since only its responses tell that the limit has ended. */
+#define LIMIT_RECHECK_NS (2000 * MH_NS_PER_MS)
 /* Most requests that are moved away in one pass over a pool. */
 #define MOVES_MAX 64
 /* Backoff of a server after a lost connection or failures: doubles from the
@@ -116,7 +121,8 @@
 	return now_ns > req->placed_ns + first_byte_timeout_ns(req);
 }
 
-uint32_t mh_dispatch_free_slots(const struct mh_dispatch *d,
+/* Free slots without regard to the server's limit. */
+static uint32_t unlimited_slots(const struct mh_dispatch *d,
 				const struct server *s, uint64_t now_ns)
 {
 	uint32_t places = mh_dispatch_server_slots(d, s);
@@ -137,6 +143,26 @@
 	return places > s->held ? places - s->held : 0;
 }
 
+uint32_t mh_dispatch_free_slots(const struct mh_dispatch *d, struct server *s,
+				uint64_t now_ns)
+{
+	uint32_t n = unlimited_slots(d, s, now_ns);
+
+	return n && mh_send_window_wait_ms(&s->sends, s->limit.max_millihz,
+					   d->n_sharing, now_ns) ?
+		       0 :
+		       n;
+}
+
+uint32_t mh_dispatch_limit_wait_ms(const struct mh_dispatch *d,
+				   struct server *s, uint64_t now_ns)
+{
+	if (!unlimited_slots(d, s, now_ns))
+		return 0;
+	return mh_send_window_wait_ms(&s->sends, s->limit.max_millihz,
+				      d->n_sharing, now_ns);
+}
+
 uint64_t mh_dispatch_hash(const char *id)
 {
 	return XXH3_64bits(id, strlen(id));
@@ -158,12 +184,26 @@
 	return false;
 }
 
-static double cost(const struct mh_dispatch *d, const struct server *s)
+static bool is_recheck_due(const struct server *s, uint64_t now_ns)
+{
+	return s->limit.max_millihz != MH_NO_LIMIT &&
+	       now_ns > s->sends.last_ns + LIMIT_RECHECK_NS &&
+	       s->latency_ratio <= SLOW_LATENCY_RATIO;
+}
+
+static double cost(const struct mh_dispatch *d, struct server *s,
+		   uint64_t now_ns)
 {
 	double excess = s->failure_rate - s->pool->failure_rate;
+	double used = mh_send_window_used(&s->sends, s->limit.max_millihz,
+					  d->n_sharing, now_ns);
 	double c = s->latency_ratio *
 		   (1.0 + (double)s->held / mh_dispatch_server_slots(d, s));
 
+	if (is_recheck_due(s, now_ns))
+		return 0;
+	c += LIMIT_COST * used;
+
 	if (excess > GREY_MARGIN)
 		c *= 1.0 + 10.0 * excess;
 	return c;
@@ -193,7 +233,7 @@
 			continue;
 		}
 		/* The random part spreads work over servers of similar cost. */
-		c = cost(d, s) +
+		c = cost(d, s, now_ns) +
 		    (double)(mh_rng_next(&d->rng) % 64) * COST_NOISE_STEP;
 		if (suspect)
 			c += SUSPECT_LOAD_COST * s->held /
--- a/core/err.c
+++ b/core/err.c
@@ -85,6 +85,9 @@
 			      "Internal error" },
 	[MH_ERR_SERVERS_PAUSED] = { "servers_paused", 503, NOT_RUN, true,
 				    "All backend servers asked for a pause" },
+	[MH_ERR_SERVERS_LIMITED] = { "servers_limited", 503, NOT_RUN, true,
+				     "All backend servers limit the requests "
+				     "that they take" },
 };
 
 const struct mh_error_info *mh_error_info(enum mh_error err)
--- a/core/metrics.c
+++ b/core/metrics.c
@@ -9,6 +9,7 @@
 #include <string.h>
 #include <uthash.h>
 
+#include "core/check_alloc.h"
 #include "core/clock.h"
 
 /* Takes some 100 KiB. A site needs a series for each combination of route, tier
@@ -34,7 +35,20 @@
 	UT_hash_handle hh;
 };
 
+/* Value of a gauge for some labels. */
+struct labelled_gauge {
+	char key[LABEL_BYTES + 4]; /* gauge and labels */
+	enum mh_gauge id;
+	const char *labels;
+	_Atomic int64_t value;
+	struct labelled_gauge *next;
+	UT_hash_handle hh;
+};
+
 struct mh_metrics {
+	struct labelled_gauge *gauges_by_key; /* the recording thread's */
+	uint32_t n_labelled;
+	struct labelled_gauge *_Atomic first_labelled; /* the newest one */
 	struct mh_series *by_key; /* used by the recording thread only */
 	uint32_t n;
 	/* The newest series; readers walk the list from it. */
@@ -67,10 +81,17 @@
 
 void mh_metrics_free(struct mh_metrics *m)
 {
+	struct labelled_gauge *g, *next;
 	struct mh_series *s, *tmp;
 
 	if (!m)
 		return;
+	HASH_ITER(hh, m->gauges_by_key, g, next) {
+		/* The analyzer does not follow uthash's deletion macros. */
+		/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference) */
+		HASH_DEL(m->gauges_by_key, g);
+		free(g);
+	}
 	HASH_ITER(hh, m->by_key, s, tmp) {
 		HASH_DEL(m->by_key, s);
 		free(s);
@@ -173,6 +194,50 @@
 	atomic_store_explicit(&m->is_set[id], true, memory_order_relaxed);
 }
 
+static void set_labelled(struct mh_metrics *m, enum mh_gauge id, int64_t value,
+			 const char *labels)
+{
+	char key[LABEL_BYTES + 4];
+	struct labelled_gauge *g;
+
+	if (!are_well_formed(labels))
+		return;
+	snprintf(key, sizeof(key), "%c:%s", 'a' + (int)id, labels);
+	HASH_FIND_STR(m->gauges_by_key, key, g);
+	if (!g) {
+		if (m->n_labelled == MAX_SERIES)
+			return;
+		g = mh_check_alloc(calloc(1, sizeof(*g)));
+		memcpy(g->key, key, sizeof(key));
+		g->id = id;
+		g->labels = g->key + 2;
+		HASH_ADD_STR(m->gauges_by_key, key, g);
+		m->n_labelled++;
+		g->next = atomic_load_explicit(&m->first_labelled,
+					       memory_order_relaxed);
+		atomic_store_explicit(&g->value, value, memory_order_relaxed);
+		atomic_store_explicit(&m->first_labelled, g,
+				      memory_order_release);
+	}
+	atomic_store_explicit(&g->value, value, memory_order_relaxed);
+}
+
+void mh_metrics_set_labelled(struct mh_metrics *m, enum mh_gauge id,
+			     int64_t value, const char *fmt, ...)
+{
+	char *labels;
+	va_list args;
+	int len;
+
+	va_start(args, fmt);
+	len = vasprintf(&labels, fmt, args);
+	va_end(args);
+	if (len < 0)
+		abort();
+	set_labelled(m, id, value, labels);
+	free(labels);
+}
+
 void mh_metrics_set_age(struct mh_metrics *m, enum mh_gauge id,
 			uint64_t then_ns, uint64_t now_ns)
 {
@@ -213,6 +278,24 @@
 		s->labels, sum);
 }
 
+static void write_labelled(FILE *out, const struct mh_metrics *m, int id)
+{
+	const struct labelled_gauge *g =
+		atomic_load_explicit(&m->first_labelled, memory_order_acquire);
+	bool any = false;
+
+	for (; g; g = g->next) {
+		if ((int)g->id != id)
+			continue;
+		if (!any)
+			write_head(out, &gauges[id], "gauge");
+		any = true;
+		fprintf(out, "mangohead_%s{%s} %" PRId64 "\n", gauges[id].name,
+			g->labels,
+			atomic_load_explicit(&g->value, memory_order_relaxed));
+	}
+}
+
 char *mh_metrics_text(const struct mh_metrics *m)
 {
 	const struct mh_series *first =
@@ -226,6 +309,7 @@
 	if (!out)
 		return NULL;
 	for (i = 0; i < MH_G_COUNT; i++) {
+		write_labelled(out, m, i);
 		if (!atomic_load_explicit(&m->is_set[i], memory_order_relaxed))
 			continue;
 		write_head(out, &gauges[i], "gauge");
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -27,7 +27,9 @@
 	  "time since the dispatcher in use told how it stands")               \
 	X(OPEN, open_requests, "requests that are open")                       \
 	X(LINKS, links, "links that are up")                                   \
-	X(READY, ready, "1 while requests are taken")
+	X(READY, ready, "1 while requests are taken")                          \
+	X(SERVER_LIMIT, server_limit_millihz,                                  \
+	  "requests in 1000 s that a server takes, -1 if its limit ended")
 
 enum mh_histogram {
 #define X(id, name, help) MH_H_##id,
@@ -99,6 +101,18 @@
  */
 void mh_metrics_set(struct mh_metrics *m, enum mh_gauge id, int64_t value);
 
+/**
+ * mh_metrics_set_labelled() - set a gauge that has a value for each of some labels
+ * @m: metrics
+ * @id: which gauge
+ * @value: value
+ * @fmt: format of the labels, see mh_metrics_series(), which bounds their number
+ *       as well; none is set for labels that are not well-formed
+ */
+void mh_metrics_set_labelled(struct mh_metrics *m, enum mh_gauge id,
+			     int64_t value, const char *fmt, ...)
+	__attribute__((format(printf, 4, 5)));
+
 /**
  * mh_metrics_set_age() - set a gauge to the time since an event, in ms
  * @m: metrics
--- a/core/server_notices.c
+++ b/core/server_notices.c
@@ -81,13 +81,20 @@
 	return mh_clock_mono_ns(set->clock) < notice->pause_until_ns;
 }
 
+static bool holds(const struct mh_server_notices *set,
+		  const struct mh_server_notice *notice)
+{
+	return notice->is_leaving || is_pausing(set, notice) ||
+	       notice->limit.max_millihz != MH_NO_LIMIT;
+}
+
 /* Makes room for a notice: one that holds no more, or else the oldest. */
 static void evict(struct mh_server_notices *set)
 {
 	struct row *r, *tmp;
 
 	HASH_ITER(hh, set->rows, r, tmp) {
-		if (r->notice.is_leaving || is_pausing(set, &r->notice))
+		if (holds(set, &r->notice))
 			continue;
 		free_row(set, r);
 		return;
@@ -114,6 +121,7 @@
 	r = mh_check_alloc(calloc(1, sizeof(*r)));
 	r->notice.server = mh_check_alloc(strdup(server->id));
 	r->notice.born_ms = server->born_ms;
+	r->notice.limit.max_millihz = MH_NO_LIMIT;
 	HASH_ADD_KEYPTR(hh, set->rows, r->notice.server,
 			strlen(r->notice.server), r);
 	return r;
@@ -146,6 +154,21 @@
 	return true;
 }
 
+enum mh_limit_change
+mh_server_notices_update_limit(struct mh_server_notices *set,
+			       const struct mh_server_ref *server,
+			       const struct mh_server_limit *stated)
+{
+	struct row *r;
+
+	if (stated->max_millihz == MH_NO_LIMIT &&
+	    !mh_server_notices_has_limit(set, server))
+		return MH_LIMIT_UNCHANGED;
+	r = get(set, server);
+	return r ? mh_server_limit_update(&r->notice.limit, stated) :
+		   MH_LIMIT_UNCHANGED;
+}
+
 const struct mh_server_notice *
 mh_server_notices_find(const struct mh_server_notices *set,
 		       const struct mh_server_ref *server)
@@ -157,6 +180,15 @@
 	return &r->notice;
 }
 
+bool mh_server_notices_has_limit(const struct mh_server_notices *set,
+				 const struct mh_server_ref *server)
+{
+	const struct mh_server_notice *notice =
+		mh_server_notices_find(set, server);
+
+	return notice && notice->limit.max_millihz != MH_NO_LIMIT;
+}
+
 enum mh_send_verdict
 mh_server_notices_check(const struct mh_server_notices *set,
 			const struct mh_server_ref *server)
@@ -179,7 +211,7 @@
 	struct row *r, *tmp;
 
 	HASH_ITER(hh, set->rows, r, tmp) {
-		if (r->notice.is_leaving || is_pausing(set, &r->notice))
+		if (holds(set, &r->notice))
 			visit(data, &r->notice);
 	}
 }
--- a/core/server_notices.h
+++ b/core/server_notices.h
@@ -1,7 +1,9 @@
 /*
  * What backend servers asked of this host in their responses: a server that
  * leaves gets no further requests, one that asked for a pause gets none until
- * its end. A notice holds for one incarnation of a server.
+ * its end. The limit that one states concerns all hosts together, so dispatchers
+ * keep it; here it is known to be told to them. A notice holds for one incarnation
+ * of a server.
  */
 #ifndef MH_SERVER_NOTICES_H
 #define MH_SERVER_NOTICES_H
@@ -10,6 +12,7 @@
 #include <stdint.h>
 
 #include "core/clock.h"
+#include "core/server_limit.h"
 
 /* Longest pause that is honoured. */
 #define MH_PAUSE_MAX_MS 600000
@@ -33,12 +36,14 @@
  * @is_leaving: it leaves
  * @pause_until_ns: monotonic time until which it wants no requests, 0 if it
  *                  asked for no pause
+ * @limit: limit that it stated
  */
 struct mh_server_notice {
 	const char *server;
 	uint64_t born_ms;
 	bool is_leaving;
 	uint64_t pause_until_ns;
+	struct mh_server_limit limit;
 };
 
 /**
@@ -103,6 +108,27 @@
 				 const struct mh_server_ref *server,
 				 uint32_t ms);
 
+/**
+ * mh_server_notices_update_limit() - record what a server stated of its limit
+ * @set: set
+ * @server: server
+ * @stated: statement
+ *
+ * Return: what it changed.
+ */
+enum mh_limit_change
+mh_server_notices_update_limit(struct mh_server_notices *set,
+			       const struct mh_server_ref *server,
+			       const struct mh_server_limit *stated);
+
+/**
+ * mh_server_notices_has_limit() - whether a limit of a server holds
+ * @set: set
+ * @server: server
+ */
+bool mh_server_notices_has_limit(const struct mh_server_notices *set,
+				 const struct mh_server_ref *server);
+
 /**
  * mh_server_notices_check() - whether a request may be sent to a server
  * @set: set
--- a/core/usage_relay.c
+++ b/core/usage_relay.c
@@ -7,6 +7,7 @@
 
 #include "core/check_alloc.h"
 #include "core/dispatch.h"
+#include "core/send_window.h"
 #include "core/sliding_window.h"
 
 /* Holds an account's name and an incarnation. */
@@ -75,10 +76,13 @@
 static uint32_t window_ms(const struct mh_usage_relay *relay,
 			  const char *account)
 {
-	return strncmp(account, MH_RETRY_USAGE_PREFIX,
-		       strlen(MH_RETRY_USAGE_PREFIX)) ?
-		       relay->quota_window_ms :
-		       relay->retry_window_ms;
+	if (!strncmp(account, MH_RETRY_USAGE_PREFIX,
+		     strlen(MH_RETRY_USAGE_PREFIX)))
+		return relay->retry_window_ms;
+	if (!strncmp(account, MH_SENDS_USAGE_PREFIX,
+		     strlen(MH_SENDS_USAGE_PREFIX)))
+		return MH_SEND_WINDOW_MS;
+	return relay->quota_window_ms;
 }
 
 void mh_usage_relay_add(struct mh_usage_relay *relay, const char *account,
--- a/core/usage_relay.h
+++ b/core/usage_relay.h
@@ -1,5 +1,6 @@
 /*
- * Usage of accounts as one entry saw it, by the dispatcher that granted it.
+ * Usage of accounts, retries, and requests sent to servers with a limit, as one
+ * entry saw them, by the dispatcher that granted it.
  * Entries may use different dispatchers for a while. Each dispatcher is told
  * what the others granted, so that quotas hold over all of them.
  */
--- a/ctl/timeline.c
+++ b/ctl/timeline.c
@@ -248,6 +248,58 @@
 	}
 }
 
+/* Return: whether a later line, up to the request's end, tells of the same
+ * server's limit at the same host. */
+static bool is_limit_outdated(const struct timeline *tl, size_t at,
+			      const char *host, const char *server)
+{
+	size_t i;
+
+	for (i = at + 1; i < tl->n && tl->v[i].when_ms <= tl->end_ms; i++) {
+		if (field_is(tl->v[i].text, "event", "server_limit") &&
+		    field_is(tl->v[i].text, "host", host) &&
+		    field_is(tl->v[i].text, "server", server))
+			return true;
+	}
+	return false;
+}
+
+static bool is_held_by_limits(const struct timeline *tl)
+{
+	size_t i;
+
+	if (field_is(tl->last->text, "error", "servers_limited"))
+		return true;
+	for (i = 0; i < tl->n; i++) {
+		if (tl->v[i].shown &&
+		    field_is(tl->v[i].text, "event", "limit_wait"))
+			return true;
+	}
+	return false;
+}
+
+/* Marks the limits of servers that the request's host knew of, if the request
+ * waited or was refused for them. */
+static void show_limits(struct timeline *tl)
+{
+	char host[VALUE_BYTES], server[VALUE_BYTES];
+	size_t i;
+
+	if (!is_held_by_limits(tl) || !get_field(tl->last->text, "host", host))
+		return;
+	for (i = 0; i < tl->n; i++) {
+		struct line *line = &tl->v[i];
+
+		if (line->when_ms <= tl->end_ms &&
+		    field_is(line->text, "event", "server_limit") &&
+		    field_is(line->text, "host", host) &&
+		    !field_is(line->text, "limit_millihz", "-1") &&
+		    get_field(line->text, "server", server) &&
+		    !is_limit_outdated(tl, i, host, server))
+			line->shown = true;
+	}
+}
+
 static bool is_context(const struct timeline *tl, const char *text)
 {
 	char kind[VALUE_BYTES];
@@ -311,8 +363,15 @@
 	for (i = 0; i < tl->n; i++) {
 		char spent[VALUE_BYTES], limit[VALUE_BYTES];
 
-		if (!tl->v[i].shown ||
-		    !field_is(tl->v[i].text, "event", "no_place"))
+		if (!tl->v[i].shown)
+			continue;
+		if (field_is(tl->v[i].text, "event", "limit_wait") &&
+		    get_field(tl->v[i].text, "wait_ms", value))
+			fprintf(out,
+				"       waited %s ms for the limits of "
+				"servers\n",
+				value);
+		if (!field_is(tl->v[i].text, "event", "no_place"))
 			continue;
 		get_field(tl->v[i].text, "wait_ms", value);
 		get_field(tl->v[i].text, "spent", spent);
@@ -371,6 +430,7 @@
 	}
 	show_lost_runs(&tl);
 	show_pauses(&tl);
+	show_limits(&tl);
 	show_context(&tl);
 	print_lines(&tl, out);
 	print_cause(&tl, out);
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -8,13 +8,13 @@
 #include "config/bounds.h"
 #include "core/dispatch.h"
 #include "dispatcher/linked_entry.h"
+#include "dispatcher/notices.h"
 #include "dispatcher/pool_log.h"
 #include "dispatcher/slot_frames.h"
 #include "net/crash_log.h"
 #include "net/dispatcher_frames.h"
 #include "net/link.h"
 #include "net/link_peer.h"
-#include "net/notice_frames.h"
 #include "net/process.h"
 #include "net/registrations.h"
 #include "net/suspect_frames.h"
@@ -57,6 +57,7 @@
 	uint64_t ledger_copied_ns;
 	struct mh_routes *routes;
 	struct mh_linked_entry *linked_entries;
+	struct mh_dispatcher_notices notices;
 	struct mh_candidates dispatchers;
 	bool dispatchers_changed;
 	uint64_t dispatchers_sent_ns;
@@ -143,8 +144,20 @@
 	share_suspect(data, suspect, 0);
 }
 
+static void on_limited(void *data, uint32_t owner, uint64_t id,
+		       uint32_t wait_ms)
+{
+	struct mh_dispatcher_app *app = data;
+
+	mh_count(&app->process.counters, MH_C_LIMIT_WAITS);
+	mh_event(app->process.log, MH_EV_SENT,
+		 "event=limit_wait entry=%s request=%llu wait_ms=%u",
+		 entry_host(app, owner), (unsigned long long)id, wait_ms);
+}
+
 static const struct mh_dispatch_ops dispatch_ops = {
-	grant_slot, refuse_slot, move_request, log_lost_run, on_suspect,
+	grant_slot,   refuse_slot, move_request,
+	log_lost_run, on_suspect,  on_limited,
 };
 
 static void on_server(void *data, const struct mh_registration *reg)
@@ -259,38 +272,6 @@
 		share_suspect(app, &suspect, link);
 }
 
-/* A pause concerns the entry that was asked for it; that a server leaves
- * concerns all. */
-static void receive_notice(struct mh_dispatcher_app *app, uint32_t link,
-			   const Mh__ServerNotice *msg)
-{
-	struct mh_linked_entry *entry, *tmp;
-	struct mh_server_ref server;
-	uint32_t pause_ms = mh_notice_read(msg, &server);
-
-	if (pause_ms) {
-		mh_dispatch_server_pause(app->dispatch, link, &server,
-					 pause_ms);
-		mh_event(app->process.log, MH_EV_SERVER,
-			 "event=server_pause server=%s born=%llu pause_ms=%u "
-			 "entry=%s",
-			 server.id, (unsigned long long)server.born_ms,
-			 pause_ms, entry_host(app, link));
-	}
-	if (!msg->is_leaving ||
-	    !mh_dispatch_server_leaving(app->dispatch, &server))
-		return;
-	mh_event(app->process.log, MH_EV_SERVER,
-		 "event=server_leaving server=%s born=%llu from=%s", server.id,
-		 (unsigned long long)server.born_ms, entry_host(app, link));
-	HASH_ITER(hh, app->linked_entries, entry, tmp) {
-		struct mh_link_peer to = { app->links, entry->link };
-
-		if (entry->link != link)
-			mh_notice_send_leaving(&to, &server);
-	}
-}
-
 static void send_heartbeat(struct mh_dispatcher_app *app, uint32_t link)
 {
 	uint64_t version;
@@ -326,8 +307,7 @@
 			    app->settings.host);
 	tell_new_entries(app, mh_now_ns());
 	mh_dispatch_each_suspect(app->dispatch, send_suspect, &to);
-	mh_dispatch_each_leaving(app->dispatch, mh_notice_send_leaving,
-				 &(struct mh_link_peer){ app->links, link });
+	mh_dispatcher_notices_send_all(&app->notices, link);
 	send_heartbeat(app, link);
 }
 
@@ -450,7 +430,8 @@
 					  frame->server_probed->server);
 		break;
 	case MH__FRAME__BODY_SERVER_NOTICE:
-		receive_notice(app, link, frame->server_notice);
+		mh_dispatcher_notices_receive(&app->notices, link,
+					      frame->server_notice);
 		break;
 	case MH__FRAME__BODY_LEDGER_RECORD:
 		receive_record(app, frame->ledger_record);
@@ -643,6 +624,10 @@
 				    app->settings.host);
 	app->links = mh_links_new(app->process.loop, &link_conf,
 				  &app->process.counters, &link_ops, app);
+	app->notices = (struct mh_dispatcher_notices){
+		&mh_system_clock, app->process.log, app->process.metrics,
+		app->links,	  app->dispatch,    &app->linked_entries,
+	};
 	if (!app->links || mh_links_listen(app->links, app->settings.links)) {
 		mh_event(app->process.log, MH_EV_FAILED,
 			 "event=no_listen address=%s", app->settings.links);
--- a/dispatcher/pool_log.c
+++ b/dispatcher/pool_log.c
@@ -15,7 +15,8 @@
 		at += (size_t)snprintf(waiting + at, sizeof(waiting) - at,
 				       "%s%u", t ? "," : "", v.waiting[t]);
 	mh_event(log, MH_EV_POOL,
-		 "event=pool service=%s servers=%u places=%u held=%u "
-		 "waiting=%s pace=%s",
-		 service, v.servers, v.places, v.held, waiting, v.server_stats);
+		 "event=pool service=%s servers=%u limited=%u places=%u "
+		 "held=%u waiting=%s pace=%s",
+		 service, v.servers, v.limited, v.places, v.held, waiting,
+		 v.server_stats);
 }
--- a/net/notice_frames.h
+++ b/net/notice_frames.h
@@ -1,5 +1,5 @@
 /*
- * What backend servers asked of an entry, in both directions of a link.
+ * What backend servers asked of an entry or stated, in both directions of a link.
  */
 #ifndef MH_NOTICE_FRAMES_H
 #define MH_NOTICE_FRAMES_H
@@ -18,11 +18,17 @@
 		    const struct mh_server_notice *notice, uint64_t now_ns);
 
 /**
- * mh_notice_send_leaving() - tell the peer of a link that a server leaves
- * @peer: struct mh_link_peer
+ * mh_notice_send_limit() - send what a server stated of its limit
+ * @links: links
+ * @link: number of the link
  * @server: server
+ * @stated: statement, also that it has no limit
+ * @now_ns: monotonic time
  */
-void mh_notice_send_leaving(void *peer, const struct mh_server_ref *server);
+void mh_notice_send_limit(struct mh_links *links, uint32_t link,
+			  const struct mh_server_ref *server,
+			  const struct mh_server_limit *stated,
+			  uint64_t now_ns);
 
 /**
  * mh_notice_read() - read a notice that a peer sent
@@ -34,4 +40,15 @@
 uint32_t mh_notice_read(const Mh__ServerNotice *msg,
 			struct mh_server_ref *server);
 
+/**
+ * mh_notice_read_limit() - read what a notice states of a limit
+ * @msg: message
+ * @now_ns: monotonic time
+ * @stated: filled in
+ *
+ * Return: false if it states nothing.
+ */
+bool mh_notice_read_limit(const Mh__ServerNotice *msg, uint64_t now_ns,
+			  struct mh_server_limit *stated);
+
 #endif
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -4201,7 +4201,7 @@
   (ProtobufCMessageInit) mh__server_probed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__server_notice__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mh__server_notice__field_descriptors[6] =
 {
   {
     "server",
@@ -4251,17 +4251,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ServerNotice, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ServerNotice, limit_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__server_notice__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
   2,   /* field[2] = is_leaving */
+  4,   /* field[4] = limit */
+  5,   /* field[5] = limit_age_ms */
   3,   /* field[3] = pause_ms */
   0,   /* field[0] = server */
 };
 static const ProtobufCIntRange mh__server_notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mh__server_notice__descriptor =
 {
@@ -4271,7 +4297,7 @@
   "Mh__ServerNotice",
   "mh",
   sizeof(Mh__ServerNotice),
-  4,
+  6,
   mh__server_notice__field_descriptors,
   mh__server_notice__field_indices_by_name,
   1,  mh__server_notice__number_ranges,
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -632,7 +632,8 @@
 
 /*
  * What a server asked of the sender in a response: no further requests as it
- * leaves, or none for a while. To entries, only that a server leaves.
+ * leaves, or none for a while, or what it stated of its limit. To entries, only
+ * that a server leaves, and limits.
  */
 struct  Mh__ServerNotice
 {
@@ -644,10 +645,19 @@
    * rest of the pause
    */
   uint32_t pause_ms;
+  /*
+   * Requests that it takes in 1000 s, plus 2; 1: it has no limit; 0: nothing
+   * was stated.
+   */
+  uint64_t limit;
+  /*
+   * since it was stated
+   */
+  uint32_t limit_age_ms;
 };
 #define MH__SERVER_NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__server_notice__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Mh__ServerWord
--- a/proxy/app.c
+++ b/proxy/app.c
@@ -359,6 +359,7 @@
 	}
 	app->notices = mh_server_notices_new(&mh_system_clock);
 	slot_client_conf.notices = app->notices;
+	slot_client_conf.metrics = app->process.metrics;
 	app->upstreams = mh_upstreams_new(
 		app->process.loop, &app->process.timers, &mh_system_clock,
 		&app->process.counters, app->notices);
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -357,11 +357,12 @@
 	}
 	mh_count(set->env.counters, MH_C_SENT);
 	mh_event(mh_exchange_log(x), MH_EV_SENT,
-		 "event=sent id=%.*s server=%s address=%s deadline_ms=%u "
-		 "waited_ms=%u servers=%u fingerprint=%016llx",
-		 (int)x->wire.id.len, x->wire.id.p, x->server, x->address,
-		 add.deadline_ms, mh_exchange_elapsed_ms(x, x->arrived_ns),
-		 x->servers_reached, (unsigned long long)x->fingerprint);
+		 "event=sent id=%.*s request=%llu server=%s address=%s "
+		 "deadline_ms=%u waited_ms=%u servers=%u fingerprint=%016llx",
+		 (int)x->wire.id.len, x->wire.id.p, (unsigned long long)x->id,
+		 x->server, x->address, add.deadline_ms,
+		 mh_exchange_elapsed_ms(x, x->arrived_ns), x->servers_reached,
+		 (unsigned long long)x->fingerprint);
 }
 
 static struct exchange *find(struct mh_exchanges *set, uint64_t id)
--- a/proxy/exchange_response.c
+++ b/proxy/exchange_response.c
@@ -129,6 +129,10 @@
 					   response.id.len) :
 			    !response.not_run && x->wire.id.len)
 		return 1;
+	if (!response.has_limit)
+		mh_notice_relay_no_limit(
+			mh_slot_client_notices(x->set->env.slot_client),
+			&server, x->sent_ns);
 	x->status = head->status;
 	begin_judging(x, head);
 	x->verdict = classify(x, head->status, &response);
--- a/proxy/notice_relay.c
+++ b/proxy/notice_relay.c
@@ -2,6 +2,7 @@
 
 #include <utlist.h>
 
+#include "net/limit_report.h"
 #include "net/notice_frames.h"
 
 static uint64_t now_of(const struct mh_notice_relay *relay)
@@ -29,6 +30,8 @@
 		mh_dispatch_server_leaving(relay->local, &known);
 	if (pause_ms)
 		mh_dispatch_server_pause(relay->local, 0, &known, pause_ms);
+	if (notice->limit.max_millihz != MH_NO_LIMIT)
+		mh_dispatch_server_limit(relay->local, &known, &notice->limit);
 	DL_FOREACH(relay->candidates->first, c) {
 		if (c->up && c != from)
 			mh_notice_send(relay->links, c->link, notice, now_ns);
@@ -60,6 +63,66 @@
 	forward(relay, server, NULL);
 }
 
+/* Tells the local dispatcher and all linked ones but one.
+ * Return: whether there was any to tell. */
+static bool forward_limit(const struct mh_notice_relay *relay,
+			  const struct mh_server_ref *server,
+			  const struct mh_server_limit *stated,
+			  const struct mh_candidate *from)
+{
+	const struct mh_candidate *c;
+	bool any = false;
+
+	mh_dispatch_server_limit(relay->local, server, stated);
+	DL_FOREACH(relay->candidates->first, c) {
+		any = any || c->up;
+		if (c->up && c != from)
+			mh_notice_send_limit(relay->links, c->link, server,
+					     stated, now_of(relay));
+	}
+	return any;
+}
+
+static enum mh_limit_change update_limit(const struct mh_notice_relay *relay,
+					 const struct mh_server_ref *server,
+					 const struct mh_server_limit *stated,
+					 const char *from)
+{
+	enum mh_limit_change change =
+		mh_server_notices_update_limit(relay->notices, server, stated);
+
+	if (change == MH_LIMIT_CHANGED) {
+		mh_count(relay->counters, MH_C_SERVER_LIMITS);
+		mh_limit_report(relay->log, relay->metrics, server, stated,
+				from);
+	}
+	return change;
+}
+
+static void limit_from_response(const struct mh_notice_relay *relay,
+				const struct mh_server_ref *server,
+				uint32_t millihz)
+{
+	struct mh_server_limit stated = { millihz, now_of(relay) };
+
+	if (update_limit(relay, server, &stated, "") != MH_LIMIT_UNCHANGED)
+		forward_limit(relay, server, &stated, NULL);
+}
+
+/* Other entries may know of a later limit, so the dispatcher decides whether it
+ * has ended. */
+void mh_notice_relay_no_limit(const struct mh_notice_relay *relay,
+			      const struct mh_server_ref *server,
+			      uint64_t sent_ns)
+{
+	struct mh_server_limit stated = { MH_NO_LIMIT, sent_ns };
+
+	if (!mh_server_notices_has_limit(relay->notices, server))
+		return;
+	if (!forward_limit(relay, server, &stated, NULL))
+		update_limit(relay, server, &stated, "");
+}
+
 void mh_notice_relay_response(const struct mh_notice_relay *relay,
 			      const struct mh_server_ref *server,
 			      const struct mh_wire_response *response)
@@ -75,6 +138,8 @@
 		mh_notice_relay_leaving(relay, server, NULL);
 	if (response->pause_ms)
 		mh_notice_relay_pause(relay, server, response->pause_ms);
+	if (response->limit_millihz != MH_NO_LIMIT)
+		limit_from_response(relay, server, response->limit_millihz);
 }
 
 void mh_notice_relay_repeat(const struct mh_notice_relay *relay,
@@ -87,11 +152,16 @@
 			     const Mh__ServerNotice *msg,
 			     const struct mh_candidate *from)
 {
+	struct mh_server_limit stated;
 	struct mh_server_ref server;
 
 	mh_notice_read(msg, &server);
 	if (msg->is_leaving)
 		mh_notice_relay_leaving(relay, &server, from);
+	if (mh_notice_read_limit(msg, now_of(relay), &stated) &&
+	    update_limit(relay, &server, &stated, from->name) ==
+		    MH_LIMIT_CHANGED)
+		forward_limit(relay, &server, &stated, from);
 }
 
 struct recipient {
--- a/proxy/notice_relay.h
+++ b/proxy/notice_relay.h
@@ -1,13 +1,14 @@
 /*
  * Keeps what backend servers asked of this entry and tells the dispatchers,
  * which then place no requests of this entry there. They tell other entries of
- * servers that leave.
+ * servers that leave, and of limits.
  */
 #ifndef MH_NOTICE_RELAY_H
 #define MH_NOTICE_RELAY_H
 
 #include "core/candidates.h"
 #include "core/dispatch.h"
+#include "core/metrics.h"
 #include "core/server_notices.h"
 #include "net/event_log.h"
 #include "net/link.h"
@@ -22,6 +23,7 @@
  * @candidates: dispatchers
  * @local: local dispatcher
  * @notices: notices, owned by the caller of the slot client
+ * @metrics: metrics that show limits
  */
 struct mh_notice_relay {
 	const struct mh_clock *clock;
@@ -31,6 +33,7 @@
 	struct mh_candidates *candidates;
 	struct mh_dispatch *local;
 	struct mh_server_notices *notices;
+	struct mh_metrics *metrics;
 };
 
 /**
@@ -62,6 +65,16 @@
 			      const struct mh_server_ref *server,
 			      const struct mh_wire_response *response);
 
+/**
+ * mh_notice_relay_no_limit() - record that a response states no limit
+ * @relay: relay
+ * @server: server
+ * @sent_ns: monotonic time at which its request was sent
+ */
+void mh_notice_relay_no_limit(const struct mh_notice_relay *relay,
+			      const struct mh_server_ref *server,
+			      uint64_t sent_ns);
+
 /**
  * mh_notice_relay_repeat() - tell the dispatchers once more what holds for a
  *                            server that one of them offered
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -10,15 +10,15 @@
 #include "core/candidates.h"
 #include "core/check_alloc.h"
 #include "core/ledger_cache.h"
-#include "core/slot_request.h"
 #include "core/store_reads.h"
-#include "core/usage_relay.h"
 #include "net/crash_log.h"
 #include "net/link_peer.h"
 #include "net/registrations.h"
 #include "proxy/dispatcher_finder.h"
+#include "proxy/requests.h"
 #include "proxy/slot_frames.h"
 #include "proxy/suspect_relay.h"
+#include "proxy/usage_forward.h"
 
 /* Dispatchers send a heartbeat every 100 ms; a link that is silent for longer
  * than three missed heartbeats is closed. */
@@ -27,21 +27,9 @@
 #define PING_INTERVAL_NS (400 * MH_NS_PER_MS)
 /* Time to wait for a dispatcher before the entry uses its local share. */
 #define FALLBACK_DELAY_NS (900 * MH_NS_PER_MS)
-/* Incarnation of the entry's local dispatcher; real ones are random. */
-#define LOCAL_GRANTOR 0
-#define MAX_NAME_BYTES 160
 #define MAX_FRAME_BYTES (8u << 20)
 #define MAX_QUEUE_BYTES (16u << 20)
 
-/* A request that waits for a slot or holds one. */
-struct request {
-	uint64_t id;
-	struct mh_slot_request slot_req; /* a copy */
-	char *server;			 /* NULL while waiting */
-	uint64_t granted_ns;
-	UT_hash_handle hh;
-};
-
 struct mh_slot_client {
 	const struct mh_clock *clock;
 	struct mh_counters *counters;
@@ -60,8 +48,8 @@
 	uint64_t next_scan_ns;
 	uint64_t next_ping_ns;
 	uint32_t ready_registrations; /* received so far, never decreases */
-	struct request *requests;
-	struct mh_usage_relay *usage_relay;
+	struct mh_request *requests;
+	struct mh_usage_forward usage;
 	struct mh_ledger_cache *ledger_cache;
 	struct mh_suspect_relay suspects;
 	struct mh_notice_relay notices;
@@ -73,7 +61,7 @@
 }
 
 static void send_slot_request(struct mh_slot_client *sc,
-			      const struct request *req)
+			      const struct mh_request *req)
 {
 	mh_slot_frames_send_request(sc->links, sc->current->link,
 				    &req->slot_req, req->server,
@@ -81,7 +69,7 @@
 }
 
 static void request_local_slot(struct mh_slot_client *sc,
-			       const struct request *req)
+			       const struct mh_request *req)
 {
 	if (req->server)
 		mh_dispatch_adopt_slot(
@@ -92,42 +80,11 @@
 		mh_dispatch_request_slot(sc->local, &req->slot_req);
 }
 
-static void free_request(struct mh_slot_client *sc, struct request *req)
-{
-	HASH_DEL(sc->requests, req);
-	mh_slot_request_release(&req->slot_req);
-	free(req->server);
-	free(req);
-}
-
-static void report_local_usage(void *data, const char *account,
-			       uint64_t grantor, uint64_t units,
-			       uint32_t age_ms)
-{
-	struct mh_slot_client *sc = data;
-
-	mh_dispatch_add_reported_usage(sc->local, account, grantor, units,
-				       age_ms);
-}
-
 /* Entries may use different dispatchers, which learn of each other's grants
  * only through the entries. */
 static void forward_usage(struct mh_slot_client *sc)
 {
-	uint64_t now_ns = now_of(sc);
-	struct mh_candidate *c;
-
-	DL_FOREACH(sc->candidates.first, c) {
-		struct mh_link_peer to = { sc->links, c->link };
-
-		if (c->up)
-			mh_usage_relay_report(sc->usage_relay, c->incarnation,
-					      now_ns, mh_link_peer_send_usage,
-					      &to);
-	}
-	if (!sc->current)
-		mh_usage_relay_report(sc->usage_relay, LOCAL_GRANTOR, now_ns,
-				      report_local_usage, sc);
+	mh_usage_forward_send(&sc->usage, !sc->current);
 }
 
 /* Moves all requests to the next dispatcher, which adopts the slots that they
@@ -136,7 +93,7 @@
 			      struct mh_candidate *next)
 {
 	struct mh_candidate *old = sc->current;
-	struct request *req, *tmp;
+	struct mh_request *req, *tmp;
 
 	HASH_ITER(hh, sc->requests, req, tmp) {
 		if (!old)
@@ -223,36 +180,21 @@
 	select_dispatcher(sc);
 }
 
-static struct request *find_request(struct mh_slot_client *sc, uint64_t id)
-{
-	struct request *req;
-
-	HASH_FIND(hh, sc->requests, &id, sizeof(id), req);
-	return req;
-}
-
 /* Incarnation of the current dispatcher. */
 static uint64_t current_grantor(const struct mh_slot_client *sc)
 {
-	return sc->current ? sc->current->incarnation : LOCAL_GRANTOR;
+	return sc->current ? sc->current->incarnation : MH_LOCAL_GRANTOR;
 }
 
-static void accept_grant(struct mh_slot_client *sc, struct request *req,
+static void accept_grant(struct mh_slot_client *sc, struct mh_request *req,
 			 const struct mh_server_ref *server)
 {
-	req->server = mh_check_alloc(strdup(server->id));
-	req->granted_ns = now_of(sc);
-	mh_usage_relay_add(sc->usage_relay, req->slot_req.account,
-			   current_grantor(sc), req->slot_req.units,
-			   now_of(sc));
-	if (req->slot_req.is_repeat) {
-		char name[MAX_NAME_BYTES];
-
-		snprintf(name, sizeof(name), MH_RETRY_USAGE_PREFIX "%s",
-			 req->slot_req.service);
-		mh_usage_relay_add(sc->usage_relay, name, current_grantor(sc),
-				   1, now_of(sc));
-	}
+	mh_request_grant(req, server, now_of(sc));
+	mh_usage_forward_granted(
+		&sc->usage, &req->slot_req, current_grantor(sc),
+		mh_server_notices_has_limit(sc->notices.notices, server) ?
+			server->id :
+			NULL);
 	sc->ops->granted(sc->data, req->id, server);
 }
 
@@ -261,7 +203,7 @@
 {
 	struct mh_server_ref server = { msg->server, msg->address,
 					msg->born_ms };
-	struct request *req = find_request(sc, msg->id);
+	struct mh_request *req = mh_request_find(sc->requests, msg->id);
 
 	if (req && !req->server && c == sc->current) {
 		accept_grant(sc, req, &server);
@@ -277,11 +219,11 @@
 static void refuse_request(struct mh_slot_client *sc, uint64_t id,
 			   enum mh_error error, uint32_t retry_after_ms)
 {
-	struct request *req = find_request(sc, id);
+	struct mh_request *req = mh_request_find(sc->requests, id);
 
 	if (!req || req->server)
 		return;
-	free_request(sc, req);
+	mh_request_free(&sc->requests, req);
 	sc->ops->refused(sc->data, id, error, retry_after_ms);
 }
 
@@ -367,7 +309,7 @@
 	struct mh_server_ref ref = { server->id, server->address,
 				     server->born_ms };
 	struct mh_slot_client *sc = data;
-	struct request *req = find_request(sc, id);
+	struct mh_request *req = mh_request_find(sc->requests, id);
 
 	(void)owner;
 	if (req && !req->server)
@@ -404,9 +346,22 @@
 	sc->ops->suspect(sc->data, suspect);
 }
 
-static const struct mh_dispatch_ops local_ops = { local_grant, local_refuse,
-						  local_move, local_lost,
-						  local_suspect };
+static void local_limited(void *data, uint32_t owner, uint64_t id,
+			  uint32_t wait_ms)
+{
+	struct mh_slot_client *sc = data;
+
+	(void)owner;
+	mh_count(sc->counters, MH_C_LIMIT_WAITS);
+	mh_event(sc->log, MH_EV_SENT,
+		 "event=limit_wait request=%llu wait_ms=%u",
+		 (unsigned long long)id, wait_ms);
+}
+
+static const struct mh_dispatch_ops local_ops = {
+	local_grant, local_refuse,  local_move,
+	local_lost,  local_suspect, local_limited
+};
 
 static void on_server(void *data, const struct mh_registration *reg)
 {
@@ -451,8 +406,6 @@
 			  randombytes_uniform(MH_STORE_PATIENCE_MAX_MS -
 					      MH_STORE_PATIENCE_MIN_MS);
 	sc->ledger_cache = mh_ledger_cache_new();
-	sc->usage_relay = mh_usage_relay_new(conf->dispatch.quota_window_ms,
-					     conf->dispatch.retry_window_ms);
 	sc->lost_ns = mh_clock_mono_ns(clock);
 	sc->links = mh_check_alloc(
 		mh_links_new(loop, &link_conf, counters, &link_ops, sc));
@@ -462,27 +415,33 @@
 	sc->catalog = mh_catalog_new(on_server, sc);
 	sc->local =
 		mh_dispatch_new(&conf->dispatch, clock, seed, &local_ops, sc);
+	sc->usage = (struct mh_usage_forward){
+		clock,
+		mh_usage_relay_new(conf->dispatch.quota_window_ms,
+				   conf->dispatch.retry_window_ms),
+		sc->links, &sc->candidates, sc->local
+	};
 	sc->suspects = (struct mh_suspect_relay){ clock, log, sc->links,
 						  &sc->candidates, sc->local };
 	sc->notices = (struct mh_notice_relay){
 		clock,		 counters,  log,	   sc->links,
-		&sc->candidates, sc->local, conf->notices,
+		&sc->candidates, sc->local, conf->notices, conf->metrics,
 	};
 	return sc;
 }
 
 void mh_slot_client_free(struct mh_slot_client *sc)
 {
-	struct request *req, *tmp;
+	struct mh_request *req, *tmp;
 
 	if (!sc)
 		return;
 	mh_links_free(sc->links);
 	HASH_ITER(hh, sc->requests, req, tmp)
-		free_request(sc, req);
+		mh_request_free(&sc->requests, req);
 	mh_dispatcher_finder_release(&sc->finder);
 	mh_candidates_release(&sc->candidates);
-	mh_usage_relay_free(sc->usage_relay);
+	mh_usage_relay_free(sc->usage.relay);
 	mh_ledger_cache_free(sc->ledger_cache);
 	mh_dispatch_free(sc->local);
 	mh_catalog_free(sc->catalog);
@@ -547,12 +506,8 @@
 void mh_slot_client_request(struct mh_slot_client *sc,
 			    const struct mh_slot_request *slot_req)
 {
-	struct request *req = mh_check_alloc(calloc(1, sizeof(*req)));
+	struct mh_request *req = mh_request_add(&sc->requests, slot_req);
 
-	req->id = slot_req->id;
-	req->slot_req = mh_slot_request_copy(slot_req);
-	req->slot_req.owner = 0;
-	HASH_ADD(hh, sc->requests, id, sizeof(req->id), req);
 	if (sc->current)
 		send_slot_request(sc, req);
 	else if (now_of(sc) > sc->lost_ns + FALLBACK_DELAY_NS)
@@ -572,7 +527,7 @@
 /* The slot may be another dispatcher's that is lost: the local one takes it
  * over, so that how the run ended is not lost as well. */
 static void release_local_slot(struct mh_slot_client *sc,
-			       const struct request *req,
+			       const struct mh_request *req,
 			       enum mh_slot_outcome outcome, uint32_t total_ms)
 {
 	if (req->server)
@@ -583,7 +538,7 @@
 void mh_slot_client_release(struct mh_slot_client *sc, uint64_t id,
 			    enum mh_slot_outcome outcome, uint32_t total_ms)
 {
-	struct request *req = find_request(sc, id);
+	struct mh_request *req = mh_request_find(sc->requests, id);
 
 	if (!req)
 		return;
@@ -592,7 +547,7 @@
 					    outcome, total_ms);
 	else
 		release_local_slot(sc, req, outcome, total_ms);
-	free_request(sc, req);
+	mh_request_free(&sc->requests, req);
 }
 
 void mh_slot_client_server_probed(struct mh_slot_client *sc, const char *server)
@@ -657,7 +612,7 @@
 /* The local dispatcher ignores requests that it already has. */
 static void request_local_slots(struct mh_slot_client *sc)
 {
-	struct request *req, *tmp;
+	struct mh_request *req, *tmp;
 
 	HASH_ITER(hh, sc->requests, req, tmp)
 		request_local_slot(sc, req);
--- a/proxy/slot_client.h
+++ b/proxy/slot_client.h
@@ -43,6 +43,7 @@
  * @key: shared link key
  * @dispatch: bounds of the local dispatcher
  * @notices: what servers asked for; the slot client adds to it
+ * @metrics: metrics that show limits of servers
  * @seeds: addresses of dispatchers to begin with, "ip:port"
  * @n_seeds: number of elements in @seeds
  */
@@ -52,6 +53,7 @@
 	const uint8_t *key;
 	struct mh_dispatch_conf dispatch;
 	struct mh_server_notices *notices;
+	struct mh_metrics *metrics;
 	char *const *seeds;
 	size_t n_seeds;
 };
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -114,8 +114,8 @@
 		f->shares_suspect(f, suspect);
 }
 
-static const struct mh_dispatch_ops ops = { on_place, on_refuse, on_move,
-					    on_lost, on_suspect };
+static const struct mh_dispatch_ops ops = { on_place, on_refuse,  on_move,
+					    on_lost,  on_suspect, NULL };
 
 static const struct mh_dispatch_conf conf = {
 	.retry_ratio = 0.2,
--- a/tests/test_metrics.c
+++ b/tests/test_metrics.c
@@ -136,8 +136,13 @@
 
 		mh_metrics_observe(m, MH_H_FIRST_BYTE, 3, "server=\"%s\"",
 				   server);
+		mh_metrics_set_labelled(m, MH_G_SERVER_LIMIT, 5,
+					"server=\"%s\"", server);
 	}
+	mh_metrics_set_labelled(m, MH_G_SERVER_LIMIT, 7, "server=\"i-1\"");
 	text = mh_metrics_text(m);
+	assert_line(text, "mangohead_server_limit_millihz{server=\"i-1\"} 7");
+	assert_int_equal(count_of(text, "mangohead_server_limit_millihz{"), 1);
 	assert_line(text, "mangohead_first_byte_ms_count{overflow=\"1\"} 4");
 	assert_int_equal(count_of(text, "mangohead_first_byte_ms_count{"), 1);
 	free(text);
--- a/tests/test_notices.c
+++ b/tests/test_notices.c
@@ -121,6 +121,37 @@
 	free_fixture(f);
 }
 
+/* Guards against a limit that is evicted, or outlives its server's start. */
+static void test_limit_is_kept_with_the_notices(void **state)
+{
+	struct mh_server_ref next = { "s1", "", BORN + 1 };
+	struct fixture *f = new_fixture();
+	struct mh_server_notices *set = mh_server_notices_new(&f->clock);
+	struct mh_server_limit limit = { 1700, f->now_ns };
+	struct mh_server_limit none = { MH_NO_LIMIT, f->now_ns + 1000 * MS };
+	struct mh_server_ref other = { .born_ms = BORN };
+	char id[16];
+	uint32_t i;
+
+	(void)state;
+	assert_int_equal(mh_server_notices_update_limit(set, &s1, &none),
+			 MH_LIMIT_UNCHANGED);
+	assert_int_equal(mh_server_notices_update_limit(set, &s1, &limit),
+			 MH_LIMIT_CHANGED);
+	other.id = id;
+	for (i = 0; i < 5000; i++) {
+		snprintf(id, sizeof(id), "n%u", i);
+		mh_server_notices_add_pause(set, &other, 0);
+	}
+	assert_true(mh_server_notices_has_limit(set, &s1));
+	assert_false(mh_server_notices_has_limit(set, &next));
+	assert_int_equal(mh_server_notices_update_limit(set, &s1, &none),
+			 MH_LIMIT_CHANGED);
+	assert_false(mh_server_notices_has_limit(set, &s1));
+	mh_server_notices_free(set);
+	free_fixture(f);
+}
+
 /* ---- placement ---- */
 
 static uint64_t request_of(struct fixture *f, uint32_t owner,
@@ -396,6 +427,7 @@
 		cmocka_unit_test(test_pause_is_bounded),
 		cmocka_unit_test(test_notices_hold_for_one_incarnation),
 		cmocka_unit_test(test_memory_of_notices_is_bounded),
+		cmocka_unit_test(test_limit_is_kept_with_the_notices),
 		cmocka_unit_test(test_paused_server_serves_other_entries_only),
 		cmocka_unit_test(test_held_back_request_does_not_block_others),
 		cmocka_unit_test(test_held_back_request_gets_a_released_slot),
--- a/tests/test_wire_notices.c
+++ b/tests/test_wire_notices.c
@@ -1,6 +1,6 @@
 /*
- * Unit tests of the header fields by which a server asks for a pause or says
- * that it leaves.
+ * Unit tests of the header fields by which a server asks for a pause, says that
+ * it leaves, or states a limit.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -118,11 +118,55 @@
 	}
 }
 
+/* Guards against a malformed limit that counts as one, or as the end of one. */
+static void test_limit_of_a_server(void **state)
+{
+	static const struct {
+		const char *fields;
+		bool has_limit;
+		uint32_t millihz;
+		bool is_malformed;
+	} cases[] = {
+		{ "", false, MH_NO_LIMIT, false },
+		{ "Server-Limit: 1.7\r\n", true, 1700, false },
+		{ "server-limit: 12\r\n", true, 12000, false },
+		{ "Server-Limit: 0\r\n", true, 0, false },
+		{ "Server-Limit: 0.0004\r\n", true, 0, false },
+		{ "Server-Limit: 4\r\nServer-Limit: 2.5\r\n", true, 2500,
+		  false },
+		{ "Server-Limit: 4\r\nServer-Limit: x\r\n", true, 4000, true },
+		{ "Server-Limit: 99999999999999999999\r\n", true, MH_NO_LIMIT,
+		  false },
+		{ "Server-Limit: -3\r\n", true, MH_NO_LIMIT, true },
+		{ "Server-Limit: nan\r\n", true, MH_NO_LIMIT, true },
+		{ "Server-Limit: 1e400\r\n", true, MH_NO_LIMIT, true },
+		{ "Server-Limit: .5\r\n", true, MH_NO_LIMIT, true },
+		{ "Server-Limit: 5.\r\n", true, MH_NO_LIMIT, true },
+		{ "Server-Limit: 2, 3\r\n", true, MH_NO_LIMIT, true },
+		{ "Server-Limit:\r\n", true, MH_NO_LIMIT, true },
+	};
+	struct mh_wire_response response;
+	char text[256];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < LEN(cases); i++) {
+		snprintf(text, sizeof(text),
+			 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%s\r\n",
+			 cases[i].fields);
+		read_response(text, &response);
+		assert_int_equal(response.has_limit, cases[i].has_limit);
+		assert_int_equal(response.limit_millihz, cases[i].millihz);
+		assert_int_equal(response.is_malformed, cases[i].is_malformed);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_pause_of_a_refusal),
 		cmocka_unit_test(test_leaving_server_says_so),
+		cmocka_unit_test(test_limit_of_a_server),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
