Retries count when they are sent

One that waits is reserved now, counts in the window in which it is sent, and no more when it is given up.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -63,6 +63,8 @@
 	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference) */
 	HASH_DEL(d->requests, req);
 	mh_dispatch_close_run(d, req);
+	if (req->has_waiting_retry)
+		mh_retry_window_give_up(&req->pool->retry_window);
 	mh_features_unref(req->features);
 	free(req->account);
 	free(req);
@@ -329,26 +331,6 @@
 	return req;
 }
 
-/*
- * Before its first full window a dispatcher allows no extra retries: its former
- * incarnation may have used them up, and its retries are not known if all
- * processes were killed.
- */
-static double extra_retries(const struct mh_dispatch *d, uint64_t now_ns)
-{
-	if (now_ns < d->began_ns + d->conf.retry_window_ms * MH_NS_PER_MS)
-		return 0;
-	return d->conf.retry_extra / d->n_sharing;
-}
-
-bool mh_dispatch_take_retry(struct mh_dispatch *d, struct pool *p)
-{
-	uint64_t now_ns = mh_dispatch_now_ns(d);
-
-	return mh_retry_window_take(&p->retry_window, d->conf.retry_ratio,
-				    extra_retries(d, now_ns), now_ns);
-}
-
 /* Return: whether the request may wait for a slot; if not, @why tells the reason.
  */
 static bool admit(struct mh_dispatch *d, const struct mh_slot_request *slot_req,
@@ -361,13 +343,17 @@
 		why->error = MH_ERR_CRASHES_SERVERS;
 		return false;
 	}
-	if (slot_req->is_repeat && !slot_req->is_moved &&
-	    !mh_dispatch_take_retry(d, p)) {
+	if (mh_dispatch_is_charged_retry(slot_req) &&
+	    !mh_dispatch_reserve_retry(d, p)) {
 		why->error = MH_ERR_RETRY_BUDGET;
 		why->retry_after_ms = MH_RETRY_AFTER_MAX_MS;
 		return false;
 	}
-	return mh_dispatch_take_units(d, slot_req, over_quota, why);
+	if (mh_dispatch_take_units(d, slot_req, over_quota, why))
+		return true;
+	if (mh_dispatch_is_charged_retry(slot_req))
+		mh_retry_window_give_up(&p->retry_window);
+	return false;
 }
 
 static struct mh_features *features_of(const struct mh_slot_request *slot_req)
@@ -397,6 +383,7 @@
 		mh_retry_window_add_first_try(&p->retry_window,
 					      mh_dispatch_now_ns(d));
 	req = add_request(d, slot_req, features);
+	req->has_waiting_retry = mh_dispatch_is_charged_retry(slot_req);
 	req->over_quota = over_quota;
 	/* Requests beyond a quota must not delay those within theirs. */
 	if (over_quota)
@@ -548,6 +535,9 @@
 	mh_dispatch_leave_queue(d, req);
 	mh_dispatch_report_limited(d, req, now_ns);
 	req->placed_ns = now_ns;
+	if (req->has_waiting_retry)
+		mh_retry_window_sent(&req->pool->retry_window, now_ns);
+	req->has_waiting_retry = false;
 	mh_send_window_add(&s->sends, 1, 0, now_ns);
 	mh_dispatch_begin_trials(d, req, now_ns);
 	mh_dispatch_open_run(d, req);
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -51,7 +51,8 @@
 	bool parked;
 	uint64_t limited_ns; /* since when limits alone keep it waiting, or 0 */
 	bool is_repeatable;
-	bool over_quota; /* served from spare slots only */
+	bool has_waiting_retry; /* counted as such in the retry window */
+	bool over_quota;	/* served from spare slots only */
 	uint32_t n_avoid;
 	uint64_t avoid[MH_AVOID_MAX]; /* hashes of server ids */
 	uint32_t heap_index;
@@ -301,6 +302,11 @@
 void mh_dispatch_drop_pauses(struct server *s);
 void mh_dispatch_drop_owner_pauses(struct mh_dispatch *d, uint32_t owner);
 
+/* Retry budget: dispatch_retry.c */
+bool mh_dispatch_take_retry(struct mh_dispatch *d, struct pool *p);
+bool mh_dispatch_is_charged_retry(const struct mh_slot_request *slot_req);
+bool mh_dispatch_reserve_retry(struct mh_dispatch *d, struct pool *p);
+
 /* Limits of servers: dispatch_limit.c */
 void mh_dispatch_begin_limit(struct mh_dispatch *d, struct server *s);
 void mh_dispatch_note_limited(const struct mh_dispatch *d, struct request *req,
@@ -320,7 +326,6 @@
 void mh_dispatch_enter_queue(struct request *req);
 void mh_dispatch_leave_queue(struct mh_dispatch *d, struct request *req);
 void mh_dispatch_free_request(struct mh_dispatch *d, struct request *req);
-bool mh_dispatch_take_retry(struct mh_dispatch *d, struct pool *p);
 struct pool *mh_dispatch_pool(struct mh_dispatch *d, const char *name);
 struct server *mh_dispatch_find_server(const struct mh_dispatch *d,
 				       const char *id);
--- a/core/sliding_window.c
+++ b/core/sliding_window.c
@@ -117,13 +117,13 @@
 	w->first_tries[newest_bucket(w, now_ns)]++;
 }
 
-bool mh_retry_window_take(struct mh_retry_window *w, double ratio, double extra,
-			  uint64_t now_ns)
+bool mh_retry_window_reserve(struct mh_retry_window *w, double ratio,
+			     double extra, uint64_t now_ns)
 {
 	uint32_t newest = newest_bucket(w, now_ns),
 		 oldest = (newest + 1) % MH_RETRY_WINDOW_BUCKETS;
 	uint32_t i;
-	double first_tries = 0, retries = 0;
+	double first_tries = 0, retries = w->n_waiting;
 
 	/* Err on the side of fewer retries: all buckets of retries cover at
 	 * least the span, first tries without the oldest bucket at most the
@@ -135,7 +135,27 @@
 	}
 	if (retries + 1 > RETRY_BUDGET_USED * (ratio * first_tries + extra))
 		return false;
-	w->retries[newest]++;
+	w->n_waiting++;
+	return true;
+}
+
+void mh_retry_window_sent(struct mh_retry_window *w, uint64_t now_ns)
+{
+	w->n_waiting--;
+	w->retries[newest_bucket(w, now_ns)]++;
+}
+
+void mh_retry_window_give_up(struct mh_retry_window *w)
+{
+	w->n_waiting--;
+}
+
+bool mh_retry_window_take(struct mh_retry_window *w, double ratio, double extra,
+			  uint64_t now_ns)
+{
+	if (!mh_retry_window_reserve(w, ratio, extra, now_ns))
+		return false;
+	mh_retry_window_sent(w, now_ns);
 	return true;
 }
 
--- a/core/sliding_window.h
+++ b/core/sliding_window.h
@@ -88,12 +88,14 @@
  * @newest: number of the newest bucket, counted from the clock's zero
  * @first_tries: first tries in each bucket
  * @retries: retries in each bucket
+ * @n_waiting: retries that are allowed but not sent yet
  */
 struct mh_retry_window {
 	uint64_t bucket_ns;
 	uint64_t newest;
 	uint32_t first_tries[MH_RETRY_WINDOW_BUCKETS];
 	uint32_t retries[MH_RETRY_WINDOW_BUCKETS];
+	uint32_t n_waiting;
 };
 
 /**
@@ -122,6 +124,31 @@
 bool mh_retry_window_take(struct mh_retry_window *w, double ratio, double extra,
 			  uint64_t now_ns);
 
+/**
+ * mh_retry_window_reserve() - the same for a retry that is sent later
+ * @w: window
+ * @ratio: retries allowed for each first try
+ * @extra: retries allowed in a window regardless of the first tries
+ * @now_ns: monotonic time
+ *
+ * Return: whether the retry is allowed; it counts until it is sent or given up.
+ */
+bool mh_retry_window_reserve(struct mh_retry_window *w, double ratio,
+			     double extra, uint64_t now_ns);
+
+/**
+ * mh_retry_window_sent() - a retry that waited is sent
+ * @w: window
+ * @now_ns: monotonic time
+ */
+void mh_retry_window_sent(struct mh_retry_window *w, uint64_t now_ns);
+
+/**
+ * mh_retry_window_give_up() - a retry that waited won't be sent
+ * @w: window
+ */
+void mh_retry_window_give_up(struct mh_retry_window *w);
+
 /**
  * mh_retry_window_add_retries() - count retries that another dispatcher allowed
  * @w: window
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -642,6 +642,71 @@
 	}
 }
 
+/* Its server is busy, so that requests wait. */
+static struct fixture *new_busy_fixture(void)
+{
+	struct fixture *f = new_fixture();
+	uint32_t i;
+
+	add_server(f, "busy", 1, true);
+	for (i = 0; i < 2; i++)
+		request(f, 0);
+	mh_dispatch_tick(f->d);
+	return f;
+}
+
+static uint64_t ask_for_retry(struct fixture *f)
+{
+	struct mh_slot_request a = make_request(f, 0);
+
+	a.is_repeat = true;
+	a.start_by_ns = a.deadline_ns = f->now_ns + 60000 * MS;
+	mh_dispatch_request_slot(f->d, &a);
+	mh_dispatch_tick(f->d);
+	return a.id;
+}
+
+/* Guards against retries that wait together and reach servers in one window, though
+ * they were allowed in several. */
+static void test_retries_count_when_they_are_sent(void **state)
+{
+	struct fixture *f = new_busy_fixture();
+	uint64_t ids[2 * 5];
+	uint32_t i, sent = 0;
+
+	(void)state;
+	for (i = 0; i < 5; i++)
+		ids[i] = ask_for_retry(f);
+	f->now_ns += 2 * conf.retry_window_ms * MS;
+	for (i = 5; i < 2 * 5; i++)
+		ids[i] = ask_for_retry(f);
+	for (i = 0; i < 2 * 5; i++)
+		add_server(f,
+			   (const char *[]){ "a", "b", "c", "d", "e" }[i / 2],
+			   1, true);
+	mh_dispatch_tick(f->d);
+	for (i = 0; i < 2 * 5; i++)
+		sent += f->results[ids[i]].placed;
+	assert_in_range(sent, 1, conf.retry_extra);
+	free_fixture(f);
+}
+
+/* Guards against a budget that retries which were never sent use up. */
+static void test_retries_that_are_not_sent_count_no_more(void **state)
+{
+	struct fixture *f = new_busy_fixture();
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 3 * 5; i++) {
+		uint64_t id = ask_for_retry(f);
+
+		assert_false(f->results[id].refused);
+		mh_dispatch_done(f->d, 1, id, MH_SLOT_CANCELLED, 0);
+	}
+	free_fixture(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -671,6 +736,8 @@
 		cmocka_unit_test(test_abusive_retriers_stay_within_the_budget),
 		cmocka_unit_test(test_retry_budget_holds_over_restarts),
 		cmocka_unit_test(test_retries_stay_within_any_window),
+		cmocka_unit_test(test_retries_count_when_they_are_sent),
+		cmocka_unit_test(test_retries_that_are_not_sent_count_no_more),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
