A request counts once as a first try

One whose server could not be reached asks for a slot once more, with a server to avoid, and counted as a first try again; each such request allowed more retries than the budget has.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -379,7 +379,8 @@
 		d->ops->refuse(d->data, slot_req->owner, slot_req->id, &why);
 		return;
 	}
-	if (!slot_req->is_repeat)
+	/* One with a server to avoid asked before. */
+	if (!slot_req->is_repeat && !slot_req->n_avoid)
 		mh_retry_window_add_first_try(&p->retry_window,
 					      mh_dispatch_now_ns(d));
 	req = add_request(d, slot_req, features);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -691,6 +691,32 @@
 	free_fixture(f);
 }
 
+/* Guards against requests that count several times, as their servers can't be
+ * reached, so that more retries are allowed. */
+static void test_requests_count_once_for_the_retry_budget(void **state)
+{
+	struct fixture *f = new_busy_fixture();
+	uint32_t i, allowed = 0;
+
+	(void)state;
+	for (i = 0; i < 20; i++) {
+		struct mh_slot_request a = make_request(f, 0);
+
+		mh_dispatch_request_slot(f->d, &a);
+		mh_dispatch_done(f->d, 1, a.id, MH_SLOT_UNREACHABLE, 0);
+		a.n_avoid = 1;
+		a.avoid[0] = "busy";
+		mh_dispatch_request_slot(f->d, &a);
+		mh_dispatch_done(f->d, 1, a.id, MH_SLOT_CANCELLED, 0);
+	}
+	for (i = 0; i < 20; i++)
+		allowed += !f->results[ask_for_retry(f)].refused;
+	assert_in_range(
+		allowed, 1,
+		(uint32_t)(conf.retry_ratio * (20 + 2) + conf.retry_extra));
+	free_fixture(f);
+}
+
 /* Guards against a budget that retries which were never sent use up. */
 static void test_retries_that_are_not_sent_count_no_more(void **state)
 {
@@ -738,6 +764,7 @@
 		cmocka_unit_test(test_retries_stay_within_any_window),
 		cmocka_unit_test(test_retries_count_when_they_are_sent),
 		cmocka_unit_test(test_retries_that_are_not_sent_count_no_more),
+		cmocka_unit_test(test_requests_count_once_for_the_retry_budget),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
