A refusal written again does not pass for one of a later request

A faulty server wrote the bytes of an earlier refusal once more on a kept connection while it ran a later request there. Callers were told 503 "not run" for what had run, and some of these requests ran twice. The id in the response can't tell: the refused request may return to the same server on the same connection.

A connection that carried a refusal is closed after it, and a refusal without an id counts only on a connection that carried nothing before. mangohead-side keeps no connections, and probes send no request.

--- a/proxy/exchange_response.c
+++ b/proxy/exchange_response.c
@@ -111,6 +111,19 @@
 	x->head_forwarded = true;
 }
 
+/* Whether the response is one to this request. One without an id is, if the server
+ * refused the request and its connection carried no other one before. */
+static bool is_own_response(const struct exchange *x,
+			    const struct mh_wire_response *response)
+{
+	if (response->id.p)
+		return response->id.len == x->wire.id.len &&
+		       !memcmp(response->id.p, x->wire.id.p, x->wire.id.len);
+	if (!response->not_run)
+		return !x->wire.id.len;
+	return !mh_upstream_is_reused(x->upstream);
+}
+
 static int on_head(void *data, const struct mh_http_head *head)
 {
 	struct exchange *x = data;
@@ -122,13 +135,12 @@
 		mh_slot_client_notices(x->set->env.slot_client), &server,
 		&response);
 	mh_upstream_set_idle_timeout(x->upstream, response.keep_alive_s);
-	/* The response names another request, or it names none although the
-	 * server does not say that it refused the request. */
-	if (response.id.p ? response.id.len != x->wire.id.len ||
-				    memcmp(response.id.p, x->wire.id.p,
-					   response.id.len) :
-			    !response.not_run && x->wire.id.len)
+	if (!is_own_response(x, &response))
 		return 1;
+	/* If the server wrote the same bytes again while it runs a later request,
+	 * they could pass for a refusal of that one. */
+	if (response.not_run)
+		mh_upstream_retire(x->upstream);
 	if (!response.has_limit)
 		mh_notice_relay_no_limit(
 			mh_slot_client_notices(x->set->env.slot_client),
--- a/proxy/upstream.c
+++ b/proxy/upstream.c
@@ -35,6 +35,7 @@
 	bool connecting;
 	bool busy;
 	bool bytes_sent;
+	bool reused; /* it carried a request before this one */
 	bool reusable;
 	bool paused;
 	bool reading;
@@ -231,6 +232,7 @@
 	} else {
 		DL_DELETE(set->busy, u);
 		u->busy = false;
+		u->reused = true;
 		u->paused = false;
 		u->idle_since_ns = now_of(set);
 		mh_http_reader_reset(&u->reader);
@@ -438,6 +440,16 @@
 	return true;
 }
 
+bool mh_upstream_is_reused(const struct mh_upstream *u)
+{
+	return u->reused;
+}
+
+void mh_upstream_retire(struct mh_upstream *u)
+{
+	u->reusable = false;
+}
+
 void mh_upstream_pause(struct mh_upstream *u, bool paused)
 {
 	if (u->paused == paused)
--- a/proxy/upstream.h
+++ b/proxy/upstream.h
@@ -110,6 +110,18 @@
 			    const struct mh_server_ref *server,
 			    const struct mh_upstream_ops *ops, void *data);
 
+/**
+ * mh_upstream_is_reused() - whether the connection carried a request before
+ * @u: connection
+ */
+bool mh_upstream_is_reused(const struct mh_upstream *u);
+
+/**
+ * mh_upstream_retire() - close the connection after this response
+ * @u: connection
+ */
+void mh_upstream_retire(struct mh_upstream *u);
+
 /**
  * mh_upstream_pause() - pause or resume reading the response
  * @u: connection
