A listing of the store goes on after an odd key

Another writer's key with a blank, a NUL or the like that is the last one of a page went into the next query as it was. The store answered the same page again, and the machine stopped following the list.

--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -379,6 +379,37 @@
 	close_store(&fx);
 }
 
+/* Guards against a listing that never ends as another writer's key, with a blank
+ * and a NUL, is the last one of a page. */
+static void test_listing_goes_on_after_an_odd_key(void **state)
+{
+	static const char first[] =
+		"{\"items\":[{\"key\":\"a b&\\u0000c\",\"value\":\"e30=\"}],"
+		"\"more\":true,\"end\":2}";
+	static const char second[] =
+		"{\"items\":[{\"key\":\"h\",\"value\":\"eyJhZGRyZXNzIjoiMS4yLj"
+		"MuNDo1Iiwicm9sZSI6ImVudHJ5Iiwic3RhdGUiOiJsaXZlIn0=\"}],"
+		"\"more\":false,\"end\":2}";
+	static const struct step steps[] = {
+		{ "/log-newest?topic=keyed.hosts&part=0 ", 200, first,
+		  sizeof(first) - 1 },
+		{ "/log-newest?topic=keyed.hosts&part=0&after=a%20b%26%00c ",
+		  200, second, sizeof(second) - 1 },
+	};
+	struct mh_host_list_env env;
+	struct fixture fx;
+
+	(void)state;
+	open_store(&fx, steps, LEN(steps));
+	env = (struct mh_host_list_env){ fx.loop, &fx.timers, &mh_system_clock,
+					 fx.address, 1 };
+	fx.hosts = mh_host_list_new(&env, on_hosts, &fx);
+	run_until(&fx, 1);
+	assert_string_equal(fx.events, "1:h:1.2.3.4:5:entry:live ");
+	mh_host_list_free(fx.hosts);
+	close_store(&fx);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -387,6 +418,7 @@
 		cmocka_unit_test(test_append_once),
 		cmocka_unit_test(test_append_until_done),
 		cmocka_unit_test(test_host_list),
+		cmocka_unit_test(test_listing_goes_on_after_an_odd_key),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
