--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -500,6 +500,12 @@
 		"\"slots\":9,\"state\":\"ready\",\"sequence\":\"4\"}",
 		"{\"address\":\"1.2.3.4:5\",\"born\":\"x\"," REGISTRATION_TAIL
 		"}",
+		/* After these no registration of the server would be newer. */
+		"{\"address\":\"1.2.3.4:5\",\"born\":9223372036854775807," REGISTRATION_TAIL
+		"}",
+		"{\"address\":\"1.2.3.4:5\",\"service\":\"s\",\"zone\":\"z\","
+		"\"slots\":9,\"state\":\"ready\","
+		"\"sequence\":9223372036854775807}",
 	};
 	size_t i;
 
