--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -526,6 +526,31 @@
 	}
 }
 
+/* Guards against a name of megabytes that is passed on to all processes. */
+static void test_long_names_are_rejected(void **state)
+{
+	static const char plain[] =
+		"{\"address\":\"1.2.3.4:5\"," REGISTRATION_TAIL "}";
+	size_t len;
+
+	(void)state;
+	for (len = 255; len <= 4 << 20; len = len == 255 ? 256 : len * 64) {
+		char *name = calloc(1, len + 1), *text = malloc(len + 256);
+
+		assert_true(name && text);
+		memset(name, 'x', len);
+		assert_int_equal(decode_registration(name, plain), len == 255);
+		sprintf(text,
+			"{\"address\":\"1.2.3.4:5\",\"service\":\"%s\","
+			"\"zone\":\"z\",\"slots\":9,"
+			"\"state\":\"ready\",\"sequence\":4}",
+			name);
+		assert_int_equal(decode_registration("i-1", text), len == 255);
+		free(name);
+		free(text);
+	}
+}
+
 /* ---- records ---- */
 
 struct records {
@@ -666,6 +691,7 @@
 		cmocka_unit_test(test_document),
 		cmocka_unit_test(test_bad_documents_say_what_is_wrong),
 		cmocka_unit_test(test_registrations),
+		cmocka_unit_test(test_long_names_are_rejected),
 		cmocka_unit_test(test_records_of_a_topic),
 		cmocka_unit_test(test_fuzz_decoders),
 	};
