Processes agree on the crashes of a suspect

Proxies and dispatchers sent each other one record without end, 90,000 to 196,000 log lines a second at one proxy, and had no time for requests: a crash within 2 ms of the run that cleared its part was dropped and added again by each message; full records replaced each other's crashes for ever. What clears a part keeps such crashes out, and only a later crash replaces one in a full record.

tests/test_suspect_merge.c fails without it (mutants cleared-crashes-are-not-added-again, full-records-agree).

--- a/core/suspects.c
+++ b/core/suspects.c
@@ -305,6 +305,9 @@
 		if (!crash->on_trial)
 			return false;
 		i = least_needed(suspect, crash);
+		/* Full records that replace each other's have to agree at last. */
+		if (crash->lost_ns <= suspect->crashes[i].lost_ns)
+			return false;
 	}
 	suspect->crashes[i] = *crash;
 	return true;
@@ -544,8 +547,10 @@
 	return mh_suspect_rules_of(feature)->trials(&r->suspect, &context);
 }
 
+/* What clears a part drops its earlier crashes, and those that the error of times
+ * may have made later: the latter must not be added again. */
 static bool merge_crash(struct mh_suspects *set, struct mh_suspect *suspect,
-			const struct mh_crash *other)
+			const struct mh_crash *other, uint64_t error_ns)
 {
 	struct mh_crash *crash;
 	uint32_t i;
@@ -561,7 +566,8 @@
 		crash->on_trial = crash->on_trial || other->on_trial;
 		return true;
 	}
-	if (succeeded_recently(set, suspect->feature, other->lost_ns))
+	if (succeeded_recently(set, suspect->feature,
+			       other->lost_ns - error_ns))
 		return false;
 	return append_crash(suspect, other);
 }
@@ -569,6 +575,9 @@
 bool mh_suspects_merge(struct mh_suspects *set, const struct mh_suspect *other,
 		       uint64_t now_ns)
 {
+	uint64_t error_ns = other->feature.kind == MH_FEATURE_PART ?
+				    MH_SUSPECT_TIME_ERROR_NS :
+				    0;
 	bool changed = false;
 	struct suspect_row *r;
 	uint32_t i;
@@ -578,11 +587,11 @@
 	r = get(set, other->feature, now_ns);
 	if (other->cleared_ns > r->suspect.cleared_ns) {
 		r->suspect.cleared_ns = other->cleared_ns;
-		changed = drop_cleared_crashes(
-			&r->suspect, is_part(r) ? MH_SUSPECT_TIME_ERROR_NS : 0);
+		changed = drop_cleared_crashes(&r->suspect, error_ns);
 	}
 	for (i = 0; i < other->n_crashes; i++) {
-		changed |= merge_crash(set, &r->suspect, &other->crashes[i]);
+		changed |= merge_crash(set, &r->suspect, &other->crashes[i],
+				       error_ns);
 		record_end(set, other->crashes[i].server,
 			   other->crashes[i].lost_ns);
 	}
--- /dev/null
+++ b/tests/test_suspect_merge.c
@@ -0,0 +1,114 @@
+/*
+ * Unit tests of records of suspects that processes send each other: what is no news
+ * any more is not passed on.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "core/clock.h"
+#include "core/suspects.h"
+
+#define MS MH_NS_PER_MS
+/* Times drift by this much from one process to the next: a message does not tell
+ * how long it was on its way. */
+#define DRIFT_NS (MS * 2 / 5)
+#define MAX_HOPS 8
+#define SETS 1000 /* pairs of full records */
+
+static void copy_suspect(void *data, const struct mh_suspect *suspect)
+{
+	*(struct mh_suspect *)data = *suspect;
+}
+
+/* Sends what one set knows of a part to the other and back while that is news.
+ * Return: number of messages, MAX_HOPS if there is no end. */
+static uint32_t exchange(struct mh_suspects *a, struct mh_suspects *b)
+{
+	struct mh_suspects *sets[] = { a, b };
+	struct mh_suspect record = { 0 };
+	uint32_t hops, i;
+
+	for (hops = 0; hops < MAX_HOPS; hops++) {
+		mh_suspects_each(sets[hops % 2], copy_suspect, &record);
+		if (record.cleared_ns)
+			record.cleared_ns += DRIFT_NS;
+		for (i = 0; i < record.n_crashes; i++)
+			record.crashes[i].lost_ns += DRIFT_NS;
+		if (!mh_suspects_merge(sets[(hops + 1) % 2], &record,
+				       30000 * MS))
+			break;
+	}
+	return hops;
+}
+
+static const struct mh_feature part_5 = { MH_FEATURE_PART, 5 };
+
+static void add_crashes(struct mh_suspects *set, uint32_t first_ms,
+			uint32_t step_ms, uint32_t n)
+{
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		uint64_t lost_ms = first_ms + i * step_ms;
+		uint64_t lost_ns = lost_ms * MS;
+
+		mh_suspects_add_crash(set, part_5, lost_ms, lost_ms,
+				      lost_ns - step_ms * MS / 2, false,
+				      lost_ns);
+	}
+}
+
+/* Guards against links that are swamped: a crash shortly after the run that cleared
+ * its part was dropped and added again with each message, without end. */
+static void test_crash_beside_the_clearing_run_is_told_once(void **state)
+{
+	struct mh_suspects *a = mh_suspects_new(NULL, NULL);
+	struct mh_suspects *b = mh_suspects_new(NULL, NULL);
+	uint64_t part = part_5.id;
+	struct mh_features *features = mh_features_new(1, &part, 1);
+
+	(void)state;
+	add_crashes(a, 9000, 1000, 2);
+	assert_int_equal(exchange(a, b), 1);
+	mh_suspects_survived(a, features, 10000 * MS - DRIFT_NS, 10600 * MS);
+	assert_true(exchange(a, b) < MAX_HOPS);
+	mh_features_unref(features);
+	mh_suspects_free(a);
+	mh_suspects_free(b);
+}
+
+/* Guards against the same by two processes whose records are full of unlike
+ * crashes. */
+static void test_full_records_are_told_once(void **state)
+{
+	struct mh_rng rng = { 1 };
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < SETS; i++) {
+		struct mh_suspects *a = mh_suspects_new(NULL, NULL);
+		struct mh_suspects *b = mh_suspects_new(NULL, NULL);
+
+		add_crashes(a, 1000 + mh_rng_next(&rng) % 3000,
+			    200 + mh_rng_next(&rng) % 1000, 12);
+		add_crashes(b, 1000 + mh_rng_next(&rng) % 3000,
+			    200 + mh_rng_next(&rng) % 1000, 12);
+		assert_true(exchange(a, b) < MAX_HOPS);
+		mh_suspects_free(a);
+		mh_suspects_free(b);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_crash_beside_the_clearing_run_is_told_once),
+		cmocka_unit_test(test_full_records_are_told_once),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
