Two bad parts at once refuse no sound requests

Causes, read from the dispatchers' logs:

- The shared part is in every crash, each bad one in half of them.
Several parts may together be the causes of a refused one now; while that is open it clears none of them, and requests without them are not refused.
- A sound run ends within 2 ms, so that further runs with the shared part began at that server only, and the next bad request crashed just that one.
A run with another suspect that has not settled waits.
- A dispatcher learned of the crashes of the shared part without the others that were in them.
A crash is told with all parts that have it.
- Of two trials that were lost together only the one reported second was blamed.

--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -138,6 +138,7 @@
 				  uint64_t now_ns)
 {
 	struct server *s = req->server;
+	bool is_beside_trial;
 
 	if (!req->features->request && !req->features->n_parts)
 		return MH_LOST_UNMARKED;
@@ -145,11 +146,16 @@
 		return MH_LOST_LEAVING;
 	mh_dispatch_record_survival(d, req, now_ns);
 	mh_open_runs_unsettle(d->open_runs, req->features, s->incarnation);
+	is_beside_trial =
+		s->trial_lost_ns && now_ns < s->trial_lost_ns + REPORTS_NS;
 	if (is_on_trial(d, req, now_ns)) {
+		/* Of several trials each may be the cause. */
+		if (!is_beside_trial)
+			mh_suspects_blame(d->suspects, s->incarnation,
+					  req->features, now_ns - REPORTS_NS,
+					  now_ns);
 		s->trial_lost_ns = now_ns;
-		mh_suspects_blame(d->suspects, s->incarnation, req->features,
-				  now_ns - REPORTS_NS, now_ns);
-	} else if (s->trial_lost_ns && now_ns < s->trial_lost_ns + REPORTS_NS) {
+	} else if (is_beside_trial) {
 		return MH_LOST_BESIDE;
 	}
 	s->lost_ns = now_ns;
--- a/core/dispatch_trial.c
+++ b/core/dispatch_trial.c
@@ -141,10 +141,13 @@
 }
 
 /* Whether a run can begin under the limits of its features: anywhere, or only
- * where others with the same features have settled. */
+ * where others with the same features have settled. One that has a further suspect
+ * feature, which has not settled, waits: it may crash the server that is about to
+ * show that the others are harmless. */
 bool mh_dispatch_may_run(const struct mh_dispatch *d, const struct request *req,
 			 uint64_t now_ns, uint64_t *only_at)
 {
+	bool has_unsettled = false;
 	uint32_t i, trials;
 	uint64_t server;
 
@@ -159,8 +162,11 @@
 			open--;
 		trials = trials_of(d, feature, now_ns);
 		if (open < trials && (trials == MH_TRIALS_UNLIMITED ||
-				      is_turn(d, feature, now_ns)))
+				      is_turn(d, feature, now_ns))) {
+			has_unsettled =
+				has_unsettled || trials != MH_TRIALS_UNLIMITED;
 			continue;
+		}
 		if (feature.kind == MH_FEATURE_REQUEST) {
 			if (is_copy_on_trial(d, req, now_ns))
 				return false;
@@ -171,7 +177,7 @@
 			return false;
 		*only_at = server;
 	}
-	return true;
+	return !*only_at || !has_unsettled;
 }
 
 static uint32_t crashes_of(const struct mh_dispatch *d,
--- a/core/suspect_confirmation.c
+++ b/core/suspect_confirmation.c
@@ -88,12 +88,59 @@
 	return changed;
 }
 
-/* A part that may be the cause itself is not cleared by another one. */
-static bool may_clear(const struct suspect_row *cause,
+/* Whether other suspects than those of a request may be the causes of a suspect's
+ * crashes: one of nearly all, or several of some each. Entries without a dispatcher
+ * see too few of the runs that do well to look for several.
+ * @except: features of the request, NULL for none */
+static bool is_explained(const struct mh_suspects *set,
+			 const struct suspect_row *r,
+			 const struct mh_features *except)
+{
+	bool explained[MH_SUSPECT_CRASHES] = { false };
+	uint32_t i, n = mh_suspect_crashes(&r->suspect), missing = 0;
+	struct suspect_row *other, *tmp;
+
+	HASH_ITER(hh, set->rows, other, tmp) {
+		if (other == r ||
+		    (except &&
+		     mh_features_hold(except, other->suspect.feature)))
+			continue;
+		if (mh_suspect_may_explain(&other->suspect, &r->suspect))
+			return true;
+		if (!set->is_shared_early)
+			mh_suspect_explain(&other->suspect, &r->suspect,
+					   explained);
+	}
+	for (i = 0; i < r->suspect.n_crashes; i++)
+		missing += !r->suspect.crashes[i].refuted && !explained[i];
+	return missing <= MH_SUSPECT_MISSING_MAX && missing < n;
+}
+
+/* Return: number of crashes of a suspect that another one has as well, if they are
+ * several. */
+static uint32_t count_common(const struct mh_suspect *suspect,
+			     const struct mh_suspect *other)
+{
+	bool explained[MH_SUSPECT_CRASHES] = { false };
+	uint32_t i, n = 0;
+
+	mh_suspect_explain(other, suspect, explained);
+	for (i = 0; i < suspect->n_crashes; i++)
+		n += explained[i];
+	return n;
+}
+
+/* A part that may be the cause itself, of all or some of the crashes, is not cleared
+ * by another one. */
+static bool may_clear(const struct mh_suspects *set,
+		      const struct suspect_row *cause,
 		      const struct suspect_row *r)
 {
-	return cause != r && is_part(r) &&
-	       !mh_suspect_may_explain(&r->suspect, &cause->suspect);
+	if (cause == r || !is_part(r))
+		return false;
+	return set->is_shared_early ?
+		       !mh_suspect_may_explain(&r->suspect, &cause->suspect) :
+		       !count_common(&cause->suspect, &r->suspect);
 }
 
 static bool may_be_confirmed(const struct suspect_row *r)
@@ -129,39 +176,24 @@
 			confirm(set, r, now_ns);
 	}
 	HASH_ITER(hh, set->rows, cause, tmp) {
-		if (!is_refused_part(cause))
+		/* While others may be the causes, nothing is explained yet. */
+		if (!is_refused_part(cause) ||
+		    (!set->is_shared_early && is_explained(set, cause, NULL)))
 			continue;
 		HASH_ITER(hh, set->rows, r, tmp_r) {
-			if (may_clear(cause, r) &&
+			if (may_clear(set, cause, r) &&
 			    refute_explained(&r->suspect, &cause->suspect))
 				mh_suspects_report_less(set, r, now_ns);
 		}
 	}
 }
 
-/* Whether a feature that the request does not hold may be the cause of the crashes
- * of this part, so that the request tells which of them it is. */
-static bool has_alternative(const struct mh_suspects *set,
-			    const struct suspect_row *r,
-			    const struct mh_features *features)
-{
-	struct suspect_row *other, *tmp;
-
-	HASH_ITER(hh, set->rows, other, tmp) {
-		if (other != r &&
-		    mh_suspect_may_explain(&other->suspect, &r->suspect) &&
-		    !mh_features_hold(features, other->suspect.feature))
-			return true;
-	}
-	return false;
-}
-
 static bool refuses(const struct mh_suspects *set, const struct suspect_row *r,
 		    const struct mh_features *features, uint64_t now_ns)
 {
 	return r && mh_suspect_is_refused(&r->suspect) &&
 	       now_ns < mh_suspect_expiry_ns(&r->suspect) &&
-	       (!is_part(r) || !has_alternative(set, r, features));
+	       (!is_part(r) || !is_explained(set, r, features));
 }
 
 bool mh_suspects_refuses(struct mh_suspects *set,
--- a/core/suspect_rules.c
+++ b/core/suspect_rules.c
@@ -21,10 +21,8 @@
 #define LIMITED_ROUNDS_SETTLED 6
 /* Brief survivals between crashes; a part that crashes servers has hardly any. */
 #define BRIEF_SURVIVALS_MIN 5
-/* A feature that has at least this many crashes of a part, and lacks at most this
- * many, may be their cause. */
+/* A feature that has at least this many crashes of a part may be their cause. */
 #define COMMON_CRASHES_MIN 2
-#define MISSING_CRASHES_MAX 1
 /* An equal request that ended well this recently keeps a crash from counting.
  */
 #define RECENT_SUCCESS_NS (10000 * MH_NS_PER_MS)
@@ -209,18 +207,44 @@
 	return false;
 }
 
-bool mh_suspect_may_explain(const struct mh_suspect *cause,
-			    const struct mh_suspect *suspect)
+bool mh_suspect_has_common(const struct mh_suspect *suspect,
+			   const struct mh_suspect *other)
 {
-	uint32_t i, common = 0, missing = 0;
+	uint32_t i;
+
+	for (i = 0; i < other->n_crashes; i++) {
+		if (!other->crashes[i].refuted &&
+		    has_crash(suspect, &other->crashes[i]))
+			return true;
+	}
+	return false;
+}
+
+void mh_suspect_explain(const struct mh_suspect *cause,
+			const struct mh_suspect *suspect, bool *explained)
+{
+	bool common[MH_SUSPECT_CRASHES] = { false };
+	uint32_t i, n = 0;
 
 	for (i = 0; i < suspect->n_crashes; i++) {
-		if (suspect->crashes[i].refuted)
+		if (suspect->crashes[i].refuted ||
+		    !has_crash(cause, &suspect->crashes[i]))
 			continue;
-		if (has_crash(cause, &suspect->crashes[i]))
-			common++;
-		else
-			missing++;
+		common[i] = true;
+		n++;
 	}
-	return common >= COMMON_CRASHES_MIN && missing <= MISSING_CRASHES_MAX;
+	for (i = 0; n >= COMMON_CRASHES_MIN && i < suspect->n_crashes; i++)
+		explained[i] = explained[i] || common[i];
+}
+
+bool mh_suspect_may_explain(const struct mh_suspect *cause,
+			    const struct mh_suspect *suspect)
+{
+	bool explained[MH_SUSPECT_CRASHES] = { false };
+	uint32_t i, n = 0;
+
+	mh_suspect_explain(cause, suspect, explained);
+	for (i = 0; i < suspect->n_crashes; i++)
+		n += explained[i];
+	return n && n + MH_SUSPECT_MISSING_MAX >= mh_suspect_crashes(suspect);
 }
--- a/core/suspect_rules.h
+++ b/core/suspect_rules.h
@@ -68,6 +68,28 @@
  */
 bool mh_crash_is_same(const struct mh_crash *a, const struct mh_crash *b);
 
+/* Crashes of a suspect that may be left unexplained where others are looked for as
+ * the causes of the rest. */
+#define MH_SUSPECT_MISSING_MAX 1
+
+/**
+ * mh_suspect_explain() - mark the crashes of a suspect that may be the fault of
+ *                        another one
+ * @cause: possible cause; nothing is marked if it has too few of the crashes
+ * @suspect: suspect
+ * @explained: elements for the suspect's crashes; those that are explained are set
+ */
+void mh_suspect_explain(const struct mh_suspect *cause,
+			const struct mh_suspect *suspect, bool *explained);
+
+/**
+ * mh_suspect_has_common() - whether two suspects have a crash in common that counts
+ * @suspect: suspect
+ * @other: suspect
+ */
+bool mh_suspect_has_common(const struct mh_suspect *suspect,
+			   const struct mh_suspect *other);
+
 /**
  * mh_suspect_may_explain() - whether the crashes of one suspect may be the fault of
  *                       another one
--- a/core/suspects.c
+++ b/core/suspects.c
@@ -178,8 +178,8 @@
 	};
 }
 
-static bool is_shared(const struct mh_suspects *set,
-		      const struct suspect_row *r, uint64_t now_ns)
+bool mh_suspects_is_shared(const struct mh_suspects *set,
+			   const struct suspect_row *r, uint64_t now_ns)
 {
 	struct mh_suspect_context context = mh_suspects_context(set, r, now_ns);
 
@@ -187,13 +187,31 @@
 		->is_shared(&r->suspect, &context);
 }
 
+/* Tells others of the parts that have crashes of one that they are told of, so that
+ * they look for the same alternatives. */
+static void report_alternatives(struct mh_suspects *set,
+				const struct suspect_row *cause,
+				uint64_t now_ns)
+{
+	struct suspect_row *r, *tmp;
+
+	HASH_ITER(hh, set->rows, r, tmp) {
+		if (r != cause && is_part(r) && r->has_untold_crash &&
+		    mh_suspect_has_common(&r->suspect, &cause->suspect))
+			mh_suspects_report(set, r, now_ns);
+	}
+}
+
 void mh_suspects_report(struct mh_suspects *set, struct suspect_row *r,
 			uint64_t now_ns)
 {
 	set_share_time(set, r, 0);
 	r->reported_ns = now_ns;
+	r->has_untold_crash = false;
 	if (set->changed)
 		set->changed(set->data, &r->suspect);
+	if (is_part(r))
+		report_alternatives(set, r, now_ns);
 }
 
 /* Reports a record that counts less than before, unless nobody knows of it. */
@@ -214,7 +232,7 @@
 		return false;
 	HASH_ITER(hh, set->rows, r, tmp) {
 		if (r->share_ns && now_ns >= r->share_ns) {
-			if (is_shared(set, r, now_ns))
+			if (mh_suspects_is_shared(set, r, now_ns))
 				mh_suspects_report(set, r, now_ns);
 			else
 				set_share_time(set, r, 0);
@@ -333,6 +351,22 @@
 	return false;
 }
 
+/* Whether others were told of a crash with another part: they have to know its
+ * alternatives, too. */
+bool mh_suspects_is_told(const struct mh_suspects *set,
+			 const struct mh_crash *crash)
+{
+	const struct mh_suspect one = { .n_crashes = 1, .crashes = { *crash } };
+	struct suspect_row *r, *tmp;
+
+	HASH_ITER(hh, set->rows, r, tmp) {
+		if (is_part(r) && r->reported_ns && !r->has_untold_crash &&
+		    mh_suspect_has_common(&r->suspect, &one))
+			return true;
+	}
+	return false;
+}
+
 bool mh_suspects_add_crash(struct mh_suspects *set, struct mh_feature feature,
 			   uint64_t request, uint64_t server,
 			   uint64_t placed_ns, bool was_responding,
@@ -347,6 +381,7 @@
 	};
 	struct mh_suspect *suspect;
 	struct suspect_row *r;
+	bool is_urgent;
 	uint32_t i;
 
 	if (!feature.id || succeeded_recently(set, feature, now_ns))
@@ -364,10 +399,13 @@
 	}
 	crash.on_trial = was_known(suspect, placed_ns);
 	suspect->seen_ns = now_ns;
-	append_crash(suspect, &crash);
-	if (!is_shared(set, r, now_ns))
+	if (append_crash(suspect, &crash))
+		r->has_untold_crash = true;
+	is_urgent = mh_suspect_is_refused(suspect) ||
+		    (is_part(r) && mh_suspects_is_told(set, &crash));
+	if (!is_urgent && !mh_suspects_is_shared(set, r, now_ns))
 		return true;
-	if (!was_responding || mh_suspect_is_refused(suspect))
+	if (!was_responding || is_urgent)
 		mh_suspects_report(set, r, now_ns);
 	else if (!r->share_ns)
 		set_share_time(set, r, now_ns + SHARE_DELAY_NS);
--- a/core/suspects.h
+++ b/core/suspects.h
@@ -121,7 +121,8 @@
  * @server: the server's incarnation
  * @placed_ns: monotonic time at which the run began
  * @was_responding: its response had begun: most such servers live, and other
- *                  processes are told only after the time to find out
+ *                  processes are told only after the time to find out, unless
+ *                  they were told of the crash with another part
  * @now_ns: monotonic time
  *
  * Runs with the same feature that are lost with a server together count once.
--- a/core/suspects_impl.h
+++ b/core/suspects_impl.h
@@ -25,8 +25,9 @@
 struct suspect_row {
 	struct suspect_key key;
 	struct mh_suspect suspect;
-	uint64_t reported_ns; /* when other processes were told, 0: never */
-	uint64_t share_ns;    /* when they will be told, 0: no need to */
+	uint64_t reported_ns;  /* when other processes were told, 0: never */
+	uint64_t share_ns;     /* when they will be told, 0: no need to */
+	bool has_untold_crash; /* seen here, and not reported since */
 	/* Runs since its first crash after which their servers lived on. */
 	uint32_t n_brief_survivals;
 	UT_hash_handle hh;
@@ -72,5 +73,9 @@
 			uint64_t now_ns);
 void mh_suspects_report_less(struct mh_suspects *set, struct suspect_row *r,
 			     uint64_t now_ns);
+bool mh_suspects_is_shared(const struct mh_suspects *set,
+			   const struct suspect_row *r, uint64_t now_ns);
+bool mh_suspects_is_told(const struct mh_suspects *set,
+			 const struct mh_crash *crash);
 
 #endif
--- a/tests/parts_simulation.c
+++ b/tests/parts_simulation.c
@@ -21,11 +21,12 @@
 #define CRASH_SPREAD_MS 45
 #define RUN_MIN_MS 40
 #define RUN_SPREAD_MS 700
+#define INSTANT_MS 2
 #define FIRST_MIN_MS 5
 #define FIRST_SPREAD_MS 60
 #define DEADLINE_MS 5000
 #define MAX_ATTEMPTS 2
-#define PART_MAX 3
+#define PART_MAX 4
 #define MAX_MESSAGES 16384 /* on their way at a time */
 
 enum state { WAITING, RUNNING, ENDED };
@@ -85,6 +86,8 @@
 	uint32_t n_nodes;
 	uint32_t in_use; /* dispatcher, of 0 and 1 */
 	bool is_dispatcher_lost;
+	bool is_splitting;
+	bool is_split;
 	bool all_lost;
 	struct server servers[SIM_MAX_SERVERS];
 	struct message messages[MAX_MESSAGES];
@@ -92,6 +95,7 @@
 	uint32_t n_delivered; /* those of them that arrived */
 	struct run *runs;
 	uint32_t n_runs;
+	uint32_t n_bad;
 	uint32_t oldest; /* that has not ended */
 	/* By bad part: crashes, runs later than allowed, and when the fifth
 	 * crash was, 0: not yet. */
@@ -151,6 +155,10 @@
 	run->first_ms =
 		sim->now_ms + FIRST_MIN_MS + below(sim, FIRST_SPREAD_MS);
 	run->end_ms = run->first_ms + RUN_MIN_MS + below(sim, RUN_SPREAD_MS);
+	if (sim->c->instant) {
+		run->first_ms = sim->now_ms + 1;
+		run->end_ms = sim->now_ms + INSTANT_MS;
+	}
 	if (run->is_bad && sim->now_ms >= sim->c->bad_from_ms) {
 		run->end_ms = 0;
 		run->lost_ms = run->first_ms + CRASH_MIN_MS +
@@ -249,7 +257,9 @@
 /* Entry e has node 2 + e, which it uses without a dispatcher. */
 static uint32_t node_for(const struct sim *sim, uint32_t entry)
 {
-	return sim->c->alone || sim->all_lost ? 2 + entry : sim->in_use;
+	if (sim->c->alone || sim->all_lost)
+		return 2 + entry;
+	return sim->is_split ? entry % 2 : sim->in_use;
 }
 
 static struct mh_slot_request slot_request(const struct sim *sim, uint32_t id)
@@ -301,8 +311,13 @@
 	run->fingerprint = mh_rng_next(&sim->rng) | 1;
 	run->arrived_ms = sim->now_ms;
 	if (is_bad) {
-		run->bad_part = c->bad_parts ? id % c->bad_parts : 0;
+		run->bad_part = c->bad_parts ?
+					(c->in_step ? sim->n_bad++ : id) %
+						c->bad_parts :
+					0;
 		add_part(run, c->first);
+		if (c->in_step)
+			add_part(run, SIM_COMPANION + run->bad_part);
 		if (!c->whole)
 			add_part(run, SIM_BAD + run->bad_part);
 		add_part(run, subject);
@@ -312,6 +327,8 @@
 				     id % 4 == 0;
 		add_part(run,
 			 run->was_companion ? SIM_COMPANION : c->sound_first);
+		if (c->in_step)
+			add_part(run, SIM_COMPANION + below(sim, c->bad_parts));
 		add_part(run, subject);
 	}
 	ask(sim, id);
@@ -356,6 +373,8 @@
 		sim->fifth_ms[bad_part] = sim->now_ms;
 	if (++sim->result.crashed == sim->c->dispatcher_lost_at)
 		sim->is_dispatcher_lost = true;
+	if (sim->result.crashed == sim->c->split_at)
+		sim->is_splitting = true;
 }
 
 static void revive_servers(struct sim *sim)
@@ -477,6 +496,11 @@
 		sim->in_use = 1;
 		move_requests(sim);
 	}
+	if (sim->is_splitting) {
+		sim->is_splitting = false;
+		sim->is_split = true;
+		move_requests(sim);
+	}
 	if (sim->c->all_lost_ms && sim->now_ms == sim->c->all_lost_ms) {
 		sim->all_lost = true;
 		move_requests(sim);
--- a/tests/parts_simulation.h
+++ b/tests/parts_simulation.h
@@ -41,10 +41,15 @@
  * @sound_first: part that stands first in sound ones
  * @whole: no part is bad, but each bad request by itself
  * @bad_parts: number of bad parts, 0 and 1 for one; a bad request has one of them
+ * @in_step: bad requests have the bad parts in turn, each always with the same
+ *           companion, of which each sound request has one as well
+ * @instant: sound requests are answered at once
  * @companion_from_ms: from then on sound requests hold the companion, 0: never
  * @ends: how servers end besides
  * @dispatcher_lost_at: number of the crash at which the dispatcher in use is
  *                      lost, 0: never
+ * @split_at: number of the crash from which on every second entry uses the other
+ *            dispatcher, 0: never
  * @all_lost_ms: when all dispatchers are lost, 0: never
  * @seconds: length
  */
@@ -60,9 +65,12 @@
 	uint64_t sound_first;
 	bool whole;
 	uint32_t bad_parts;
+	bool in_step;
+	bool instant;
 	uint32_t companion_from_ms;
 	enum sim_ends ends;
 	uint32_t dispatcher_lost_at;
+	uint32_t split_at;
 	uint32_t all_lost_ms;
 	uint32_t seconds;
 };
--- a/tests/test_part_suspects.c
+++ b/tests/test_part_suspects.c
@@ -14,6 +14,13 @@
 	return both;
 }
 
+static void replace_server(struct fixture *f, const char *old, const char *new)
+{
+	remove_server(f, old);
+	add_server(f, new, 1, true);
+	advance_clock(f, 2000);
+}
+
 /* Guards against a part that turns bad and is cleared by a run from before. */
 static void test_run_from_before_a_crash_clears_no_part(void **state)
 {
@@ -170,6 +177,104 @@
 	free_fixture(f);
 }
 
+/* Requests with a part that others have, too, and one that only they have; the part
+ * that they share is a suspect already. */
+static uint64_t request_with_parts(struct fixture *f, uint64_t shared,
+				   uint64_t own)
+{
+	uint64_t parts[] = { shared, own };
+	struct mh_slot_request a = make_request(f, 0);
+
+	a.fingerprint = 5000 + own;
+	a.parts = parts;
+	a.n_parts = 2;
+	a.start_by_ns = a.deadline_ns = f->now_ns + 8000 * MS;
+	mh_dispatch_request_slot(f->d, &a);
+	mh_dispatch_tick(f->d);
+	return a.id;
+}
+
+/* Guards against a bad part that goes free: runs of a suspect were lost with its
+ * server beside the bad one, and took the blame. */
+static void test_trials_lost_together_are_all_counted(void **state)
+{
+	struct fixture *f = new_crash_fixture(1);
+	uint64_t settled, bad, sound;
+
+	(void)state;
+	end(f, request_with_parts(f, 1, 2), MH_SLOT_LOST);
+	replace_server(f, "s0", "s1");
+	settled = request_with_parts(f, 1, 3);
+	mh_dispatch_first_byte(f->d, 1, settled, 5);
+	advance_clock(f, 200);
+	bad = request_with_parts(f, 1, 4);
+	sound = request_with_parts(f, 1, 5);
+	assert_true(f->results[bad].placed && f->results[sound].placed);
+	end(f, bad, MH_SLOT_LOST);
+	end(f, sound, MH_SLOT_LOST);
+	replace_server(f, "s1", "s2");
+	assert_false(part_runs_freely(f, 4));
+	free_fixture(f);
+}
+
+static bool never_settles(void *data, struct mh_feature feature)
+{
+	(void)data;
+	(void)feature;
+	return false;
+}
+
+static uint64_t server_at_ms(uint64_t ms)
+{
+	return 1000 + ms;
+}
+
+/* Counts a crash against two parts, of which the first is known to others. */
+static void crash_both(struct mh_suspects *set, uint64_t a, uint64_t b,
+		       uint64_t ms)
+{
+	struct mh_feature features[] = { { MH_FEATURE_PART, a },
+					 { MH_FEATURE_PART, b } };
+	uint32_t i;
+
+	for (i = 0; i < 2; i++)
+		mh_suspects_add_crash(set, features[i], ms, server_at_ms(ms),
+				      (ms - 50) * MS, true, ms * MS);
+}
+
+static void note_part(void *data, const struct mh_suspect *suspect)
+{
+	uint32_t *crashes_told = data;
+
+	crashes_told[suspect->feature.id] = suspect->n_crashes;
+}
+
+/* Guards against others that refuse a part, as they don't know of the parts that
+ * have its crashes as well. */
+static void test_alternatives_are_told_with_a_part(void **state)
+{
+	uint32_t crashes_told[4] = { 0 };
+	struct mh_suspects *set = mh_suspects_new(note_part, crashes_told);
+
+	(void)state;
+	crash_both(set, 1, 2, 1000);
+	crash_both(set, 1, 3, 2000);
+	assert_int_equal(crashes_told[1], 0);
+	mh_suspects_share(set, 2200 * MS);
+	assert_int_equal(crashes_told[1], 2);
+	assert_int_equal(crashes_told[2], 1);
+	assert_int_equal(crashes_told[3], 1);
+	mh_suspects_share(set, 3000 * MS);
+	crash_both(set, 1, 2, 4000);
+	mh_suspects_confirm(set, never_settles, NULL, 4000 * MS);
+	assert_int_equal(crashes_told[1], 3);
+	assert_int_equal(crashes_told[2], 2);
+	crash_both(set, 1, 3, 6000);
+	assert_int_equal(crashes_told[1], 4);
+	assert_int_equal(crashes_told[3], 2);
+	mh_suspects_free(set);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -181,6 +286,8 @@
 			test_found_part_explains_the_crashes_of_others),
 		cmocka_unit_test(test_equal_requests_confirm_no_part),
 		cmocka_unit_test(test_declined_request_clears_no_part),
+		cmocka_unit_test(test_trials_lost_together_are_all_counted),
+		cmocka_unit_test(test_alternatives_are_told_with_a_part),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -55,6 +55,31 @@
 	assert_contained("three", &c, SEEDS);
 }
 
+/* Guards against an outage of all sound requests: the part that they share is in
+ * each crash, and the two bad ones are in half of them each. */
+static void test_two_bad_parts_with_companions(void **state)
+{
+	struct sim_case c = base;
+
+	(void)state;
+	c.bad_parts = 2;
+	c.in_step = true;
+	assert_contained("in step", &c, MANY_SEEDS);
+}
+
+/* Guards against trials that never tell: the server at which a suspect's run has
+ * just ended well is the one that the next bad request crashes. */
+static void test_two_bad_parts_beside_instant_answers(void **state)
+{
+	struct sim_case c = base;
+
+	(void)state;
+	c.bad_parts = 2;
+	c.in_step = true;
+	c.instant = true;
+	assert_contained("instant", &c, MANY_SEEDS);
+}
+
 /* A part that was answered well for a while: new weights, or a new text under the
  * same identifier. */
 static void test_part_that_turns_bad(void **state)
@@ -119,6 +144,42 @@
 	}
 }
 
+/* Guards against a dispatcher that knows all crashes of the part that requests
+ * share, but not that others were in them too. */
+static void test_dispatcher_lost_between_crashes_of_two_parts(void **state)
+{
+	struct sim_case c = base;
+	uint32_t n;
+
+	(void)state;
+	c.bad_parts = 2;
+	c.in_step = true;
+	c.instant = true;
+	for (n = 1; n <= 5; n++) {
+		c.dispatcher_lost_at = n;
+		assert_contained("two, lost", &c, MANY_SEEDS / 2);
+	}
+}
+
+/* Guards against a decision on what only one of two dispatchers has seen so far:
+ * one that told of all crashes of the shared part, but not yet of the others'. */
+static void test_two_parts_at_two_dispatchers(void **state)
+{
+	struct sim_case c = base;
+	uint32_t n;
+
+	(void)state;
+	c.bad_parts = 2;
+	c.in_step = true;
+	c.instant = true;
+	c.share_ms = 3;
+	c.bad_per_s = 24;
+	for (n = 1; n <= 5; n++) {
+		c.split_at = n;
+		assert_contained("two, split", &c, MANY_SEEDS);
+	}
+}
+
 static void test_all_dispatchers_lost_afterwards(void **state)
 {
 	struct sim_case c = base;
@@ -222,11 +283,16 @@
 		cmocka_unit_test(test_part_in_the_middle),
 		cmocka_unit_test(test_part_that_stands_first),
 		cmocka_unit_test(test_several_bad_parts_at_once),
+		cmocka_unit_test(test_two_bad_parts_with_companions),
+		cmocka_unit_test(test_two_bad_parts_beside_instant_answers),
 		cmocka_unit_test(test_part_that_turns_bad),
 		cmocka_unit_test(test_innocent_companion_is_let_in),
 		cmocka_unit_test(test_few_bad_requests),
 		cmocka_unit_test(test_many_bad_requests_at_many_entries),
 		cmocka_unit_test(test_dispatcher_lost_at_the_third_crash),
+		cmocka_unit_test(
+			test_dispatcher_lost_between_crashes_of_two_parts),
+		cmocka_unit_test(test_two_parts_at_two_dispatchers),
 		cmocka_unit_test(test_all_dispatchers_lost_afterwards),
 		cmocka_unit_test(
 			test_requests_that_crash_by_themselves_refuse_no_part),
--- a/tests/test_parts.sh
+++ b/tests/test_parts.sh
@@ -135,6 +135,38 @@
 	sound_are_served middle
 }
 
+# Guards against an outage of all sound requests that share a part with two bad
+# ones: each of these comes with the same sound companion, of which sound requests
+# have one as well.
+t_two_parts_at_once() {
+	local load BAD_PER_S=8 SOUND_PER_S=24
+	run_load two0 a2:60,c0:50,dead5:400 a2:60,c0:50,b%:400 &
+	load=$!
+	run_load two1 a2:60,c1:50,dead6:400 a2:60,c1:50,b%:400
+	wait $load
+	few_servers_end two0 && few_servers_end two1
+}
+
+t_sound_beside_two_parts() {
+	local rc=0
+	sound_are_served two0 || rc=1
+	sound_are_served two1 || rc=1
+	return $rc
+}
+
+crash_lines() {
+	cat "$DIR"/proxy?.log "$DIR"/dispatcher?.log | grep -c 'kind=crash'
+}
+
+# Guards against records that processes send each other without end.
+t_nothing_more_is_told() {
+	local n
+	sleep 1
+	n=$(crash_lines)
+	sleep 1
+	[ $(crash_lines) = $n ]
+}
+
 t_part_that_stands_first() {
 	run_load first dead2:60,b%:400 a0:60,b%:400
 	few_servers_end first
@@ -210,6 +242,9 @@
 
 check "parts: a part in the middle ends few servers" t_part_in_the_middle
 check "parts: sound requests are served beside it" t_sound_beside_the_middle
+check "parts: two parts at once end few servers" t_two_parts_at_once
+check "parts: sound requests are served beside the two" t_sound_beside_two_parts
+check "parts: two parts at once are told to an end" t_nothing_more_is_told
 check "parts: a part that stands first ends few servers" \
 	t_part_that_stands_first
 check "parts: sound requests are served beside the first one" \
