A refused request takes its crashes from the parts that it shares

test_found_request_explains_the_crashes_of_parts fails without it (mutant refused-requests-explain-crashes). The mutant crashes-of-unlike-requests had become weak, as this rule covers the one case that its test had; test_equal_requests_count_once_against_a_part holds it for a request that is not refused yet.

--- a/core/suspect_confirmation.c
+++ b/core/suspect_confirmation.c
@@ -61,12 +61,7 @@
 	return others;
 }
 
-static bool is_refused_part(const struct suspect_row *r)
-{
-	return is_part(r) && mh_suspect_is_refused(&r->suspect);
-}
-
-/* Refutes the crashes of a part that a refused one explains.
+/* Refutes the crashes of a part that a refused part or request explains.
  * Return: whether there were any. */
 static bool refute_explained(struct mh_suspect *suspect,
 			     const struct mh_suspect *cause)
@@ -177,7 +172,7 @@
 	}
 	HASH_ITER(hh, set->rows, cause, tmp) {
 		/* While others may be the causes, nothing is explained yet. */
-		if (!is_refused_part(cause) ||
+		if (!mh_suspect_is_refused(&cause->suspect) ||
 		    (!set->is_shared_early && is_explained(set, cause, NULL)))
 			continue;
 		HASH_ITER(hh, set->rows, r, tmp_r) {
--- a/tests/test_part_suspects.c
+++ b/tests/test_part_suspects.c
@@ -111,28 +111,72 @@
 	free_fixture(f);
 }
 
+/* Guards against the same for crashes by one request that comes again and again. */
+static void test_found_request_explains_the_crashes_of_parts(void **state)
+{
+	struct fixture *f = new_crash_fixture(1);
+	uint64_t beside, bad;
+
+	(void)state;
+	bad = request_equal(f, BAD);
+	beside = request_with_part(f, 5);
+	assert_true(f->results[bad].placed && f->results[beside].placed);
+	end(f, bad, MH_SLOT_LOST);
+	end(f, beside, MH_SLOT_LOST);
+	replace_server(f, "s0", "s1");
+	bad = request_equal(f, BAD);
+	assert_true(f->results[bad].placed);
+	end(f, bad, MH_SLOT_LOST);
+	replace_server(f, "s1", "s2");
+	bad = request_equal(f, BAD);
+	assert_true(f->results[bad].placed);
+	end(f, bad, MH_SLOT_LOST);
+	replace_server(f, "s2", "s3");
+	assert_int_equal(f->results[request_equal(f, BAD)].error,
+			 MH_ERR_CRASHES_SERVERS);
+	assert_true(part_runs_freely(f, 5));
+	free_fixture(f);
+}
+
+static void lose_request_with_part(struct fixture *f, uint64_t fingerprint,
+				   uint64_t part)
+{
+	struct mh_slot_request a = make_request(f, 0);
+
+	a.fingerprint = fingerprint;
+	a.parts = &part;
+	a.n_parts = 1;
+	mh_dispatch_request_slot(f->d, &a);
+	mh_dispatch_tick(f->d);
+	end(f, a.id, MH_SLOT_LOST);
+	advance_clock(f, 1000);
+}
+
 /* Guards against parts that are refused for one request which crashes servers. */
 static void test_equal_requests_confirm_no_part(void **state)
 {
 	struct fixture *f = new_crash_fixture(8);
-	uint64_t part = 5;
 	uint32_t i;
 
 	(void)state;
-	for (i = 0; i < 3; i++) {
-		struct mh_slot_request a = make_request(f, 0);
-
-		a.fingerprint = BAD;
-		a.parts = &part;
-		a.n_parts = 1;
-		mh_dispatch_request_slot(f->d, &a);
-		mh_dispatch_tick(f->d);
-		end(f, a.id, MH_SLOT_LOST);
-		advance_clock(f, 1000);
-	}
+	for (i = 0; i < 3; i++)
+		lose_request_with_part(f, BAD, 5);
 	assert_int_equal(f->results[request_equal(f, BAD)].error,
 			 MH_ERR_CRASHES_SERVERS);
-	assert_true(f->results[request_with_part(f, part)].placed);
+	assert_true(f->results[request_with_part(f, 5)].placed);
+	free_fixture(f);
+}
+
+/* Guards against the same before the request is refused. */
+static void test_equal_requests_count_once_against_a_part(void **state)
+{
+	struct fixture *f = new_crash_fixture(8);
+
+	(void)state;
+	lose_request_with_part(f, BAD, 5);
+	lose_request_with_part(f, BAD, 5);
+	lose_request_with_part(f, BAD + 1, 5);
+	assert_true(f->results[request_with_part(f, 5)].placed);
 	free_fixture(f);
 }
 
@@ -284,7 +328,10 @@
 		cmocka_unit_test(test_run_lost_late_counts_against_no_part),
 		cmocka_unit_test(
 			test_found_part_explains_the_crashes_of_others),
+		cmocka_unit_test(
+			test_found_request_explains_the_crashes_of_parts),
 		cmocka_unit_test(test_equal_requests_confirm_no_part),
+		cmocka_unit_test(test_equal_requests_count_once_against_a_part),
 		cmocka_unit_test(test_declined_request_clears_no_part),
 		cmocka_unit_test(test_trials_lost_together_are_all_counted),
 		cmocka_unit_test(test_alternatives_are_told_with_a_part),
