Entries tell new dispatchers which crashes they saw

A single crash of a part is neither told nor stored by dispatchers, so those that restart begin without evidence: a part ended nine servers when both dispatchers were killed after each of nine bad requests. Entries see the same ends and outlive dispatchers. Each remembers what it saw, without servers that turned out to live and requests that ended well, and tells a dispatcher that it begins to use what that one does not know (frame observed_crash; older versions pass over it).

--- a/core/candidates.c
+++ b/core/candidates.c
@@ -127,6 +127,8 @@
 	c->fit = false;
 	c->was_fit = false;
 	c->link = link;
+	if (c->incarnation != incarnation)
+		c->used_until_ns = 0;
 	c->incarnation = incarnation;
 	c->up_ns = now_ns;
 }
--- a/core/candidates.h
+++ b/core/candidates.h
@@ -23,6 +23,8 @@
  * @up_ns: monotonic time at which the link came up
  * @fit_changed_ns: monotonic time of the last change of @fit
  * @incarnation: of the process at the other end
+ * @used_until_ns: monotonic time until which that process was used and its link up,
+ *                 0 if it was not
  * @link: number of the link
  */
 struct mh_candidate {
@@ -37,6 +39,7 @@
 	uint64_t up_ns;
 	uint64_t fit_changed_ns;
 	uint64_t incarnation;
+	uint64_t used_until_ns;
 	uint32_t link;
 	struct mh_candidate *prev, *next;
 };
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -263,7 +263,8 @@
 	s->info.born_ms = info->born_ms;
 	if (is_new)
 		mh_dispatch_begin_limit(d, s);
-	s->incarnation = s->id_hash ^ mh_dispatch_mix(info->born_ms);
+	s->incarnation = mh_server_incarnation(&(struct mh_server_ref){
+		info->id, info->address, info->born_ms });
 	s->info.places = info->places;
 	s->vanished = info->is_gone && (s->takes_work || s->vanished);
 	s->takes_work = info->takes_work;
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -78,6 +78,12 @@
 	uint32_t n_avoid;
 };
 
+/**
+ * mh_server_incarnation() - number that stands for a server in records of crashes
+ * @server: server
+ */
+uint64_t mh_server_incarnation(const struct mh_server_ref *server);
+
 /* How a request that had a slot ended. */
 enum mh_slot_outcome {
 	MH_SLOT_OK,	     /* the server sent a complete response */
@@ -480,6 +486,16 @@
 void mh_dispatch_restore_suspect(struct mh_dispatch *d,
 				 const struct mh_suspect *suspect);
 
+/**
+ * mh_dispatch_add_observed() - add crashes that an entry saw
+ * @d: dispatcher
+ * @observed: the entry's record
+ *
+ * Others are told of them as of those that the dispatcher sees itself.
+ */
+void mh_dispatch_add_observed(struct mh_dispatch *d,
+			      const struct mh_suspect *observed);
+
 /**
  * mh_dispatch_each_suspect() - walk what other dispatchers should know
  * @d: dispatcher
--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -332,6 +332,39 @@
 		d->ops->suspect(d->data, suspect);
 }
 
+/* Servers that turn out to live clear what was lost with them. */
+static void mark_servers(struct mh_dispatch *d,
+			 const struct mh_suspect *observed, uint64_t now_ns)
+{
+	struct pool *p, *tmp_p;
+	struct server *s, *tmp;
+	uint32_t i;
+
+	for (i = 0; i < observed->n_crashes; i++) {
+		const struct mh_crash *crash = &observed->crashes[i];
+
+		if (now_ns >= crash->lost_ns + RESTART_NS)
+			continue;
+		HASH_ITER(hh, d->pools, p, tmp_p) {
+			HASH_ITER(hh, p->servers, s, tmp) {
+				if (s->incarnation == crash->server)
+					s->lost_ns = mh_later(s->lost_ns,
+							      crash->lost_ns);
+			}
+		}
+	}
+}
+
+void mh_dispatch_add_observed(struct mh_dispatch *d,
+			      const struct mh_suspect *observed)
+{
+	uint64_t now_ns = mh_dispatch_now_ns(d);
+
+	mark_servers(d, observed, now_ns);
+	mh_suspects_add_observed(d->suspects, observed, now_ns);
+	mh_suspects_confirm(d->suspects, mh_dispatch_has_settled, d, now_ns);
+}
+
 void mh_dispatch_each_suspect(const struct mh_dispatch *d,
 			      void (*visit)(void *data,
 					    const struct mh_suspect *suspect),
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -173,6 +173,11 @@
 	return XXH3_64bits(&n, sizeof(n));
 }
 
+uint64_t mh_server_incarnation(const struct mh_server_ref *server)
+{
+	return mh_dispatch_hash(server->id) ^ mh_dispatch_mix(server->born_ms);
+}
+
 static bool avoids(const struct request *req, const struct server *s)
 {
 	uint32_t i;
--- a/core/suspects.h
+++ b/core/suspects.h
@@ -296,6 +296,30 @@
 bool mh_suspects_merge(struct mh_suspects *set, const struct mh_suspect *other,
 		       uint64_t now_ns);
 
+/**
+ * mh_suspects_add_observed() - add crashes that an entry saw
+ * @set: set
+ * @observed: the entry's record
+ * @now_ns: monotonic time
+ *
+ * Other processes are told of them as of the set's own crashes.
+ */
+void mh_suspects_add_observed(struct mh_suspects *set,
+			      const struct mh_suspect *observed,
+			      uint64_t now_ns);
+
+/**
+ * mh_suspects_each_since() - walk the records with crashes that count
+ * @set: set
+ * @since_ns: crashes up to this monotonic time are left out
+ * @visit: called for each
+ * @data: first argument of @visit
+ */
+void mh_suspects_each_since(const struct mh_suspects *set, uint64_t since_ns,
+			    void (*visit)(void *data,
+					  const struct mh_suspect *suspect),
+			    void *data);
+
 /**
  * mh_suspects_each() - walk the records that other processes should know
  * @set: set
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -399,6 +399,7 @@
 static void on_frame(void *data, uint32_t link, const Mh__Frame *frame)
 {
 	struct mh_dispatcher_app *app = data;
+	struct mh_suspect observed;
 
 	switch (frame->body_case) {
 	case MH__FRAME__BODY_PLACE_ASK:
@@ -425,6 +426,12 @@
 	case MH__FRAME__BODY_CRASH_SUSPECT:
 		receive_suspect(app, link, frame->crash_suspect);
 		break;
+	case MH__FRAME__BODY_OBSERVED_CRASH:
+		mh_suspect_read(frame->observed_crash, mh_now_ns(), &observed);
+		mh_crash_log_observed(app->process.log, entry_host(app, link),
+				      &observed);
+		mh_dispatch_add_observed(app->dispatch, &observed);
+		break;
 	case MH__FRAME__BODY_SERVER_PROBED:
 		mh_dispatch_server_probed(app->dispatch,
 					  frame->server_probed->server);
--- a/net/crash_log.c
+++ b/net/crash_log.c
@@ -47,3 +47,14 @@
 		 mh_suspect_crashes(suspect), mh_suspect_rounds(suspect),
 		 mh_suspect_is_refused(suspect), suspect->cleared_ns > 0, from);
 }
+
+void mh_crash_log_observed(struct mh_event_log *log, const char *from,
+			   const struct mh_suspect *observed)
+{
+	mh_event(log, MH_EV_CRASH,
+		 "event=observed feature=%s fingerprint=%016llx crashes=%u "
+		 "from=%s",
+		 mh_feature_kind_name(observed->feature.kind),
+		 (unsigned long long)observed->feature.id,
+		 mh_suspect_crashes(observed), from);
+}
--- a/net/crash_log.h
+++ b/net/crash_log.h
@@ -26,4 +26,13 @@
 void mh_crash_log_suspect(struct mh_event_log *log, const char *from,
 			  const struct mh_suspect *suspect);
 
+/**
+ * mh_crash_log_observed() - log crashes that an entry saw and tells a dispatcher
+ * @log: log
+ * @from: entry
+ * @observed: record
+ */
+void mh_crash_log_observed(struct mh_event_log *log, const char *from,
+			   const struct mh_suspect *observed);
+
 #endif
--- a/net/suspect_frames.c
+++ b/net/suspect_frames.c
@@ -32,8 +32,9 @@
 	return run_ms ? time_ns(run_ms - 1, lost_ns) : 0;
 }
 
-void mh_suspect_send(struct mh_links *links, uint32_t link,
-		     const struct mh_suspect *suspect, uint64_t now_ns)
+static void send_record(struct mh_links *links, uint32_t link,
+			const struct mh_suspect *suspect, bool is_observed,
+			uint64_t now_ns)
 {
 	Mh__CrashSuspect msg = MH__CRASH_SUSPECT__INIT;
 	Mh__Crash crashes[MH_SUSPECT_CRASHES];
@@ -62,11 +63,29 @@
 	msg.cleared_age_ms = age_ms(suspect->cleared_ns, now_ns);
 	msg.n_crash = suspect->n_crashes;
 	msg.crash = list;
-	frame.body_case = MH__FRAME__BODY_CRASH_SUSPECT;
-	frame.crash_suspect = &msg;
+	if (is_observed) {
+		frame.body_case = MH__FRAME__BODY_OBSERVED_CRASH;
+		frame.observed_crash = &msg;
+	} else {
+		frame.body_case = MH__FRAME__BODY_CRASH_SUSPECT;
+		frame.crash_suspect = &msg;
+	}
 	mh_links_send(links, link, &frame);
 }
 
+void mh_suspect_send(struct mh_links *links, uint32_t link,
+		     const struct mh_suspect *suspect, uint64_t now_ns)
+{
+	send_record(links, link, suspect, false, now_ns);
+}
+
+void mh_suspect_send_observed(struct mh_links *links, uint32_t link,
+			      const struct mh_suspect *observed,
+			      uint64_t now_ns)
+{
+	send_record(links, link, observed, true, now_ns);
+}
+
 void mh_suspect_read(const Mh__CrashSuspect *msg, uint64_t now_ns,
 		     struct mh_suspect *suspect)
 {
--- a/net/suspect_frames.h
+++ b/net/suspect_frames.h
@@ -17,6 +17,17 @@
 void mh_suspect_send(struct mh_links *links, uint32_t link,
 		     const struct mh_suspect *suspect, uint64_t now_ns);
 
+/**
+ * mh_suspect_send_observed() - the same for what an entry saw itself
+ * @links: links
+ * @link: number of the link
+ * @observed: record
+ * @now_ns: monotonic time
+ */
+void mh_suspect_send_observed(struct mh_links *links, uint32_t link,
+			      const struct mh_suspect *observed,
+			      uint64_t now_ns);
+
 /**
  * mh_suspect_read() - read a record that a peer sent
  * @msg: message
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -4675,7 +4675,7 @@
   (ProtobufCMessageInit) mh__standing__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__frame__field_descriptors[35] =
+static const ProtobufCFieldDescriptor mh__frame__field_descriptors[36] =
 {
   {
     "hello",
@@ -5097,6 +5097,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "observed_crash",
+    36,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, observed_crash),
+    &mh__crash_suspect__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__frame__field_indices_by_name[] = {
   7,   /* field[7] = attach */
@@ -5116,6 +5128,7 @@
   9,   /* field[9] = head */
   0,   /* field[0] = hello */
   30,   /* field[30] = ledger_record */
+  35,   /* field[35] = observed_crash */
   2,   /* field[2] = ping */
   20,   /* field[20] = place_ask */
   24,   /* field[24] = place_done */
@@ -5138,7 +5151,7 @@
 static const ProtobufCIntRange mh__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 35 }
+  { 0, 36 }
 };
 const ProtobufCMessageDescriptor mh__frame__descriptor =
 {
@@ -5148,7 +5161,7 @@
   "Mh__Frame",
   "mh",
   sizeof(Mh__Frame),
-  35,
+  36,
   mh__frame__field_descriptors,
   mh__frame__field_indices_by_name,
   1,  mh__frame__number_ranges,
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -784,7 +784,8 @@
   MH__FRAME__BODY_CRASH_SUSPECT = 32,
   MH__FRAME__BODY_SERVER_PROBED = 33,
   MH__FRAME__BODY_SERVER_NOTICE = 34,
-  MH__FRAME__BODY_DISPATCHERS = 35
+  MH__FRAME__BODY_DISPATCHERS = 35,
+  MH__FRAME__BODY_OBSERVED_CRASH = 36
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MH__FRAME__BODY__CASE)
 } Mh__Frame__BodyCase;
 
@@ -828,6 +829,11 @@
     Mh__ServerProbed *server_probed;
     Mh__ServerNotice *server_notice;
     Mh__Dispatchers *dispatchers;
+    /*
+     * What an entry saw of servers that ended under its runs, for a dispatcher that
+     * it begins to use: the receiver's own crashes from then on.
+     */
+    Mh__CrashSuspect *observed_crash;
   };
 };
 #define MH__FRAME__INIT \
--- a/proxy/app.c
+++ b/proxy/app.c
@@ -300,7 +300,7 @@
 
 static const struct mh_process_ops process_ops = { reload, on_term, tick };
 
-static void on_server_accepted(void *data, const char *server)
+static void on_server_accepted(void *data, const struct mh_server_ref *server)
 {
 	struct mh_proxy_app *app = data;
 
--- a/proxy/probes.c
+++ b/proxy/probes.c
@@ -30,7 +30,7 @@
 	const struct mh_clock *clock;
 	struct mh_counters *counters;
 	const struct mh_server_notices *notices;
-	void (*accepted)(void *data, const char *server);
+	void (*accepted)(void *data, const struct mh_server_ref *server);
 	void *data;
 	struct probe *all;
 };
@@ -39,7 +39,8 @@
 mh_probes_new(struct mh_loop *loop, struct mh_timers *timers,
 	      const struct mh_clock *clock, struct mh_counters *counters,
 	      const struct mh_server_notices *notices,
-	      void (*accepted)(void *data, const char *server), void *data)
+	      void (*accepted)(void *data, const struct mh_server_ref *server),
+	      void *data)
 {
 	struct mh_probes *set = mh_check_alloc(calloc(1, sizeof(*set)));
 
@@ -82,10 +83,11 @@
 static void on_connected(void *data, uint32_t events)
 {
 	struct probe *p = data;
+	struct mh_server_ref server = { p->server, p->address, p->born_ms };
 
 	(void)events;
 	if (!mh_socket_error(p->watch.fd))
-		p->set->accepted(p->set->data, p->server);
+		p->set->accepted(p->set->data, &server);
 	free_probe(p);
 }
 
--- a/proxy/probes.h
+++ b/proxy/probes.h
@@ -27,7 +27,8 @@
 mh_probes_new(struct mh_loop *loop, struct mh_timers *timers,
 	      const struct mh_clock *clock, struct mh_counters *counters,
 	      const struct mh_server_notices *notices,
-	      void (*accepted)(void *data, const char *server), void *data);
+	      void (*accepted)(void *data, const struct mh_server_ref *server),
+	      void *data);
 
 /**
  * mh_probes_free() - end all probes without further events
--- a/proxy/requests.c
+++ b/proxy/requests.c
@@ -34,6 +34,18 @@
 	req->granted_ns = now_ns;
 }
 
+void mh_request_observe_end(const struct mh_request *req,
+			    struct mh_observed_crashes *observed,
+			    enum mh_slot_outcome outcome, uint64_t now_ns)
+{
+	struct mh_server_ref server = { req->server, "", req->server_born_ms };
+	struct mh_observed_run run = { &req->slot_req, &server, req->granted_ns,
+				       req->responded_ns };
+
+	if (req->server)
+		mh_observed_crashes_end(observed, &run, outcome, now_ns);
+}
+
 void mh_request_free(struct mh_request **all, struct mh_request *req)
 {
 	HASH_DEL(*all, req);
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -112,7 +112,10 @@
 		 sc->candidates.entries);
 	if (!old)
 		sc->candidates.found_ns = now_of(sc);
+	if (old && old->up)
+		old->used_until_ns = now_of(sc);
 	sc->current = next;
+	mh_suspect_relay_tell_observed(&sc->suspects, next);
 	forward_usage(sc);
 	HASH_ITER(hh, sc->requests, req, tmp) {
 		if (next)
@@ -173,6 +176,9 @@
 
 	if (!c)
 		return;
+	/* Frames of the time in which it fell silent may be lost. */
+	if (c == sc->current)
+		c->used_until_ns = now_of(sc) - LINK_TIMEOUT_MS * MH_NS_PER_MS;
 	mh_candidate_down(c);
 	mh_count(sc->counters, MH_C_LINK_LOST);
 	mh_event(sc->log, MH_EV_DEPENDENCY, "event=link_lost peer=%s used=%d",
@@ -421,8 +427,10 @@
 				   conf->dispatch.retry_window_ms),
 		sc->links, &sc->candidates, sc->local
 	};
-	sc->suspects = (struct mh_suspect_relay){ clock, log, sc->links,
-						  &sc->candidates, sc->local };
+	sc->suspects = (struct mh_suspect_relay){
+		clock,		 log,	    sc->links,
+		&sc->candidates, sc->local, mh_observed_crashes_new()
+	};
 	sc->notices = (struct mh_notice_relay){
 		clock,		 counters,  log,	   sc->links,
 		&sc->candidates, sc->local, conf->notices, conf->metrics,
@@ -442,6 +450,7 @@
 	mh_dispatcher_finder_release(&sc->finder);
 	mh_candidates_release(&sc->candidates);
 	mh_usage_relay_free(sc->usage.relay);
+	mh_observed_crashes_free(sc->suspects.observed);
 	mh_ledger_cache_free(sc->ledger_cache);
 	mh_dispatch_free(sc->local);
 	mh_catalog_free(sc->catalog);
@@ -517,6 +526,10 @@
 void mh_slot_client_first_byte(struct mh_slot_client *sc, uint64_t id,
 			       uint32_t first_ms)
 {
+	struct mh_request *req = mh_request_find(sc->requests, id);
+
+	if (req)
+		req->responded_ns = now_of(sc);
 	if (sc->current)
 		mh_slot_frames_send_first_byte(sc->links, sc->current->link, id,
 					       first_ms);
@@ -547,16 +560,19 @@
 					    outcome, total_ms);
 	else
 		release_local_slot(sc, req, outcome, total_ms);
+	mh_request_observe_end(req, sc->suspects.observed, outcome, now_of(sc));
 	mh_request_free(&sc->requests, req);
 }
 
-void mh_slot_client_server_probed(struct mh_slot_client *sc, const char *server)
+void mh_slot_client_server_probed(struct mh_slot_client *sc,
+				  const struct mh_server_ref *server)
 {
+	mh_observed_crashes_probed(sc->suspects.observed, server, now_of(sc));
 	if (sc->current && sc->current->up)
 		mh_slot_frames_send_probed(sc->links, sc->current->link,
-					   server);
+					   server->id);
 	else
-		mh_dispatch_server_probed(sc->local, server);
+		mh_dispatch_server_probed(sc->local, server->id);
 }
 
 void mh_slot_client_merge_suspect(struct mh_slot_client *sc,
--- a/proxy/slot_client.h
+++ b/proxy/slot_client.h
@@ -175,10 +175,10 @@
  * mh_slot_client_server_probed() - report that a server accepts connections
  *                                  just after a run was lost there
  * @sc: slot client
- * @server: identifier of the server
+ * @server: server
  */
 void mh_slot_client_server_probed(struct mh_slot_client *sc,
-				  const char *server);
+				  const struct mh_server_ref *server);
 
 /**
  * mh_slot_client_sharing() - number of entries that share the servers when there
--- a/proxy/suspect_relay.c
+++ b/proxy/suspect_relay.c
@@ -61,3 +61,30 @@
 
 	mh_dispatch_each_suspect(relay->local, send_suspect, &to);
 }
+
+static void send_observed(void *data, const struct mh_suspect *observed)
+{
+	const struct recipient *to = data;
+
+	mh_suspect_send_observed(to->relay->links, to->link, observed,
+				 now_of(to->relay));
+}
+
+static void add_observed(void *data, const struct mh_suspect *observed)
+{
+	const struct mh_suspect_relay *relay = data;
+
+	mh_dispatch_add_observed(relay->local, observed);
+}
+
+void mh_suspect_relay_tell_observed(const struct mh_suspect_relay *relay,
+				    const struct mh_candidate *to)
+{
+	if (to)
+		mh_observed_crashes_each(
+			relay->observed, to->used_until_ns, send_observed,
+			&(struct recipient){ relay, to->link }, now_of(relay));
+	else
+		mh_observed_crashes_each(relay->observed, 0, add_observed,
+					 (void *)relay, now_of(relay));
+}
--- a/proxy/suspect_relay.h
+++ b/proxy/suspect_relay.h
@@ -8,6 +8,7 @@
 
 #include "core/candidates.h"
 #include "core/dispatch.h"
+#include "core/observed_crashes.h"
 #include "net/event_log.h"
 #include "net/link.h"
 
@@ -18,6 +19,7 @@
  * @links: links to dispatchers
  * @candidates: dispatchers
  * @local: local dispatcher, which keeps the records
+ * @observed: what this entry saw itself
  */
 struct mh_suspect_relay {
 	const struct mh_clock *clock;
@@ -25,6 +27,7 @@
 	struct mh_links *links;
 	struct mh_candidates *candidates;
 	struct mh_dispatch *local;
+	struct mh_observed_crashes *observed;
 };
 
 /**
@@ -65,4 +68,13 @@
 void mh_suspect_relay_send_all(const struct mh_suspect_relay *relay,
 			       uint32_t link);
 
+/**
+ * mh_suspect_relay_tell_observed() - tell a dispatcher that comes into use what this
+ *                                    entry saw and it does not know
+ * @relay: relay
+ * @to: dispatcher, NULL for the local one
+ */
+void mh_suspect_relay_tell_observed(const struct mh_suspect_relay *relay,
+				    const struct mh_candidate *to);
+
 #endif
--- a/tests/test_parts.sh
+++ b/tests/test_parts.sh
@@ -25,6 +25,8 @@
 # Proxies use their own share of the servers within this time of the last
 # dispatcher's end.
 ALONE_S=3
+# Entries are linked to a new dispatcher, which has read the store, within this time.
+DISPATCHER_START_S=2
 
 stand_in_now_ms() {
 	awk '{ printf "%d", $1 * 1000 }' /proc/uptime
@@ -192,6 +194,26 @@
 			"$DIR/explained"
 }
 
+# Guards against a part that crashes servers without end while dispatchers restart,
+# each of which sees one crash: the entries remember theirs.
+t_crashes_outlive_dispatchers() {
+	local i
+	for i in $(seq $((COUNTED_CRASHES + MAX_LATE_RUNS + 1))); do
+		ID=bad-outlive-$i status_of $((1 + i % 4)) /fragile-once/$i/ok \
+			-d "text $i" \
+			-H "X-Mangohead-Prompt-Prefix: dead8:400,${RANDOM}e$i:50"
+		kill_hard dispatcher1
+		kill_hard dispatcher2
+		start_dispatcher 1
+		start_dispatcher 2
+		sleep $DISPATCHER_START_S
+	done
+	times crashed outlive >"$DIR/crashed"
+	echo " $(wc -l <"$DIR/crashed") crashed"
+	[ -s "$DIR/crashed" ] &&
+		[ $(wc -l <"$DIR/crashed") -le $COUNTED_CRASHES ]
+}
+
 # Guards against a part that each entry has to find for itself: without a
 # dispatcher they have only the store to tell each other.
 t_part_at_entries_alone() {
@@ -250,6 +272,7 @@
 check "parts: sound requests are served beside the first one" \
 	t_sound_beside_the_first
 check "parts: explain tells of the part" t_explain_refused_part
+check "parts: crashes outlive dispatchers" t_crashes_outlive_dispatchers
 check "parts: entries alone lose few servers" t_part_at_entries_alone
 check "parts: sound requests are served by entries alone" \
 	t_sound_at_entries_alone
