--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -143,6 +143,40 @@
 	free(fleet_platform_request("POST", target, NULL));
 }
 
+static pthread_mutex_t limit_locks[MAX_SERVERS];
+
+/* One limit at a time, so that it is known which one holds. */
+static void limit_server(struct fault *f)
+{
+	char target[128];
+
+	if (pthread_mutex_trylock(&limit_locks[f->target])) {
+		f->value = 0;
+		return;
+	}
+	snprintf(target, sizeof(target), "/test/limit?id=s%u&text=%d.%03d",
+		 f->target, f->value / 1000, f->value % 1000);
+	free(fleet_platform_request("POST", target, NULL));
+	soak_sleep_ms(f->ms);
+	snprintf(target, sizeof(target), "/test/limit?id=s%u&text=", f->target);
+	free(fleet_platform_request("POST", target, NULL));
+	pthread_mutex_unlock(&limit_locks[f->target]);
+}
+
+static void repeat_refusals(const struct fault *f)
+{
+	static const char *const modes[] = { "named", "unnamed", "later" };
+	char target[128];
+
+	snprintf(target, sizeof(target), "/test/repeat?id=s%u&mode=%s",
+		 f->target, modes[f->value]);
+	free(fleet_platform_request("POST", target, NULL));
+	soak_sleep_ms(f->ms);
+	snprintf(target, sizeof(target),
+		 "/test/repeat?id=s%u&mode=", f->target);
+	free(fleet_platform_request("POST", target, NULL));
+}
+
 static void restart_all(const struct fault *f)
 {
 	uint32_t i, n = params.proxies + params.dispatchers;
@@ -242,6 +276,12 @@
 	case FAULT_SERVER_SAYS:
 		leave_by_notice(f);
 		break;
+	case FAULT_SERVER_LIMIT:
+		limit_server(f);
+		break;
+	case FAULT_SERVER_REPEAT:
+		repeat_refusals(f);
+		break;
 	default:
 		inject_relay_fault(f);
 		break;
