Invalid responses leave a server in use

Other callers waited up to 150 ms while one called a target that is answered with bytes that are no HTTP: each such answer made its server back off, and three within 150 ms left none.

A server that sends an invalid response is up. The last one of a pool that does not back off stays in use then; one that can't be reached, or cuts connections, still backs off.

--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -377,6 +377,19 @@
 	return n ? sum / n : 1;
 }
 
+/* Whether a pool has a server, other than this one, that does not back off. */
+static bool has_other_server(const struct server *s, uint64_t now_ns)
+{
+	struct server *other, *tmp;
+
+	HASH_ITER(hh, s->pool->servers, other, tmp) {
+		if (other != s && mh_dispatch_server_takes_work(other) &&
+		    now_ns >= other->backoff_until_ns)
+			return true;
+	}
+	return false;
+}
+
 static void record_success(struct request *req, uint32_t total_ms)
 {
 	struct server *s = req->server;
@@ -440,6 +453,10 @@
 		update_mean(&s->failure_rate, 1, FAILURE_GAIN);
 		if (!req->answering)
 			s->lost_in_a_row++;
+		/* The server responds: requests that it answers well need not
+		 * wait if no other server is left. */
+		if (outcome == MH_SLOT_CORRUPT && !has_other_server(s, now_ns))
+			break;
 		/* One lost connection does not mean that the server is down
 		 * if it still sends other responses. */
 		if (s->held == s->unanswered || s->lost_in_a_row >= MAX_LOSSES)
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -343,6 +343,27 @@
 	free_fixture(f);
 }
 
+/* Guards against callers that wait because others call a target that is answered
+ * with invalid responses, at one server after the other. */
+static void test_invalid_responses_leave_a_server_in_use(void **state)
+{
+	struct fixture *f = new_fixture();
+	uint64_t id;
+	uint32_t i;
+
+	(void)state;
+	add_server(f, "a", 1, true);
+	add_server(f, "b", 1, true);
+	add_server(f, "c", 1, true);
+	for (i = 0; i < 20; i++) {
+		id = request(f, 0);
+		advance_clock(f, 5);
+		assert_true(f->results[id].placed);
+		done(f, id, MH_SLOT_CORRUPT, 2);
+	}
+	free_fixture(f);
+}
+
 static void test_silent_server_gets_no_new_requests(void **state)
 {
 	struct fixture *f = new_fixture();
@@ -653,6 +674,7 @@
 		cmocka_unit_test(test_failing_server_gets_few_requests),
 		cmocka_unit_test(test_resetting_server_gets_few_requests),
 		cmocka_unit_test(test_only_failing_servers_are_still_used),
+		cmocka_unit_test(test_invalid_responses_leave_a_server_in_use),
 		cmocka_unit_test(test_silent_server_gets_no_new_requests),
 		cmocka_unit_test(test_requests_move_away_from_frozen_server),
 		cmocka_unit_test(test_slot_may_be_released_in_move_callback),
