A crash that two requests have in common refuses neither

Cause, from the logs of all processes: the equal, slow request was lost three times, each time with a server that ended under another request, refused as well by then; at two of the ends two dispatchers had placed the two at the same server, since the entries were changing from one to the other.

Whether a request is refused is decided without the crashes that another refused suspect has as well; the record is not changed. Two that have several crashes in common don't excuse each other. The next trial tells: a sound request is cleared by its good end, another one has one more crash.

--- a/core/suspect_confirmation.c
+++ b/core/suspect_confirmation.c
@@ -183,12 +183,33 @@
 	}
 }
 
+/* Whether a request is refused without the crashes that may be the fault of another
+ * refused suspect: two dispatchers may have placed both at a server at the same time.
+ * Suspects that have several crashes in common are no such case. */
+static bool has_own_crashes(const struct mh_suspects *set,
+			    const struct suspect_row *r,
+			    const struct mh_features *features)
+{
+	struct mh_suspect own = r->suspect;
+	struct suspect_row *other, *tmp;
+
+	HASH_ITER(hh, set->rows, other, tmp) {
+		if (!mh_features_hold(features, other->suspect.feature) &&
+		    mh_suspect_is_refused(&other->suspect) &&
+		    !count_common(&r->suspect, &other->suspect))
+			refute_explained(&own, &other->suspect);
+	}
+	return mh_suspect_is_refused(&own);
+}
+
 static bool refuses(const struct mh_suspects *set, const struct suspect_row *r,
 		    const struct mh_features *features, uint64_t now_ns)
 {
-	return r && mh_suspect_is_refused(&r->suspect) &&
-	       now_ns < mh_suspect_expiry_ns(&r->suspect) &&
-	       (!is_part(r) || !is_explained(set, r, features));
+	if (!r || !mh_suspect_is_refused(&r->suspect) ||
+	    now_ns >= mh_suspect_expiry_ns(&r->suspect))
+		return false;
+	return is_part(r) ? !is_explained(set, r, features) :
+			    has_own_crashes(set, r, features);
 }
 
 bool mh_suspects_refuses(struct mh_suspects *set,
--- a/tests/test_suspect_merge.c
+++ b/tests/test_suspect_merge.c
@@ -9,6 +9,7 @@
 #include <cmocka.h>
 
 #include "core/clock.h"
+#include "core/features.h"
 #include "core/suspects.h"
 
 #define MS MH_NS_PER_MS
@@ -102,12 +103,73 @@
 	}
 }
 
+/* A crash of a run that began half a second before. */
+static void crash(struct mh_suspects *set, uint64_t request, uint64_t server,
+		  uint64_t lost_ms)
+{
+	struct mh_feature feature = { MH_FEATURE_REQUEST, request };
+
+	mh_suspects_add_crash(set, feature, request, server,
+			      (lost_ms - 500) * MS, false, lost_ms * MS);
+}
+
+static bool is_refused(struct mh_suspects *set, uint64_t request)
+{
+	struct mh_features *features = mh_features_new(request, NULL, 0);
+	struct mh_feature by;
+	bool refused = mh_suspects_refuses(set, features, 5000 * MS, &by);
+
+	mh_features_unref(features);
+	return refused;
+}
+
+/* Guards against sound requests that are refused, as two dispatchers placed one
+ * beside a request that crashes servers. */
+static void test_crash_of_two_requests_counts_for_neither(void **state)
+{
+	struct mh_suspects *set = mh_suspects_new(NULL, NULL);
+	const uint64_t sound = 1, bad = 2;
+
+	(void)state;
+	crash(set, sound, 11, 1000);
+	crash(set, sound, 12, 2000);
+	crash(set, bad, 13, 1500);
+	crash(set, bad, 14, 2500);
+	crash(set, sound, 15, 3000);
+	assert_true(is_refused(set, sound));
+	crash(set, bad, 15, 3000);
+	assert_false(is_refused(set, sound));
+	assert_false(is_refused(set, bad));
+	crash(set, bad, 16, 4000);
+	assert_false(is_refused(set, sound));
+	assert_true(is_refused(set, bad));
+	mh_suspects_free(set);
+}
+
+/* Guards against two requests that excuse each other for ever. */
+static void test_requests_that_crash_together_are_refused(void **state)
+{
+	struct mh_suspects *set = mh_suspects_new(NULL, NULL);
+	uint64_t n;
+
+	(void)state;
+	for (n = 1; n <= 3; n++) {
+		crash(set, 1, n, n * 1000);
+		crash(set, 2, n, n * 1000);
+	}
+	assert_true(is_refused(set, 1));
+	assert_true(is_refused(set, 2));
+	mh_suspects_free(set);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_crash_beside_the_clearing_run_is_told_once),
 		cmocka_unit_test(test_full_records_are_told_once),
+		cmocka_unit_test(test_crash_of_two_requests_counts_for_neither),
+		cmocka_unit_test(test_requests_that_crash_together_are_refused),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
