--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -87,6 +87,7 @@
 		is_alive front-$i && is_alive side-$i || skip "a process ended"
 	done
 done
+record_traffic
 awk '{ print $4 }' "$DIR/load" | sort | uniq -c | sed 's/^/answers: /' |
 	tee -a "$RECORD"
 exit $broken
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -67,13 +67,13 @@
 curl -sf "http://127.0.0.1:$BASE/test/arrivals" >"$DIR/arrivals" ||
 	skip "no list of arrivals"
 cat "$DIR"/load-?.log >"$DIR/load"
+record_traffic
 awk '{ print $4 }' "$DIR/load" | sort | uniq -c | sed 's/^/answers: /' |
 	tee -a "$RECORD"
 # Runs in order of the times at which they were sent: sent, arrived, id.
 awk 'NR == FNR { sent[$3] = $1; next }
 	$4 == "run" && ($3 in sent) { print sent[$3], $1, $3 }' \
 	"$DIR/load" "$DIR/arrivals" | sort -n >"$DIR/runs"
-sed 's/^/run (sent, arrived, id): /' "$DIR/runs" >>"$RECORD"
 awk -v span=$WINDOW_MS -v tokens=$TOKENS -v bound="$(awk -v r=$RATE -v b=$BURST \
 	-v s=$WINDOW_MS 'BEGIN { print (r * s / 1000 + b) * 1.1 + 190000 }')" '
 	{ sent[NR] = $1; arrived[NR] = $2; id[NR] = $3 }
--- a/review/site.sh
+++ b/review/site.sh
@@ -37,6 +37,7 @@
 	rm -rf "$DIR"
 }
 trap stop_site EXIT
+trap 'exit 2' HUP INT TERM
 
 start() { # NAME COMMAND...
 	local name=$1
@@ -135,6 +136,13 @@
 		>/dev/null
 }
 
+# Writes to the record what clients sent and got, and what reached servers.
+record_traffic() {
+	sed 's/^/request (sent, answered, id, status): /' "$DIR/load" >>"$RECORD"
+	awk '{ print "at a server (time, server, id, run or status):", $1, $2,
+		$3, $4 }' "$DIR/arrivals" >>"$RECORD"
+}
+
 wait_until() { # SECONDS COMMAND...
 	local end=$(($(date +%s) + $1))
 	shift
