--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -22,7 +22,7 @@
 	start_dispatcher $i
 done
 sleep 0.5
-platform config --data-binary @- <<END || skip "no configuration"
+cat >"$DIR/config" <<END
 {"version":1,"routes":[{"name":"again","host":"h.example",
 "path_prefix":"/again/","route_type":"idempotent","timeout_ms":3000,
 "target_latency_ms":400,"priority":0,"service":"app","max_attempts":2,
@@ -33,6 +33,7 @@
 "tenants":[{"name":"acct","api_keys":["key-1"],"priority":0,"unit":"requests",
 "rate_per_s":100000,"burst":100000}]}
 END
+platform config "$DIR/config" || skip "no configuration"
 for i in $FRONTS; do
 	start_proxy $i
 done
@@ -68,8 +69,7 @@
 	rm -f "$DIR/cut-$used"
 	[ "$TROUBLE" = 0 ] || note "$used reaches the store again"
 	sleep 6
-	curl -sf "http://127.0.0.1:$BASE/test/arrivals" >"$DIR/arrivals" ||
-		skip "no list of arrivals"
+	list_arrivals
 	cat "$DIR"/load-?.log >"$DIR/load"
 	# Requests that were sent later than DRAIN_MS after the acknowledgement.
 	late=$(awk -v s=$server -v from=$((gone_ms + DRAIN_MS)) '
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -28,7 +28,7 @@
 start relay-store target/review/relay $((BASE + 50)) $BASE "$DIR/cut" silent
 echo $((BASE + 50)) >"$DIR/front-1.store"
 sleep 0.5
-platform config --data-binary @- <<END || skip "no configuration"
+cat >"$DIR/config" <<END
 {"version":1,"routes":[{"name":"again","host":"h.example",
 "path_prefix":"/again/","route_type":"idempotent","timeout_ms":3000,
 "target_latency_ms":400,"priority":0,"service":"app","max_attempts":2,
@@ -39,6 +39,7 @@
 "tenants":[{"name":"acct","api_keys":["key-1"],"priority":0,"unit":"tokens",
 "plain_tokens":200,"rate_per_s":$RATE,"burst":$BURST}]}
 END
+platform config "$DIR/config" || skip "no configuration"
 for i in $FRONTS; do
 	start_proxy $i
 done
@@ -64,8 +65,7 @@
 	[ $i -gt 4 ] || is_alive front-$i || skip "front-$i has ended"
 	is_alive side-$i || skip "side-$i has ended"
 done
-curl -sf "http://127.0.0.1:$BASE/test/arrivals" >"$DIR/arrivals" ||
-	skip "no list of arrivals"
+list_arrivals
 cat "$DIR"/load-?.log >"$DIR/load"
 record_traffic
 awk '{ print $4 }' "$DIR/load" | sort | uniq -c | sed 's/^/answers: /' |
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -41,7 +41,7 @@
 	version=$((version + 1))
 	services=$(seq $((1 + 2 * ROUNDS)) | sed 's/.*/{"name":"app&",\
 "health_path":"\/health","max_connections":600}/; $!s/$/,/')
-	platform config --data-binary @- <<-END || skip "no configuration"
+	cat >"$DIR/config" <<-END
 	{"version":$version,"routes":[{"name":"again","host":"h.example",
 	"path_prefix":"/again/","route_type":"idempotent","timeout_ms":3000,
 	"target_latency_ms":400,"priority":0,"service":"app$version",
@@ -51,6 +51,7 @@
 	"tenants":[{"name":"acct","api_keys":["key-1"],"priority":0,
 	"unit":"requests","rate_per_s":100000,"burst":100000}]}
 	END
+	platform config "$DIR/config" || skip "no configuration"
 	echo "$version $(now_ms)" >>"$DIR/acknowledged"
 	note "the store acknowledged version $version"
 }
@@ -97,8 +98,7 @@
 	[ $i -gt 4 ] || is_alive side-$i || skip "side-$i has ended"
 done
 sleep 1
-curl -sf "http://127.0.0.1:$BASE/test/arrivals" >"$DIR/arrivals" ||
-	skip "no list of arrivals"
+list_arrivals
 cat "$DIR"/load-*.log >"$DIR/load"
 record_traffic
 awk '{ print $4 }' "$DIR/load" | sort | uniq -c | sed 's/^/answers: /' |
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -40,13 +40,11 @@
 done
 
 publish() { # VERSION...: one after the other, over one connection
-	local version args=()
+	local version files=()
 	for version in "$@"; do
-		args+=(--next -sf --max-time 5 -o /dev/null
-			--data-binary "@$DIR/version-$version"
-			"http://127.0.0.1:$BASE/test/config")
+		files+=("$DIR/version-$version")
 	done
-	curl "${args[@]:1}" || skip "no configuration"
+	platform config "${files[@]}" || skip "no configuration"
 	for version in "$@"; do
 		note "the store acknowledged version $version"
 	done
@@ -86,8 +84,7 @@
 	is_alive front-$i && is_alive side-$i || skip "a process has ended"
 done
 sleep 1
-curl -sf "http://127.0.0.1:$BASE/test/arrivals" >"$DIR/arrivals" ||
-	skip "no list of arrivals"
+list_arrivals
 cat "$DIR"/load-*.log >"$DIR/load"
 record_traffic
 awk '{ print $4 }' "$DIR/load" | sort | uniq -c | sed 's/^/answers: /' |
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 make -s -j4 build/bin/standin-platform
 mkdir -p target/review
-for name in relay load server pipeline; do
+for name in call relay load server pipeline; do
 	gcc -std=gnu11 -O2 -g -Wall -Wextra -Werror -D_GNU_SOURCE \
 		-o target/review/$name review/standins/$name.c -lpthread
 done
--- a/review/site.sh
+++ b/review/site.sh
@@ -55,16 +55,17 @@
 	grep -qs '^State:[[:space:]]*[^ZX[:space:]]' /proc/$(pid_of $1)/status
 }
 
-# Chooses 400 ports in a row that nobody uses.
+# Chooses 400 ports in a row that nobody listens on, below those of outgoing connections
+# and apart from those of the project's tests.
 choose_ports() {
 	local i hex busy
 	for i in $(seq 50); do
-		BASE=$((12000 + RANDOM % 18000))
+		BASE=$((29000 + RANDOM % 3300))
 		busy=0
 		while read -r hex; do
 			[ $((16#$hex)) -ge $BASE ] &&
 				[ $((16#$hex)) -lt $((BASE + 400)) ] && busy=1
-		done < <(awk 'FNR > 1 { sub(/.*:/, "", $2); print $2 }' \
+		done < <(awk '$4 == "0A" { sub(/.*:/, "", $2); print $2 }' \
 			/proc/net/tcp)
 		[ $busy = 0 ] && return
 	done
@@ -124,16 +125,20 @@
 	start side-$1 env MANGOHEAD_BOOT="$DIR/side-$1.toml" $DISPATCHER
 }
 
-platform() { # TARGET CURL-ARGS...
+# A call to the platform's stand-in.
+platform() { # TARGET [FILE...]
 	local target=$1
 	shift
-	curl -sf --max-time 5 -X POST "$@" \
-		"http://127.0.0.1:$BASE/test/$target" >/dev/null
+	target/review/call $BASE POST "/test/$target" "$@" >/dev/null
+}
+
+list_arrivals() {
+	target/review/call $BASE GET /test/arrivals >"$DIR/arrivals" ||
+		skip "no list of arrivals"
 }
 
 ready() { # N
-	curl -sf --max-time 1 http://127.0.0.1:$(($(proxy_port $1) + 1))/ready \
-		>/dev/null
+	target/review/call $(($(proxy_port $1) + 1)) GET /ready >/dev/null
 }
 
 # Writes to the record what clients sent and got, and what reached servers.
