--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,6 +4,7 @@
 # ends, and it goes on serving for some seconds. Checks DRAIN.
 # Exit: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 CASE=$(cd "$(dirname "$0")" && pwd)
+RECORD=$CASE/record.txt
 . "$CASE/../site.sh"
 
 FRONTS="1 2 3"
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,6 +4,7 @@
 # its limit at each entry.
 # Exit: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 CASE=$(cd "$(dirname "$0")" && pwd)
+RECORD=$CASE/record.txt
 . "$CASE/../site.sh"
 
 FRONTS="1 2 3 4"
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,6 +5,7 @@
 # CONFIG, with the longer config_apply_ms of the pages' small and grown sites.
 # Exit: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 CASE=$(cd "$(dirname "$0")" && pwd)
+RECORD=$CASE/record.txt
 . "$CASE/../site.sh"
 
 FRONTS=$(seq 12)
@@ -64,7 +65,7 @@
 done
 sleep 2
 for i in $FRONTS; do
-	start load-$i target/review/load $(proxy_port $i) 2 100 \
+	start load-$i target/review/load $(proxy_port $i) 1 100 \
 		$((8 + 17 * ROUNDS)) /again/ok key-1 - c$i
 done
 sleep 3
--- a/review/site.sh
+++ b/review/site.sh
@@ -1,9 +1,8 @@
 # A small site on loopback: proxies and dispatchers, started with the commands of
 # deploy/system.toml, relays in front of some of them, and the platform's
-# stand-in. Sourced by the scripts of the cases, after CASE is set.
+# stand-in. Sourced by the scripts of the cases, which set RECORD.
 
 cd "$(dirname "${BASH_SOURCE[0]}")/.." || exit 2
-RECORD=$CASE/record.txt
 DIR=$(mktemp -d)
 TROUBLE=${TROUBLE:-1}
 LINK_KEY=6d616e676f686561642d6c696e6b2d6b65792d6f662d7468652d736974652121
@@ -143,9 +142,12 @@
 
 # Writes to the record what clients sent and got, and what reached servers.
 record_traffic() {
-	sed 's/^/request (sent, answered, id, status): /' "$DIR/load" >>"$RECORD"
-	awk '{ print "at a server (time, server, id, run or status):", $1, $2,
-		$3, $4 }' "$DIR/arrivals" >>"$RECORD"
+	{
+		echo "requests: sent, answered, id, status"
+		cat "$DIR/load"
+		echo "at the servers: time, server, id, run or status of a refusal"
+		awk '{ print $1, $2, $3, $4 }' "$DIR/arrivals"
+	} >>"$RECORD"
 }
 
 wait_until() { # SECONDS COMMAND...
