The store's era: topics are read again after a drill

Cause: followers of a topic went on at the offset after the last record that they had read, although the store had given it out again. The topic was as long as before, with other records, so the read neither failed nor returned the new one. Nothing read the header Store-Era. All that rests on an offset or on an acknowledgement shared the cause: announcements of dispatchers, listings of servers, the census of entries, usage, crash suspects, and in mangohead-entry claims on keys and the manifest, whose version is an offset.

Now one place reads the era of each answer and tells all clients of the process. A rise ends open calls, each follower lists again, and what an older era returned or acknowledged counts for nothing. Whoever knows what the copy lacks writes it again. Entries learn the era from their dispatchers.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -195,6 +195,11 @@
 	cat->store_ok = ok;
 }
 
+void mh_catalog_store_rewound(struct mh_catalog *cat, uint64_t now_ns)
+{
+	cat->store_back_ns = now_ns;
+}
+
 void mh_catalog_listing_begin(struct mh_catalog *cat)
 {
 	struct row *r, *next;
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -91,6 +91,16 @@
  */
 void mh_catalog_set_store_ok(struct mh_catalog *cat, bool ok, uint64_t now_ns);
 
+/**
+ * mh_catalog_store_rewound() - record that the store came back from an older copy
+ * @cat: catalog
+ * @now_ns: monotonic time
+ *
+ * Defers removals as after an outage: the copy may lack servers that register
+ * again.
+ */
+void mh_catalog_store_rewound(struct mh_catalog *cat, uint64_t now_ns);
+
 /**
  * mh_catalog_listing_begin() - begin a full listing of the store
  * @cat: catalog
--- a/core/claims.c
+++ b/core/claims.c
@@ -13,6 +13,8 @@
 	struct mh_id key;
 	uint64_t owner;
 	bool used;
+	bool is_released; /* by its owner */
+	bool is_logged;	  /* the log has its last change since the rewind */
 };
 
 /*
@@ -157,17 +159,30 @@
 	current->start_ms = log_time_ms;
 }
 
+static uint64_t holder_of(const struct slot *s)
+{
+	return s && !s->is_released ? s->owner : 0;
+}
+
 static uint64_t apply(struct mh_claims *c, const struct mh_claim *claim)
 {
 	struct slot *s = find(c, &claim->key);
+	bool is_owner = s && s->owner == claim->owner;
 
 	if (claim->kind == MH_CLAIM_RELEASE) {
-		if (s && s->owner == claim->owner)
-			s->owner = 0;
-		return s ? s->owner : 0;
+		if (is_owner) {
+			s->is_released = true;
+			s->is_logged = true;
+		}
+		return holder_of(s);
 	}
-	if (s && s->owner)
+	/* A claim that comes again after its release stays released. */
+	if (is_owner && s->is_released)
+		return 0;
+	if (holder_of(s)) {
+		s->is_logged |= is_owner;
 		return s->owner;
+	}
 	/* A key that was released before may be in the previous generation: it
 	 * is kept from now on. */
 	if (c->gen[0].n_used * 2 >= c->gen[0].n_slots && !grow(&c->gen[0]))
@@ -178,6 +193,8 @@
 	s->used = true;
 	s->key = claim->key;
 	s->owner = claim->owner;
+	s->is_released = false;
+	s->is_logged = true;
 	return s->owner;
 }
 
@@ -234,9 +251,50 @@
 
 uint64_t mh_claims_holder(const struct mh_claims *c, const struct mh_id *key)
 {
-	struct slot *s = find(c, key);
+	return holder_of(find(c, key));
+}
+
+void mh_claims_rewind(struct mh_claims *c)
+{
+	size_t i;
+	int g;
+
+	for (g = 0; g < GENERATIONS; g++) {
+		for (i = 0; i < c->gen[g].n_slots; i++)
+			c->gen[g].slots[i].is_logged = false;
+	}
+}
+
+static size_t take_lost_of(struct generation *g, struct mh_claim *claims,
+			   size_t max)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < g->n_slots && n < max; i++) {
+		struct slot *s = &g->slots[i];
+
+		if (!s->used || s->is_logged)
+			continue;
+		s->is_logged = true;
+		claims[n++] = (struct mh_claim){
+			s->is_released ? MH_CLAIM_RELEASE : MH_CLAIM_ACQUIRE,
+			s->key,
+			s->owner,
+		};
+	}
+	return n;
+}
+
+size_t mh_claims_take_lost(struct mh_claims *c, struct mh_claim *claims,
+			   size_t max)
+{
+	size_t n = 0;
+	int g;
 
-	return s ? s->owner : 0;
+	/* Older ones first. */
+	for (g = GENERATIONS - 1; g >= 0; g--)
+		n += take_lost_of(&c->gen[g], claims + n, max - n);
+	return n;
 }
 
 size_t mh_claims_bytes(const struct mh_claims *c)
--- a/core/claims.h
+++ b/core/claims.h
@@ -102,6 +102,27 @@
 				     uint64_t holder),
 		     void *data);
 
+/**
+ * mh_claims_rewind() - the log lost its last records and is applied again
+ * @c: table
+ *
+ * The table keeps its claims. A claim whose owner released it is not taken up
+ * again.
+ */
+void mh_claims_rewind(struct mh_claims *c);
+
+/**
+ * mh_claims_take_lost() - take claims and releases that the log does not have
+ *                         since the rewind
+ * @c: table
+ * @claims: set to them; they count as appended from then on
+ * @max: size of @claims
+ *
+ * Return: number of claims.
+ */
+size_t mh_claims_take_lost(struct mh_claims *c, struct mh_claim *claims,
+			   size_t max);
+
 /**
  * mh_claims_holder() - look up the holder of a key
  * @c: table
--- a/core/config_state.c
+++ b/core/config_state.c
@@ -162,6 +162,12 @@
 	return in_force ? mh_manifest_merge(in_force, doc) : NULL;
 }
 
+/* An offset may be given out again, a version may not. */
+static uint64_t next_version(uint64_t version, uint64_t offset)
+{
+	return (offset > version ? offset : version) + 1;
+}
+
 /* Return: the manifest after the change, NULL if the change is refused. */
 static struct mh_manifest *evaluate_change(struct mh_audit_entry *a,
 					   const json_t *rec, uint64_t version,
@@ -184,7 +190,7 @@
 	json_decref(doc);
 	a->result = m ? MH_CONFIG_ACCEPTED : MH_CONFIG_REFUSED_INVALID;
 	if (m)
-		a->version = a->offset + 1;
+		a->version = next_version(version, a->offset);
 	return m;
 }
 
@@ -198,7 +204,7 @@
 
 	if (!m)
 		return a->result;
-	replace_manifest(cs, m, offset + 1);
+	replace_manifest(cs, m, a->version);
 	if (!is_delta(a))
 		cs->full_record_ms = when_ms;
 	return a->result;
@@ -217,7 +223,7 @@
 		return a->result;
 	json_decref(r->doc);
 	r->doc = json_incref(m->doc);
-	r->version = offset + 1;
+	r->version = a->version;
 	mh_manifest_free(m);
 	return a->result;
 }
@@ -230,9 +236,21 @@
 static enum mh_config_result apply_snapshot(struct mh_config_state *cs,
 					    const json_t *rec, uint64_t when_ms)
 {
-	/* A snapshot of another version lacks the document in force. */
-	if (get_u64(rec, "version") != cs->version)
+	uint64_t version = get_u64(rec, "version");
+	char note[MH_AUDIT_TEXT_BYTES];
+	struct mh_manifest *m;
+
+	/* A snapshot of an older version lacks the document in force. */
+	if (version < cs->version)
 		return MH_CONFIG_SKIPPED;
+	/* One of a later version restores what the log lost. */
+	if (version > cs->version) {
+		m = parse_manifest(json_object_get(rec, "doc"), note,
+				   sizeof(note));
+		if (!m)
+			return MH_CONFIG_SKIPPED;
+		replace_manifest(cs, m, version);
+	}
 	if (when_ms > cs->full_record_ms)
 		cs->full_record_ms = when_ms;
 	return MH_CONFIG_SNAPSHOT;
@@ -433,12 +451,35 @@
 	return cs->full_record_ms;
 }
 
-char *mh_config_state_snapshot(const struct mh_config_state *cs)
+void mh_config_state_take_over(struct mh_config_state *cs,
+			       struct mh_config_state *replay)
 {
-	json_t *rec = json_pack("{s:s, s:I, s:I, s:O}", "kind", "snapshot",
-				"version", (json_int_t)cs->version,
-				"next_offset", (json_int_t)cs->next_offset,
-				"doc", cs->manifest->doc);
+	if (replay->version > cs->version) {
+		replace_manifest(cs, replay->manifest, replay->version);
+		replay->manifest = NULL;
+	}
+	stop_audit_replay(cs);
+	drop_pending(cs);
+	cs->complete = replay->complete;
+	cs->first_offset = replay->first_offset;
+	cs->next_offset = replay->next_offset;
+	cs->full_record_ms = replay->full_record_ms;
+	cs->pending = replay->pending;
+	cs->n_pending = replay->n_pending;
+	memcpy(cs->audit, replay->audit, sizeof(cs->audit));
+	cs->n_audit = replay->n_audit;
+	replay->pending = NULL;
+	replay->n_pending = 0;
+	mh_config_state_free(replay);
+}
+
+char *mh_config_state_snapshot(const struct mh_config_state *cs,
+			       uint64_t next_offset)
+{
+	json_t *rec =
+		json_pack("{s:s, s:I, s:I, s:O}", "kind", "snapshot", "version",
+			  (json_int_t)cs->version, "next_offset",
+			  (json_int_t)next_offset, "doc", cs->manifest->doc);
 	char *text = json_dumps(rec, JSON_COMPACT);
 
 	json_decref(rec);
--- a/core/config_state.h
+++ b/core/config_state.h
@@ -128,7 +128,8 @@
 uint64_t mh_config_state_next_offset(const struct mh_config_state *cs);
 
 /**
- * mh_config_state_version() - version in force: offset of its record plus one
+ * mh_config_state_version() - version in force: offset of its record plus one,
+ *                             or the next one after that was given out already
  * @cs: state
  */
 uint64_t mh_config_state_version(const struct mh_config_state *cs);
@@ -142,13 +143,26 @@
  */
 uint64_t mh_config_state_full_record_ms(const struct mh_config_state *cs);
 
+/**
+ * mh_config_state_take_over() - take over the replay of a log that lost its last
+ *                              records
+ * @cs: state
+ * @replay: state that applied that log from its start on; freed
+ *
+ * The later manifest of the two stays in force; all else is that of @replay.
+ */
+void mh_config_state_take_over(struct mh_config_state *cs,
+			       struct mh_config_state *replay);
+
 /**
  * mh_config_state_snapshot() - write a snapshot record of the state
  * @cs: state with a manifest
+ * @next_offset: first offset that the snapshot does not include
  *
  * Return: JSON text for the caller to free.
  */
-char *mh_config_state_snapshot(const struct mh_config_state *cs);
+char *mh_config_state_snapshot(const struct mh_config_state *cs,
+			       uint64_t next_offset);
 
 /**
  * mh_config_state_audit() - entry of the audit trail
--- a/core/counter_names.h
+++ b/core/counter_names.h
@@ -72,6 +72,10 @@
 	X(BAD_NOTICES, bad_notices,                                            \
 	  "responses whose field for a notice or a limit was malformed")       \
 	X(STORE_CALLS, store_calls, "calls to the platform's store")           \
+	X(ERA_RISES, store_era_rises,                                          \
+	  "times that the store came back from an older copy")                 \
+	X(BAD_ERAS, bad_store_eras,                                            \
+	  "answers of the store whose era was malformed or fell")              \
 	X(LOG_DROPPED, log_lines_dropped, "log lines left out or dropped")
 
 enum mh_counter {
--- a/core/entry.c
+++ b/core/entry.c
@@ -429,9 +429,9 @@
 		}
 		break;
 	case MH_REQ_CLAIM:
-		if (e->log_up && now >= req->call->deadline_ns)
+		if (mh_entry_claims_usable(e) && now >= req->call->deadline_ns)
 			break;
-		if (e->log_up)
+		if (mh_entry_claims_usable(e))
 			mh_entry_retry_claim(e, req);
 		else
 			mh_entry_refuse(e, req, MH_ERR_LOG_UNAVAILABLE);
@@ -451,6 +451,7 @@
 	     req = mh_heap_min(&e->due))
 		on_timer(e, req, now);
 	mh_entry_resolve_admissions(e);
+	mh_entry_rewrite_lost(e);
 	mh_entry_flush_claims(e);
 	mh_entry_flush_wants(e);
 	mh_entry_write_snapshot(e);
@@ -491,6 +492,7 @@
 	}
 	mh_heap_release(&e->due);
 	mh_claims_free(e->claims);
+	mh_config_state_free(e->replay);
 	mh_config_state_free(e->config);
 	free(e);
 }
--- a/core/entry.h
+++ b/core/entry.h
@@ -245,6 +245,26 @@
  */
 void mh_entry_set_log_up(struct mh_entry *e, bool up);
 
+/**
+ * mh_entry_set_store_era() - set the era of the platform's store
+ * @e: core
+ * @era: era, 0 if the store names none
+ *
+ * Non-idempotent calls are refused for a moment: a claim of their key may be lost
+ * and not written again yet.
+ */
+void mh_entry_set_store_era(struct mh_entry *e, uint64_t era);
+
+/**
+ * mh_entry_store_rewound() - the store came back from an older copy
+ * @e: core
+ * @era: new era
+ *
+ * All records of the topics follow again. The configuration in force and the
+ * claims that are known stay. What the topics lack of them is written again.
+ */
+void mh_entry_store_rewound(struct mh_entry *e, uint64_t era);
+
 /**
  * mh_entry_set_config_start() - set where the configuration topic begins
  * @e: core
--- a/core/entry_claim.c
+++ b/core/entry_claim.c
@@ -67,7 +67,7 @@
 		return MH_ERR_KEY_REQUIRED;
 	if (!mh_id_is_uuidv7(&call->key))
 		return MH_ERR_KEY_INVALID;
-	if (!e->log_up || !e->claims_started)
+	if (!mh_entry_claims_usable(e))
 		return MH_ERR_LOG_UNAVAILABLE;
 	if (!key_in_window(e, call))
 		return MH_ERR_KEY_EXPIRED;
--- a/core/entry_impl.h
+++ b/core/entry_impl.h
@@ -187,6 +187,11 @@
 	bool draining;
 
 	struct mh_config_state *config;
+	/* Of a log that lost its last records, until it has caught up. */
+	struct mh_config_state *replay;
+	uint64_t store_era;
+	uint64_t rewrite_ns; /* when to write again what the log lost, or 0 */
+	uint64_t claims_settled_ns;
 	struct mh_claims *claims;
 	uint64_t claims_next_offset;
 	uint64_t claims_complete_since_ms;
@@ -309,4 +314,15 @@
 void mh_entry_clear_suspicion(struct mh_entry *e,
 			      const struct mh_id *fingerprint);
 
+/* entry_rewind.c */
+/* Position in the configuration topic, comparable between processes and eras. */
+uint64_t mh_entry_config_position(const struct mh_entry *e);
+/* Return: whether a position is of the era that this entry knows. */
+bool mh_entry_is_position_of_era(const struct mh_entry *e, uint64_t position,
+				 uint64_t *offset);
+/* Whether a claim can be made and its outcome trusted. */
+bool mh_entry_claims_usable(struct mh_entry *e);
+void mh_entry_end_replay(struct mh_entry *e);
+void mh_entry_rewrite_lost(struct mh_entry *e);
+
 #endif
--- a/core/entry_net.c
+++ b/core/entry_net.c
@@ -106,7 +106,7 @@
 	if (!m || !s->up)
 		return;
 	pool = mh_manifest_pool(m, s->pool);
-	msg.as_of = mh_config_state_next_offset(e->config);
+	msg.as_of = mh_entry_config_position(e);
 	s->config_sent_offset = msg.as_of;
 	msg.draining = mh_manifest_drained(m, s->host);
 	msg.max_running = pool ? pool->max_running : 0;
@@ -123,7 +123,7 @@
 	Mh__Ping msg = MH__PING__INIT;
 	Mh__Frame frame = MH__FRAME__INIT;
 
-	msg.config_offset = mh_config_state_next_offset(e->config);
+	msg.config_offset = mh_entry_config_position(e);
 	msg.leaving = e->draining;
 	msg.peer_leaving = is_host_leaving(e, host);
 	frame.body_case = MH__FRAME__BODY_PING;
@@ -213,7 +213,7 @@
 	text = json_dumps(m->doc, JSON_COMPACT);
 	if (!text)
 		return;
-	msg.as_of = mh_config_state_next_offset(e->config);
+	msg.as_of = mh_entry_config_position(e);
 	msg.version = m->version;
 	msg.document.data = (uint8_t *)text;
 	msg.document.len = strlen(text);
@@ -242,7 +242,10 @@
 
 static void on_config_state(struct mh_entry *e, const Mh__ConfigState *msg)
 {
-	if (mh_config_state_adopt(e->config, msg->as_of, msg->version,
+	uint64_t as_of;
+
+	if (mh_entry_is_position_of_era(e, msg->as_of, &as_of) && !e->replay &&
+	    mh_config_state_adopt(e->config, as_of, msg->version,
 				  (const char *)msg->document.data,
 				  msg->document.len))
 		config_applied(e);
@@ -257,7 +260,7 @@
 	}
 	if (s && msg->config_offset < s->config_sent_offset)
 		send_side_config(e, s);
-	if (p && msg->config_offset > mh_config_state_next_offset(e->config))
+	if (p && msg->config_offset > mh_entry_config_position(e))
 		send_pull(e, link);
 }
 
@@ -383,7 +386,8 @@
 
 void mh_entry_set_config_start(struct mh_entry *e, uint64_t first_offset)
 {
-	mh_config_state_set_log_start(e->config, first_offset);
+	mh_config_state_set_log_start(e->replay ? e->replay : e->config,
+				      first_offset);
 }
 
 void mh_entry_apply_config_record(struct mh_entry *e, uint64_t offset,
@@ -391,7 +395,10 @@
 {
 	uint64_t before = mh_config_state_version(e->config);
 
-	mh_config_state_apply(e->config, offset, when_ms, rec, len);
+	mh_config_state_apply(e->replay ? e->replay : e->config, offset,
+			      when_ms, rec, len);
+	if (e->replay)
+		mh_entry_end_replay(e);
 	if (mh_config_state_version(e->config) != before)
 		config_applied(e);
 }
@@ -402,14 +409,16 @@
 	uint64_t now_ms = mh_clock_wall_ms(&e->clock);
 	char *text;
 
-	if (!mh_entry_manifest(e) || !e->log_up || now_ms < e->next_snapshot_ms)
+	if (!mh_entry_manifest(e) || !e->log_up || e->replay ||
+	    now_ms < e->next_snapshot_ms)
 		return;
 	e->next_snapshot_ms =
 		now_ms + mh_rng_next(&e->rng) % SNAPSHOT_JITTER_MS;
 	if (now_ms <
 	    mh_config_state_full_record_ms(e->config) + SNAPSHOT_MAX_AGE_MS)
 		return;
-	text = mh_config_state_snapshot(e->config);
+	text = mh_config_state_snapshot(e->config,
+					mh_config_state_next_offset(e->config));
 	if (text)
 		e->ops->append_config(e->data, text, strlen(text));
 	free(text);
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -274,12 +274,15 @@
 
 static void send_heartbeat(struct mh_dispatcher_app *app, uint32_t link)
 {
-	uint64_t version;
+	struct mh_dispatcher_state state = {
+		.fit = app->fit,
+		.entries = HASH_COUNT(app->linked_entries),
+		.store_era = app->process.store_era.current,
+	};
 	size_t len;
 
-	mh_directory_document(app->directory, &version, &len);
-	mh_slot_frames_send_heartbeat(app->links, link, app->fit, version,
-				      HASH_COUNT(app->linked_entries));
+	mh_directory_document(app->directory, &state.version, &len);
+	mh_slot_frames_send_heartbeat(app->links, link, &state);
 }
 
 /* A standby dispatcher reads the store less often than the active one. */
@@ -601,6 +604,7 @@
 		.clock = &mh_system_clock,
 		.counters = &app->process.counters,
 		.log = app->process.log,
+		.era = &app->process.store_era,
 	};
 	struct mh_ledger_env ledger_env = {
 		.loop = app->process.loop,
@@ -608,6 +612,7 @@
 		.clock = &mh_system_clock,
 		.counters = &app->process.counters,
 		.log = app->process.log,
+		.era = &app->process.store_era,
 	};
 	const char *address = app->settings.announce ? app->settings.announce :
 						       app->settings.links;
--- a/dispatcher/slot_frames.c
+++ b/dispatcher/slot_frames.c
@@ -82,14 +82,15 @@
 }
 
 void mh_slot_frames_send_heartbeat(struct mh_links *links, uint32_t link,
-				   bool fit, uint64_t version, uint32_t entries)
+				   const struct mh_dispatcher_state *state)
 {
 	Mh__Standing msg = MH__STANDING__INIT;
 	Mh__Frame frame = MH__FRAME__INIT;
 
-	msg.fit = fit;
-	msg.version = version;
-	msg.entries = entries;
+	msg.fit = state->fit;
+	msg.version = state->version;
+	msg.entries = state->entries;
+	msg.store_era = state->store_era;
 	frame.body_case = MH__FRAME__BODY_STANDING;
 	frame.standing = &msg;
 	mh_links_send(links, link, &frame);
--- a/dispatcher/slot_frames.h
+++ b/dispatcher/slot_frames.h
@@ -50,15 +50,26 @@
 			      uint64_t id);
 
 /**
- * mh_slot_frames_send_heartbeat() - state of the dispatcher
- * @links: links
- * @link: link to an entry
+ * struct mh_dispatcher_state - what entries are told of a dispatcher
  * @fit: it can reach the store
  * @version: version of its configuration
  * @entries: number of linked entries
+ * @store_era: era of the store, 0 if not known
+ */
+struct mh_dispatcher_state {
+	bool fit;
+	uint64_t version;
+	uint32_t entries;
+	uint64_t store_era;
+};
+
+/**
+ * mh_slot_frames_send_heartbeat() - state of the dispatcher
+ * @links: links
+ * @link: link to an entry
+ * @state: state
  */
 void mh_slot_frames_send_heartbeat(struct mh_links *links, uint32_t link,
-				   bool fit, uint64_t version,
-				   uint32_t entries);
+				   const struct mh_dispatcher_state *state);
 
 #endif
--- a/entry/app.c
+++ b/entry/app.c
@@ -182,6 +182,13 @@
 	set_log_part_up(data, LOG_APPEND, up);
 }
 
+static void on_era_risen(void *data)
+{
+	struct mh_entry_app *app = data;
+
+	mh_entry_store_rewound(app->core, app->store_era.current);
+}
+
 static const struct mh_log_ops config_log_ops = {
 	.start = on_config_start,
 	.record = on_config_record,
@@ -387,10 +394,17 @@
 static bool start_store(struct mh_entry_app *app)
 {
 	struct mh_log_env log = { app->loop, &app->timers, &mh_system_clock,
-				  app->settings.store };
-	struct mh_host_list_env hosts = { app->loop, &app->timers,
-					  &mh_system_clock, app->settings.store,
-					  app->settings.hosts_poll_ms };
+				  app->settings.store, &app->store_era };
+	struct mh_host_list_env hosts = {
+		app->loop,	  &app->timers,
+		&mh_system_clock, app->settings.store,
+		&app->store_era,  app->settings.hosts_poll_ms
+	};
+
+	app->store_era.report = mh_log_report_era;
+	app->era_watch.risen = on_era_risen;
+	app->era_watch.data = app;
+	mh_store_era_watch(&app->store_era, &app->era_watch);
 
 	app->appender = mh_log_appender_new(&log, on_append_state, app);
 	app->publisher = mh_log_appender_new(&log, NULL, NULL);
@@ -466,7 +480,10 @@
 	struct mh_entry_app *app = data;
 	uint64_t now_ns = mh_now_ns(),
 		 due = mh_timers_run(&app->timers, now_ns);
-	uint64_t next = mh_entry_tick(app->core);
+	uint64_t next;
+
+	mh_entry_set_store_era(app->core, app->store_era.current);
+	next = mh_entry_tick(app->core);
 
 	if (app->links_stale && app->hosts_read) {
 		app->links_stale = false;
--- a/entry/app.h
+++ b/entry/app.h
@@ -64,6 +64,8 @@
  * @claims_follower: reads the claims topic
  * @appender: appends the core's records to the log, with retries
  * @publisher: appends operators' changes, without retries
+ * @store_era: era of the platform's store
+ * @era_watch: tells the core of a new era
  * @host_list: follows the host list
  * @hosts_read: the host list was read
  * @links_stale: the host list or the manifest changed since links were chosen
@@ -94,6 +96,8 @@
 	struct mh_log_follower *claims_follower;
 	struct mh_log_appender *appender;
 	struct mh_log_appender *publisher;
+	struct mh_store_era store_era;
+	struct mh_era_watch era_watch;
 	struct mh_host_list *host_list;
 	bool hosts_read;
 	bool links_stale;
--- a/net/process.c
+++ b/net/process.c
@@ -7,6 +7,8 @@
 
 /* Interval of the checks whether the settings file changed. */
 #define SETTINGS_POLL_INTERVAL_NS (500 * MH_NS_PER_MS)
+/* Bytes of a malformed era in the log. */
+#define MAX_ERA_TEXT 32
 
 static void on_reload(void *data)
 {
@@ -27,6 +29,22 @@
 	p->ops->stop(p->data);
 }
 
+static void on_store_era(void *data, enum mh_era_change change,
+			 const char *text, size_t len)
+{
+	struct mh_process *p = data;
+
+	if (change == MH_ERA_RISEN)
+		mh_count(&p->counters, MH_C_ERA_RISES);
+	else if (change != MH_ERA_FIRST)
+		mh_count(&p->counters, MH_C_BAD_ERAS);
+	mh_event(p->log, MH_EV_DEPENDENCY,
+		 "event=store_era change=%s said=%.*s known=%llu",
+		 mh_era_change_name(change),
+		 (int)(len < MAX_ERA_TEXT ? len : MAX_ERA_TEXT), text,
+		 (unsigned long long)p->store_era.current);
+}
+
 bool mh_process_init(struct mh_process *p, const char *path, const char *host,
 		     const struct mh_process_ops *ops, void *data)
 {
@@ -36,6 +54,8 @@
 	p->data = data;
 	p->signals.watch.fd = -1;
 	p->signals.reload = on_reload;
+	p->store_era.report = on_store_era;
+	p->store_era.data = p;
 	mh_timers_init(&p->timers);
 	p->log = mh_event_log_new(STDOUT_FILENO, host, &mh_system_clock);
 	p->metrics = mh_metrics_new();
--- a/net/process.h
+++ b/net/process.h
@@ -10,6 +10,7 @@
 
 #include "core/counters.h"
 #include "core/metrics.h"
+#include "core/store_era.h"
 #include "net/event_log.h"
 #include "net/loop.h"
 #include "net/signals.h"
@@ -36,6 +37,7 @@
  * @counters: counters
  * @metrics: histograms and gauges
  * @log: log
+ * @store_era: era of the platform's store
  * @status: readiness and metrics, NULL if not served
  * @leaving: a signal asked the program to terminate
  * @leaving_ns: monotonic time of that signal
@@ -48,6 +50,7 @@
 	struct mh_counters counters;
 	struct mh_metrics *metrics;
 	struct mh_event_log *log;
+	struct mh_store_era store_era;
 	struct mh_status *status;
 	struct mh_status *extra_status;
 	bool leaving;
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -4611,7 +4611,7 @@
   (ProtobufCMessageInit) mh__dispatchers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__standing__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mh__standing__field_descriptors[4] =
 {
   {
     "fit",
@@ -4649,16 +4649,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Standing, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__standing__field_indices_by_name[] = {
   2,   /* field[2] = entries */
   0,   /* field[0] = fit */
+  3,   /* field[3] = store_era */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange mh__standing__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor mh__standing__descriptor =
 {
@@ -4668,7 +4681,7 @@
   "Mh__Standing",
   "mh",
   sizeof(Mh__Standing),
-  3,
+  4,
   mh__standing__field_descriptors,
   mh__standing__field_indices_by_name,
   1,  mh__standing__number_ranges,
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -742,10 +742,14 @@
    * linked to it
    */
   uint32_t entries;
+  /*
+   * of the platform's store, 0 if not known
+   */
+  uint64_t store_era;
 };
 #define MH__STANDING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__standing__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/proxy/app.c
+++ b/proxy/app.c
@@ -334,6 +334,7 @@
 		.clock = &mh_system_clock,
 		.counters = &app->process.counters,
 		.log = app->process.log,
+		.era = &app->process.store_era,
 		.received = on_shared_suspect,
 		.each = each_suspect,
 		.data = app,
@@ -344,6 +345,7 @@
 		.clock = &mh_system_clock,
 		.counters = &app->process.counters,
 		.log = app->process.log,
+		.era = &app->process.store_era,
 	};
 
 	mh_process_set_log_format(&app->process, app->settings.log_format);
@@ -360,6 +362,7 @@
 	app->notices = mh_server_notices_new(&mh_system_clock);
 	slot_client_conf.notices = app->notices;
 	slot_client_conf.metrics = app->process.metrics;
+	slot_client_conf.store_era = &app->process.store_era;
 	app->upstreams = mh_upstreams_new(
 		app->process.loop, &app->process.timers, &mh_system_clock,
 		&app->process.counters, app->notices);
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -34,6 +34,7 @@
 	const struct mh_clock *clock;
 	struct mh_counters *counters;
 	struct mh_event_log *log;
+	struct mh_store_era *store_era;
 	const struct mh_slot_client_ops *ops;
 	void *data;
 	struct mh_links *links;
@@ -243,6 +244,8 @@
 			 "event=dispatcher_fit peer=%s fit=%d version=%llu",
 			 c->name, msg->fit, (unsigned long long)msg->version);
 	mh_candidate_heartbeat(c, msg->fit, now_of(sc));
+	/* An entry that reads nothing from the store learns it this way. */
+	mh_store_era_learn(sc->store_era, msg->store_era);
 	if (c == sc->current)
 		sc->heartbeat_ns = now_of(sc);
 	if (c->fit && (!sc->current || !sc->current->fit))
@@ -408,6 +411,7 @@
 	sc->log = log;
 	sc->ops = ops;
 	sc->data = data;
+	sc->store_era = conf->store_era;
 	sc->patience_ms = MH_STORE_PATIENCE_MIN_MS +
 			  randombytes_uniform(MH_STORE_PATIENCE_MAX_MS -
 					      MH_STORE_PATIENCE_MIN_MS);
--- a/proxy/slot_client.h
+++ b/proxy/slot_client.h
@@ -12,6 +12,7 @@
 #include "core/catalog.h"
 #include "core/dispatch.h"
 #include "core/routes.h"
+#include "core/store_era.h"
 #include "core/store_reads.h"
 #include "net/event_log.h"
 #include "net/link.h"
@@ -44,6 +45,7 @@
  * @dispatch: bounds of the local dispatcher
  * @notices: what servers asked for; the slot client adds to it
  * @metrics: metrics that show limits of servers
+ * @store_era: era of the store, learned from dispatchers as well
  * @seeds: addresses of dispatchers to begin with, "ip:port"
  * @n_seeds: number of elements in @seeds
  */
@@ -54,6 +56,7 @@
 	struct mh_dispatch_conf dispatch;
 	struct mh_server_notices *notices;
 	struct mh_metrics *metrics;
+	struct mh_store_era *store_era;
 	char *const *seeds;
 	size_t n_seeds;
 };
--- a/side/app.c
+++ b/side/app.c
@@ -11,6 +11,7 @@
 #include "net/signals.h"
 #include "net/status.h"
 #include "platform/host_list.h"
+#include "platform/log_client.h"
 #include "side/backend.h"
 
 /* Delay before the exit, so that the last responses reach the entries. */
@@ -23,6 +24,7 @@
 	struct mh_side *core;
 	struct mh_links *links;
 	struct mh_backend *backend;
+	struct mh_store_era store_era;
 	struct mh_host_list *host_list;
 	struct mh_status *metrics;
 	struct mh_signals signals;
@@ -258,10 +260,13 @@
 
 static bool follow_hosts(struct mh_side_app *app)
 {
-	struct mh_host_list_env env = { app->loop, &app->timers,
-					&mh_system_clock, app->settings.store,
-					app->settings.hosts_poll_ms };
+	struct mh_host_list_env env = {
+		app->loop,	  &app->timers,
+		&mh_system_clock, app->settings.store,
+		&app->store_era,  app->settings.hosts_poll_ms
+	};
 
+	app->store_era.report = mh_log_report_era;
 	app->host_list = mh_host_list_new(&env, on_host_list, app);
 	return app->host_list != NULL;
 }
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -24,6 +24,7 @@
 	struct record *v;
 	size_t first;
 	size_t n;
+	size_t copied; /* records in the copy */
 };
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -31,6 +32,9 @@
 static unsigned int calls;
 static uint64_t down_until_ms;
 static bool outage;
+/* Of drills; 0: answers name no era. */
+static unsigned int era;
+static bool is_drill;
 static long lose_answers, slow_ms, retain;
 /* How all answers are spoiled: without end in their "body", "head" or "interim"
  * responses, or "cut" before the end of their Content-Length. */
@@ -98,17 +102,53 @@
 	free(bytes);
 }
 
+static bool is_down(void)
+{
+	return outage || mono_now_ms() < down_until_ms;
+}
+
+/* Puts the copy in place of the store once the store is back. */
+static void end_drill(void)
+{
+	int i;
+
+	if (!is_drill || is_down())
+		return;
+	is_drill = false;
+	era++;
+	for (i = 0; i < MAX_TOPICS; i++) {
+		struct topic *t = &topics[i];
+
+		while (t->n > t->copied)
+			free(t->v[--t->n].bytes);
+		if (t->first > t->n)
+			t->first = t->n;
+	}
+}
+
 void store_put(const char *topic, const char *key, const void *value,
 	       size_t len)
 {
 	pthread_mutex_lock(&lock);
+	end_drill();
 	put(topic, key, value, len);
 	pthread_mutex_unlock(&lock);
 }
 
-static bool is_down(void)
+static void respond(struct conn *c, int status, const char *type,
+		    const void *body, size_t len)
 {
-	return outage || mono_now_ms() < down_until_ms;
+	mh_buffer_printf(&c->out, "HTTP/1.1 %d X\r\nContent-Type: %s\r\n",
+			 status, type);
+	if (era)
+		mh_buffer_printf(&c->out, "Store-Era: %u\r\n", era);
+	mh_buffer_printf(&c->out, "Content-Length: %zu\r\n\r\n", len);
+	mh_buffer_add(&c->out, body, len);
+}
+
+static void respond_text(struct conn *c, int status, const char *text)
+{
+	respond(c, status, "text/plain", text, strlen(text));
 }
 
 bool store_is_down(void)
@@ -128,8 +168,14 @@
 	uint8_t offsets[16] = { 0 };
 	struct mh_record_offsets records;
 	char text[64];
+	const char *at = query_param(c, "at");
 	size_t first = t->n;
 
+	if (*at && strtoul(at, NULL, 10) != t->n) {
+		snprintf(text, sizeof(text), "{\"end\":%zu}", t->n);
+		respond(c, 412, "application/json", text, strlen(text));
+		return;
+	}
 	/* The decoder expects a response to a read: offsets, then records. */
 	mh_buffer_add(&read, offsets, sizeof(offsets));
 	mh_buffer_add(&read, mh_buffer_front(&c->body), c->body.len);
@@ -137,9 +183,9 @@
 			      &records)) {
 		snprintf(text, sizeof(text), "{\"offset\":%zu,\"end\":%zu}",
 			 first, t->n);
-		write_response(c, 200, "application/json", text, strlen(text));
+		respond(c, 200, "application/json", text, strlen(text));
 	} else {
-		write_text_response(c, 400, "malformed records\n");
+		respond_text(c, 400, "malformed records\n");
 	}
 	mh_buffer_release(&read);
 }
@@ -195,7 +241,7 @@
 	doc = json_pack("{s:o,s:b,s:I}", "items", items, "more", 0, "end",
 			(json_int_t)t->n);
 	text = json_dumps(doc, JSON_COMPACT);
-	write_response(c, 200, "application/json", text, strlen(text));
+	respond(c, 200, "application/json", text, strlen(text));
 	free(text);
 	json_decref(doc);
 }
@@ -214,10 +260,11 @@
 		pthread_mutex_unlock(&lock);
 		sleep_ms(POLL_INTERVAL_MS);
 		pthread_mutex_lock(&lock);
+		end_drill();
 	}
-	if (from < t->first) {
+	if (from < t->first || (era && from > t->n)) {
 		snprintf(text, sizeof(text), "{\"first\":%zu}", t->first);
-		write_response(c, 410, "application/json", text, strlen(text));
+		respond(c, 410, "application/json", text, strlen(text));
 		return;
 	}
 	mh_records_put_u64(offsets, t->n);
@@ -225,8 +272,8 @@
 	mh_buffer_add(&buf, offsets, sizeof(offsets));
 	for (i = from; i < t->n; i++)
 		mh_records_add(&buf, NULL, 0, t->v[i].bytes, t->v[i].len);
-	write_response(c, 200, "application/octet-stream",
-		       mh_buffer_front(&buf), buf.len);
+	respond(c, 200, "application/octet-stream", mh_buffer_front(&buf),
+		buf.len);
 	mh_buffer_release(&buf);
 }
 
@@ -277,8 +324,9 @@
 		return false;
 	}
 	pthread_mutex_lock(&lock);
+	end_drill();
 	if (is_down()) {
-		write_text_response(c, 503, "down\n");
+		respond_text(c, 503, "down\n");
 	} else if (path_is(c, "/log-append")) {
 		handle_append(c);
 		drop_response = lose_answers > 0 && lose_answers--;
@@ -287,7 +335,7 @@
 	} else if (path_is(c, "/log-read")) {
 		handle_read(c);
 	} else {
-		write_text_response(c, 404, "no such call\n");
+		respond_text(c, 404, "no such call\n");
 	}
 	pthread_mutex_unlock(&lock);
 	return !drop_response && send_all(c);
@@ -340,6 +388,23 @@
 	}
 }
 
+static void take_copy(void)
+{
+	int i;
+
+	for (i = 0; i < MAX_TOPICS; i++)
+		topics[i].copied = topics[i].n;
+	if (!era)
+		era = 1;
+}
+
+/* The store goes away for a time, then has what the copy has. */
+static void begin_drill(unsigned long ms)
+{
+	down_until_ms = mono_now_ms() + ms;
+	is_drill = true;
+}
+
 bool store_handle_control(struct conn *c)
 {
 	json_t *doc = json_loadb((const char *)mh_buffer_front(&c->body),
@@ -348,6 +413,7 @@
 	char text[32] = "done\n";
 
 	pthread_mutex_lock(&lock);
+	end_drill();
 	if (path_is(c, "/test/config"))
 		put("keyed.op", "config", mh_buffer_front(&c->body),
 		    c->body.len);
@@ -355,6 +421,10 @@
 		replace_hosts(doc);
 	else if (path_is(c, "/test/store"))
 		apply_settings(doc);
+	else if (path_is(c, "/test/copy"))
+		take_copy();
+	else if (path_is(c, "/test/drill"))
+		begin_drill(strtoul(query_param(c, "ms"), NULL, 10));
 	else if (path_is(c, "/test/down"))
 		down_until_ms =
 			mono_now_ms() + strtoul(query_param(c, "ms"), NULL, 10);
--- a/tests/test_config_state.c
+++ b/tests/test_config_state.c
@@ -80,7 +80,7 @@
 
 	(void)state;
 	apply(cs, 0, "manifest", 0, "");
-	snap = mh_config_state_snapshot(cs); /* as of offset 1 */
+	snap = mh_config_state_snapshot(cs, 1);
 	apply(cs, 1, "delta", 1,
 	      "{\"pool\":[{\"name\":\"p\",\"max_waiting\":9}]}");
 	assert_int_equal(mh_config_state_apply(cs, 2, 9, snap, strlen(snap)),
--- a/tests/test_entry_keys.c
+++ b/tests/test_entry_keys.c
@@ -37,6 +37,7 @@
 	uint32_t n_attached;
 	uint32_t handovers;
 	uint8_t claims[256];
+	uint32_t snapshots; /* appended to the configuration topic */
 	size_t claims_len;
 	struct fixture *peer; /* entry at the other end of PEER_LINK */
 };
@@ -102,6 +103,13 @@
 	fx->claims_len = len;
 }
 
+static void on_append_config(void *data, const char *text, size_t len)
+{
+	assert_non_null(strstr(text, "\"snapshot\""));
+	assert_int_equal(len, strlen(text));
+	((struct fixture *)data)->snapshots++;
+}
+
 static void on_config(void *data, struct mh_manifest *old,
 		      const struct mh_manifest *now)
 {
@@ -116,6 +124,7 @@
 	.end = on_end,
 	.refuse = on_refuse,
 	.append_claims = on_claims,
+	.append_config = on_append_config,
 	.config_changed = on_config,
 };
 
@@ -402,6 +411,40 @@
 	mh_entry_free(b.entry);
 }
 
+/* Guards against a key whose claim the store lost in a drill, and that a second
+ * request could get before it is written again. */
+static void test_lost_claims_are_written_again(void **state)
+{
+	uint8_t first[sizeof(((struct fixture *)0)->claims)];
+	struct fixture fx;
+	size_t len;
+
+	(void)state;
+	open_entry(&fx);
+	mh_entry_submit(fx.entry, &fx.calls[0]);
+	tick(&fx, 100);
+	len = fx.claims_len;
+	assert_true(len > 0);
+	memcpy(first, fx.claims, len);
+	mh_entry_apply_claims_record(fx.entry, 0, START_MS, first, len);
+	fx.claims_len = 0;
+	mh_entry_store_rewound(fx.entry, 2);
+	/* Another call is refused, it has not run. */
+	mh_id_make_v7(&fx.calls[1].key, START_MS, 2, 2);
+	mh_entry_submit(fx.entry, &fx.calls[1]);
+	assert_true(fx.outcomes[1].refused);
+	assert_int_equal(fx.outcomes[1].error, MH_ERR_LOG_UNAVAILABLE);
+	/* The log, read again, does not have the claim. */
+	tick(&fx, 1100);
+	assert_int_equal(fx.claims_len, len);
+	assert_memory_equal(fx.claims, first, len);
+	assert_int_equal(fx.snapshots, 1);
+	tick(&fx, 3000);
+	mh_entry_submit(fx.entry, &fx.calls[2]);
+	assert_false(fx.outcomes[2].refused);
+	mh_entry_free(fx.entry);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -415,6 +458,7 @@
 			test_refuse_all_with_a_possible_run_reports_cancelled),
 		cmocka_unit_test(test_refuse_all_before_a_run_reports_draining),
 		cmocka_unit_test(test_entry_that_joins_learns_of_quarantines),
+		cmocka_unit_test(test_lost_claims_are_written_again),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -37,6 +37,7 @@
 	struct mh_loop *loop;
 	struct mh_timers timers;
 	struct mh_log_env env;
+	struct mh_store_era era;
 	char address[32];
 	int listener;
 	pthread_t thread;
@@ -141,7 +142,7 @@
 	snprintf(fx->address, sizeof(fx->address), "127.0.0.1:%d",
 		 ntohs(sa.sin_port));
 	fx->env = (struct mh_log_env){ fx->loop, &fx->timers, &mh_system_clock,
-				       fx->address };
+				       fx->address, &fx->era };
 	pthread_create(&fx->thread, NULL, serve, fx);
 }
 
@@ -370,8 +371,9 @@
 
 	(void)state;
 	open_store(&fx, steps, LEN(steps));
-	env = (struct mh_host_list_env){ fx.loop, &fx.timers, &mh_system_clock,
-					 fx.address, 1 };
+	env = (struct mh_host_list_env){ fx.loop,	   &fx.timers,
+					 &mh_system_clock, fx.address,
+					 &fx.era,	   1 };
 	fx.hosts = mh_host_list_new(&env, on_hosts, &fx);
 	run_until(&fx, 3);
 	assert_string_equal(fx.events, "1:h:1.2.3.4:5:entry:live same none ");
@@ -401,8 +403,9 @@
 
 	(void)state;
 	open_store(&fx, steps, LEN(steps));
-	env = (struct mh_host_list_env){ fx.loop, &fx.timers, &mh_system_clock,
-					 fx.address, 1 };
+	env = (struct mh_host_list_env){ fx.loop,	   &fx.timers,
+					 &mh_system_clock, fx.address,
+					 &fx.era,	   1 };
 	fx.hosts = mh_host_list_new(&env, on_hosts, &fx);
 	run_until(&fx, 1);
 	assert_string_equal(fx.events, "1:h:1.2.3.4:5:entry:live ");
--- a/tests/test_store_ends.c
+++ b/tests/test_store_ends.c
@@ -29,6 +29,7 @@
 struct fixture {
 	struct mh_loop *loop;
 	struct mh_timers timers;
+	struct mh_store_era era;
 	struct mh_store *store;
 	int listener;
 	pthread_t thread;
@@ -106,7 +107,8 @@
 	fx.loop = mh_loop_new();
 	mh_timers_init(&fx.timers);
 	assert_int_equal(pthread_create(&fx.thread, NULL, serve, &fx), 0);
-	fx.store = mh_store_new(fx.loop, &fx.timers, &mh_system_clock, address);
+	fx.store = mh_store_new(fx.loop, &fx.timers, &mh_system_clock, address,
+				&fx.era);
 	begin_ns = mh_clock_mono_ns(&mh_system_clock);
 	mh_store_call(fx.store, "GET", "/x", NULL, 0, TIMEOUT_MS, on_reply,
 		      &fx);
