A server that left gets no requests while its removal is put off

Cause: after one failed read a dispatcher puts off each removal until 2.4 s after the next good one, as registrations lapse with the store and come back. It can't tell an outage from being cut off alone. A second dispatcher that went on reading had told the entries of the removal, and they used the first one's slots all the same.

Now an entry does not send to a server that its catalog has as draining or gone in this incarnation: it gives the slot back and tells the dispatcher. Where nobody can tell, a server whose removal is put off is the last choice. A registration that is listed again ends the doubt. What the rule is for goes on: after a failure the first read of a topic does not wait, so that dispatchers count as fit at once when the store is back, and entries do not drop what had lapsed.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -15,7 +15,6 @@
 
 struct row {
 	struct mh_registration reg;
-	bool removal_pending;
 	bool listed;
 	uint64_t gone_ns;
 	UT_hash_handle hh;
@@ -103,8 +102,8 @@
 		    const struct mh_registration *b)
 {
 	return a->state != b->state || a->born_ms != b->born_ms ||
-	       a->places != b->places || strcmp(a->address, b->address) ||
-	       strcmp(a->service, b->service);
+	       a->places != b->places || a->is_doubtful ||
+	       strcmp(a->address, b->address) || strcmp(a->service, b->service);
 }
 
 static struct row *add_row(struct mh_catalog *cat, const char *id)
@@ -130,7 +129,6 @@
 		return false;
 	if (!r)
 		r = add_row(cat, update->id);
-	r->removal_pending = false;
 	if (update->state == MH_SERVER_GONE) {
 		changed = r->reg.state != MH_SERVER_GONE;
 		r->reg.state = MH_SERVER_GONE;
@@ -149,6 +147,7 @@
 	}
 	r->reg.born_ms = update->born_ms;
 	r->reg.sequence = update->sequence;
+	r->reg.is_doubtful = false;
 	if (changed)
 		cat->changed(cat->data, &r->reg);
 	return true;
@@ -156,7 +155,7 @@
 
 static void remove_now(struct mh_catalog *cat, struct row *r, uint64_t now_ns)
 {
-	r->removal_pending = false;
+	r->reg.is_doubtful = false;
 	r->gone_ns = now_ns;
 	if (r->reg.state == MH_SERVER_GONE)
 		return;
@@ -171,10 +170,19 @@
 		now_ns < cat->store_back_ns + REREGISTRATION_NS);
 }
 
+static void set_doubtful(struct mh_catalog *cat, struct row *r,
+			 bool is_doubtful)
+{
+	if (r->reg.is_doubtful == is_doubtful)
+		return;
+	r->reg.is_doubtful = is_doubtful;
+	cat->changed(cat->data, &r->reg);
+}
+
 static void remove_row(struct mh_catalog *cat, struct row *r, uint64_t now_ns)
 {
-	if (defers_removal(cat, now_ns))
-		r->removal_pending = true;
+	if (r->reg.state != MH_SERVER_GONE && defers_removal(cat, now_ns))
+		set_doubtful(cat, r, true);
 	else
 		remove_now(cat, r, now_ns);
 }
@@ -213,8 +221,10 @@
 	struct row *r;
 
 	HASH_FIND_STR(cat->rows, id, r);
-	if (r)
-		r->listed = true;
+	if (!r)
+		return;
+	r->listed = true;
+	set_doubtful(cat, r, false);
 }
 
 void mh_catalog_listing_end(struct mh_catalog *cat, uint64_t now_ns)
@@ -234,7 +244,7 @@
 	if (defers_removal(cat, now_ns))
 		return;
 	HASH_ITER(hh, cat->rows, r, next) {
-		if (r->removal_pending)
+		if (r->reg.is_doubtful)
 			remove_now(cat, r, now_ns);
 		else if (r->reg.state == MH_SERVER_GONE && r->gone_ns &&
 			 now_ns > r->gone_ns + GONE_RETENTION_NS)
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -28,6 +28,8 @@
  * @born_ms: Unix time of its start, 0 if not given
  * @sequence: increases with each registration of one incarnation
  * @cold_remaining_ms: how much longer it stays slow after its start
+ * @is_doubtful: the registration was removed, or had lapsed as the store was away:
+ *               the server may be gone
  */
 struct mh_registration {
 	char *id;
@@ -39,6 +41,7 @@
 	uint64_t born_ms;
 	uint64_t sequence;
 	uint32_t cold_remaining_ms;
+	bool is_doubtful;
 };
 
 struct mh_catalog;
@@ -78,7 +81,8 @@
  * @now_ns: monotonic time
  *
  * Takes effect at once while the store can be read. During an outage it is
- * deferred until live servers have had time to register again.
+ * deferred until live servers have had time to register again; the server is
+ * doubtful until then.
  */
 void mh_catalog_removed(struct mh_catalog *cat, const char *id,
 			uint64_t now_ns);
@@ -108,7 +112,7 @@
 void mh_catalog_listing_begin(struct mh_catalog *cat);
 
 /**
- * mh_catalog_listed() - record that the listing names a server
+ * mh_catalog_listed() - record that the store has a registration of a server
  * @cat: catalog
  * @id: server
  */
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -268,6 +268,7 @@
 	s->info.places = info->places;
 	s->vanished = info->is_gone && (s->takes_work || s->vanished);
 	s->takes_work = info->takes_work;
+	s->is_doubtful = info->is_doubtful;
 	if (!s->takes_work && !s->held)
 		mh_dispatch_free_server(d, s->pool, s);
 }
@@ -283,6 +284,7 @@
 		.born_ms = reg->born_ms,
 		.takes_work = reg->state == MH_SERVER_READY,
 		.is_gone = reg->state == MH_SERVER_GONE,
+		.is_doubtful = reg->is_doubtful,
 	};
 
 	if (reg->service)
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -129,6 +129,7 @@
  * @places: slots, the number of requests that it runs at a time
  * @born_ms: Unix time of its start
  * @takes_work: it is neither draining nor gone
+ * @is_doubtful: it may be gone: others are used first
  * @is_gone: its registration was removed
  */
 struct mh_backend_server {
@@ -138,6 +139,7 @@
 	uint32_t places;
 	uint64_t born_ms;
 	bool takes_work;
+	bool is_doubtful;
 	bool is_gone;
 };
 
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -91,6 +91,7 @@
 	struct pool *pool;
 	uint64_t id_hash;
 	bool takes_work;
+	bool is_doubtful;
 	bool vanished;	 /* its registration ended, and it was not draining */
 	bool is_leaving; /* it said so in a response */
 	struct pause *pauses;
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -39,6 +39,8 @@
 #define DOWN_MARGIN 0.4
 /* Cost of a server whose limit is used up: servers without a limit go first. */
 #define LIMIT_COST 1.0
+/* Cost of a server that may be gone: all others go first. */
+#define DOUBTFUL_COST 1000.0
 /* A server with a limit gets a request at least this often if its limit allows,
  * since only its responses tell that the limit has ended. */
 #define LIMIT_RECHECK_NS (2000 * MH_NS_PER_MS)
@@ -205,6 +207,8 @@
 	double c = s->latency_ratio *
 		   (1.0 + (double)s->held / mh_dispatch_server_slots(d, s));
 
+	if (s->is_doubtful)
+		return DOUBTFUL_COST + c;
 	if (is_recheck_due(s, now_ns))
 		return 0;
 	c += LIMIT_COST * used;
--- a/core/server_notices.c
+++ b/core/server_notices.c
@@ -25,6 +25,7 @@
 		[MH_SEND_ALLOWED] = "allowed",
 		[MH_SEND_LEAVING] = "leaving",
 		[MH_SEND_PAUSED] = "paused",
+		[MH_SEND_UNREGISTERED] = "unregistered",
 	};
 
 	return names[verdict];
--- a/core/server_notices.h
+++ b/core/server_notices.h
@@ -61,6 +61,7 @@
 	MH_SEND_ALLOWED,
 	MH_SEND_LEAVING,
 	MH_SEND_PAUSED,
+	MH_SEND_UNREGISTERED, /* draining or removed, as its registration says */
 	MH_SEND_VERDICTS,
 };
 
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -167,12 +167,14 @@
 
 	mh_event(app->process.log, MH_EV_SERVER,
 		 "event=server server=%s service=%s address=%s state=%d "
-		 "sequence=%llu born=%llu",
+		 "doubtful=%d sequence=%llu born=%llu",
 		 reg->id, reg->service ? reg->service : "",
-		 reg->address ? reg->address : "", reg->state,
+		 reg->address ? reg->address : "", reg->state, reg->is_doubtful,
 		 (unsigned long long)reg->sequence,
 		 (unsigned long long)reg->born_ms);
 	mh_dispatch_update_registration(app->dispatch, reg);
+	if (reg->is_doubtful)
+		return;
 	HASH_ITER(hh, app->linked_entries, entry, tmp)
 		mh_registration_send(app->links, entry->link, reg);
 }
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -280,13 +280,24 @@
 		give_up(x, MH_ERR_UNREACHABLE, DEFAULT_RETRY_AFTER_MS);
 }
 
-/* The server said meanwhile that it leaves or wants a pause: ask for another
- * slot, once the dispatcher knows as well. */
+static enum mh_send_verdict check_server(const struct mh_exchange_env *env,
+					 const struct mh_server_ref *server)
+{
+	enum mh_send_verdict verdict =
+		mh_server_notices_check(env->notices, server);
+
+	if (verdict == MH_SEND_ALLOWED &&
+	    !mh_slot_client_may_send(env->slot_client, server))
+		return MH_SEND_UNREGISTERED;
+	return verdict;
+}
+
+/* The server said meanwhile that it leaves or wants a pause, or its registration
+ * was removed: ask for another slot, once the dispatcher knows as well. */
 void mh_exchange_on_held_back(struct exchange *x)
 {
 	struct mh_server_ref server = mh_exchange_server(x);
-	enum mh_send_verdict verdict =
-		mh_server_notices_check(x->set->env.notices, &server);
+	enum mh_send_verdict verdict = check_server(&x->set->env, &server);
 
 	mh_count(x->set->env.counters, MH_C_HELD_BACK);
 	mh_event(mh_exchange_log(x), MH_EV_RETRIED,
@@ -296,6 +307,9 @@
 		 remaining_ms(x));
 	mh_notice_relay_repeat(mh_slot_client_notices(x->set->env.slot_client),
 			       &server);
+	if (verdict == MH_SEND_UNREGISTERED)
+		mh_slot_client_send_registration(x->set->env.slot_client,
+						 &server);
 	mh_exchange_release_slot(x, MH_SLOT_HELD_BACK);
 	x->sent_ns = 0;
 	if (x->held_back_count++ < MAX_HELD_BACK_RETRIES &&
@@ -333,8 +347,7 @@
 	struct mh_server_ref server = mh_exchange_server(x);
 	struct mh_buffer buf = { 0 };
 
-	if (mh_server_notices_check(set->env.notices, &server) !=
-	    MH_SEND_ALLOWED) {
+	if (check_server(&set->env, &server) != MH_SEND_ALLOWED) {
 		mh_exchange_on_held_back(x);
 		return;
 	}
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -516,6 +516,26 @@
 	return sc->catalog;
 }
 
+bool mh_slot_client_may_send(const struct mh_slot_client *sc,
+			     const struct mh_server_ref *server)
+{
+	const struct mh_registration *reg =
+		mh_catalog_find(sc->catalog, server->id);
+
+	return !reg || reg->state == MH_SERVER_READY ||
+	       reg->born_ms != server->born_ms;
+}
+
+void mh_slot_client_send_registration(struct mh_slot_client *sc,
+				      const struct mh_server_ref *server)
+{
+	const struct mh_registration *reg =
+		mh_catalog_find(sc->catalog, server->id);
+
+	if (reg && sc->current && sc->current->up)
+		mh_registration_send(sc->links, sc->current->link, reg);
+}
+
 void mh_slot_client_request(struct mh_slot_client *sc,
 			    const struct mh_slot_request *slot_req)
 {
--- a/proxy/slot_client.h
+++ b/proxy/slot_client.h
@@ -146,6 +146,26 @@
  */
 struct mh_catalog *mh_slot_client_catalog(struct mh_slot_client *sc);
 
+/**
+ * mh_slot_client_may_send() - whether this entry knows that a server takes requests
+ * @sc: slot client
+ * @server: server of a slot that was granted
+ *
+ * A dispatcher that was cut off from the store may grant slots of a server whose
+ * removal others have told this entry of.
+ */
+bool mh_slot_client_may_send(const struct mh_slot_client *sc,
+			     const struct mh_server_ref *server);
+
+/**
+ * mh_slot_client_send_registration() - tell the dispatcher in use what this entry
+ *                                      knows of a server
+ * @sc: slot client
+ * @server: server
+ */
+void mh_slot_client_send_registration(struct mh_slot_client *sc,
+				      const struct mh_server_ref *server);
+
 /**
  * mh_slot_client_request() - request a slot; events may arrive before this
  *                            returns
--- a/tests/proxy_site.sh
+++ b/tests/proxy_site.sh
@@ -13,6 +13,16 @@
 	echo $((BASE + 200 + 10 * $1))
 }
 
+# Port of the store for a process; its own one if the test chose one.
+store_port_of() { # NAME
+	cat "$DIR/$1.store" 2>/dev/null || echo $STORE
+}
+
+# The store turns one process away, or serves it again.
+store_refuses() { # NAME [503 | reset | silent]
+	platform "refuse?port=$(store_port_of $1)&how=$2"
+}
+
 write_settings() { # KIND N ADDRESS-LINES
 	cat >"$DIR/$1$2.toml" <<-END
 	host = "$1-$2"
@@ -20,7 +30,7 @@
 	[listen]
 	$3
 	[platform]
-	store = "127.0.0.1:$STORE"
+	store = "127.0.0.1:$(store_port_of $1-$2)"
 	[bounds]
 	retry_ratio = 0.2
 	retry_extra = 50
--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -720,10 +720,18 @@
 
 		if (sscanf(argv[i], "%d:%31[^:]:%31[^:]:%d:%d", &s->port, s->id,
 			   s->service, &s->slots, &s->registered_port) < 4 ||
-		    (s->port && listen_at(s->port, s)))
+		    (s->port &&
+		     listen_at(s->port,
+			       strcmp(s->service, "store") ? s : NULL)))
 			return 2;
 		if (!s->registered_port)
 			s->registered_port = s->port;
+		/* A further port of the store, for one process. */
+		if (!strcmp(s->service, "store")) {
+			memset(s, 0, sizeof(*s));
+			n_servers--;
+			continue;
+		}
 		snprintf(s->state, sizeof(s->state), "ready");
 	}
 	if (atoi(argv[1]) && listen_at(atoi(argv[1]), NULL))
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -1,15 +1,19 @@
 #include "tests/standins/store.h"
 
+#include <arpa/inet.h>
 #include <jansson.h>
 #include <pthread.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "platform/records.h"
 
 #define MAX_TOPICS 16
+#define MAX_REFUSED_PORTS 32
+#define SILENCE_POLL_MS 20
 #define MAX_RECORDS 100000
 #define KEY_BYTES 256
 #define POLL_INTERVAL_MS 5
@@ -32,6 +36,11 @@
 static unsigned int calls;
 static uint64_t down_until_ms;
 static bool outage;
+/* Ports on which the store turns everybody away. */
+static struct refused_port {
+	int port;
+	char how[16]; /* "503", "reset", or "silent" */
+} refused_ports[MAX_REFUSED_PORTS];
 /* Of drills; 0: answers name no era. */
 static unsigned int era;
 static bool is_drill;
@@ -307,12 +316,70 @@
 	} while (send_all(c));
 }
 
+/* Return: how a port refuses, NULL if it serves. The caller holds the lock. */
+static struct refused_port *find_refused(int port)
+{
+	int i;
+
+	for (i = 0; i < MAX_REFUSED_PORTS; i++) {
+		if (refused_ports[i].port == port)
+			return &refused_ports[i];
+	}
+	return NULL;
+}
+
+static int local_port(const struct conn *c)
+{
+	struct sockaddr_in sa = { 0 };
+	socklen_t len = sizeof(sa);
+
+	getsockname(c->fd, (struct sockaddr *)&sa, &len);
+	return ntohs(sa.sin_port);
+}
+
+/* Return: whether the port of this connection refuses, and did so. */
+static bool refuse(struct conn *c)
+{
+	int port = local_port(c);
+	const struct refused_port *r;
+	bool is_503 = false, is_silent;
+
+	do {
+		pthread_mutex_lock(&lock);
+		r = find_refused(port);
+		is_503 = r && !strcmp(r->how, "503");
+		is_silent = r && !strcmp(r->how, "silent");
+		pthread_mutex_unlock(&lock);
+		if (is_silent)
+			sleep_ms(SILENCE_POLL_MS);
+	} while (is_silent);
+	if (is_503) {
+		respond_text(c, 503, "not you\n");
+		send_all(c);
+	}
+	return r;
+}
+
+static void set_refused(int port, const char *how)
+{
+	struct refused_port *r = find_refused(port);
+
+	if (!r)
+		r = find_refused(0);
+	if (!r)
+		abort();
+	r->port = *how ? port : 0;
+	snprintf(r->how, sizeof(r->how), "%s", how);
+}
+
 bool store_serve(struct conn *c)
 {
 	bool drop_response = false;
 	char part[sizeof(spoiled)];
 	long delay_ms;
 
+	if (refuse(c))
+		return false;
 	pthread_mutex_lock(&lock);
 	calls++;
 	delay_ms = slow_ms;
@@ -409,6 +476,7 @@
 {
 	json_t *doc = json_loadb((const char *)mh_buffer_front(&c->body),
 				 c->body.len, 0, NULL);
+	int port = atoi(query_param(c, "port"));
 	bool known = true;
 	char text[32] = "done\n";
 
@@ -421,6 +489,8 @@
 		replace_hosts(doc);
 	else if (path_is(c, "/test/store"))
 		apply_settings(doc);
+	else if (path_is(c, "/test/refuse"))
+		set_refused(port, query_param(c, "how"));
 	else if (path_is(c, "/test/copy"))
 		take_copy();
 	else if (path_is(c, "/test/drill"))
--- a/tests/test_notices.c
+++ b/tests/test_notices.c
@@ -419,6 +419,35 @@
 	free_fixture(f);
 }
 
+/* Guards against requests to a server that may be gone while others have room. */
+static void test_a_doubtful_server_is_the_last_choice(void **state)
+{
+	struct mh_backend_server doubtful = { .id = "a",
+					      .service = SERVICE,
+					      .address = "a:1",
+					      .places = 2,
+					      .born_ms = 1,
+					      .takes_work = true,
+					      .is_doubtful = true };
+	struct fixture *f = new_fixture();
+	uint64_t ids[4];
+	uint32_t i;
+
+	(void)state;
+	mh_dispatch_update_server(f->d, &doubtful);
+	add_server(f, "b", 1, true);
+	for (i = 0; i < 4; i++) {
+		ids[i] = request(f, 0);
+		advance_clock(f, 1);
+	}
+	assert_string_equal(f->results[ids[0]].server, "b");
+	assert_string_equal(f->results[ids[1]].server, "b");
+	/* Rather than wait, or be refused. */
+	assert_string_equal(f->results[ids[2]].server, "a");
+	assert_string_equal(f->results[ids[3]].server, "a");
+	free_fixture(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -438,6 +467,7 @@
 		cmocka_unit_test(test_leaving_server_gets_no_requests),
 		cmocka_unit_test(
 			test_notice_of_a_start_that_is_not_registered_yet),
+		cmocka_unit_test(test_a_doubtful_server_is_the_last_choice),
 		cmocka_unit_test(test_held_back_slot_returns_its_units),
 	};
 
--- /dev/null
+++ b/tests/test_partition.sh
@@ -0,0 +1,130 @@
+#!/bin/bash
+# Tests of a store that turns some processes away and serves the others: what one
+# process can't see must not count for all.
+# Usage: test_partition.sh [NAME-PART]
+cd "$(dirname "$0")/.." || exit 1
+BASE=${BASE:-27000}
+. tests/site.sh
+. tests/proxy_site.sh
+. tests/checks.sh
+
+# Each process reaches the store through a port of its own.
+own_store_port() { # NAME PORT-OFFSET
+	echo $((BASE + 20 + $2)) >"$DIR/$1.store"
+}
+
+version_of() { # N
+	sed -n 's/.*event=config version=\([0-9]*\) .*/\1/p' \
+		"$DIR/proxy$1.log" | tail -n 1
+}
+
+dispatcher_in_use() { # N
+	sed -n 's/.*event=dispatcher from=[^ ]* to=\([^ ]*\).*/\1/p' \
+		"$DIR/proxy$1.log" | tail -n 1
+}
+
+# Requests that keep the dispatcher in use, until $DIR/stop exists.
+load() { # N
+	while [ ! -e "$DIR/stop" ]; do
+		ID=load-$RANDOM$RANDOM call $1 /again/ok >/dev/null 2>&1
+		sleep 0.05
+	done
+}
+
+start_load() {
+	local i
+	rm -f "$DIR/stop"
+	for i in "$@"; do
+		load $i &
+	done
+	sleep 1
+}
+
+stop_load() {
+	touch "$DIR/stop"
+	sleep 0.3
+}
+
+# Requests that reached a server.
+reached() { # SERVER
+	curl -sf "http://127.0.0.1:$STORE/test/arrivals" |
+		awk -v s=$1 '$2 == s && $4 == "run"' | wc -l
+}
+
+# Prints how many requests reach a server later than 2 s after it left, as it leaves
+# while the dispatcher in use can't read the store for 0.9 s.
+late_requests() { # SERVER
+	local used before
+	used=$(dispatcher_in_use 1)
+	store_refuses $used reset
+	sleep 0.3
+	platform "server?id=$1&state=gone"
+	sleep 0.6
+	store_refuses $used
+	sleep 1.4
+	before=$(reached $1)
+	sleep 2
+	echo $(($(reached $1) - before))
+	platform "server?id=$1&state=ready"
+	sleep 1
+}
+
+# The dispatcher in use misses a read of the store, just as a server leaves that
+# another dispatcher sees leave. Guards against requests that reach it later than it
+# may serve.
+t_removal_while_cut_off() {
+	local n=0
+	start_load 1 1 1 2 2 2 3 3
+	for server in s3 s2 s3; do
+		n=$((n + $(late_requests $server)))
+	done
+	stop_load
+	echo "late: $n"
+	[ $n = 0 ]
+}
+
+# The registrations of all servers lapse while the store is away, and are back a
+# moment after its return: no caller is refused meanwhile.
+t_lapse_in_an_outage() {
+	local i
+	platform 'down?ms=1500'
+	sleep 1.55
+	for i in 1 2 3; do
+		platform "server?id=s$i&state=gone"
+	done
+	for i in $(seq 12); do
+		[ "$(status_of 1 /again/ok)" = 200 ] || return 1
+		sleep 0.1
+	done
+	for i in 1 2 3; do
+		platform "server?id=s$i&state=ready"
+	done
+	sleep 2.6
+	[ "$(status_of 1 /again/ok)" = 200 ]
+}
+
+servers=
+for i in 1 2 3; do
+	servers="$servers $(server_port $i):s$i:app:8"
+	own_store_port dispatcher-$i $i
+	servers="$servers $((BASE + 20 + i)):x$i:store:1"
+	own_store_port proxy-$i $((10 + i))
+	servers="$servers $((BASE + 30 + i)):y$i:store:1"
+done
+start platform $BIN/standin-platform $STORE $servers
+wait_until 5 config 10 || exit 1
+for i in 1 2 3; do
+	start_dispatcher $i
+done
+for i in 1 2 3; do
+	start_proxy $i
+done
+for i in 1 2 3; do
+	wait_until 5 ready $i || exit 1
+done
+
+check "partition: a server leaves while the dispatcher is cut off" \
+	t_removal_while_cut_off
+check "partition: registrations lapse in an outage" t_lapse_in_an_outage
+echo "$passed passed, $failed failed"
+[ $failed = 0 ]
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -303,6 +303,31 @@
 	mh_catalog_free(cat);
 }
 
+/* Guards against a server that is used like any other while it may be gone, and
+ * against one that is removed although the store has it again. */
+static void test_a_deferred_removal_makes_a_server_doubtful(void **state)
+{
+	struct last_change last = { 0 };
+	struct mh_catalog *cat = mh_catalog_new(on_changed, &last);
+
+	(void)state;
+	update(cat, MH_SERVER_READY, 0, 4);
+	mh_catalog_set_store_ok(cat, false, 1000 * MS);
+	mh_catalog_set_store_ok(cat, true, 5000 * MS);
+	mh_catalog_removed(cat, "s", 5001 * MS);
+	assert_true(mh_catalog_find(cat, "s")->is_doubtful);
+	assert_int_equal(last.changes, 2);
+	mh_catalog_listed(cat, "s");
+	assert_false(mh_catalog_find(cat, "s")->is_doubtful);
+	mh_catalog_tick(cat, 9000 * MS);
+	assert_int_equal(last.state, MH_SERVER_READY);
+	mh_catalog_set_store_ok(cat, false, 10000 * MS);
+	mh_catalog_removed(cat, "s", 10001 * MS);
+	assert_true(update(cat, MH_SERVER_READY, 0, 5));
+	assert_false(mh_catalog_find(cat, "s")->is_doubtful);
+	mh_catalog_free(cat);
+}
+
 static void test_removal_during_a_store_outage_is_deferred(void **state)
 {
 	struct last_change last = { 0 };
@@ -423,6 +448,8 @@
 			test_removal_during_a_store_outage_is_deferred),
 		cmocka_unit_test(test_longest_prefix_of_the_host_wins),
 		cmocka_unit_test(test_weights_split_a_route),
+		cmocka_unit_test(
+			test_a_deferred_removal_makes_a_server_doubtful),
 		cmocka_unit_test(test_keys_belong_to_accounts),
 	};
 
