Entries leave dispatchers that the store turns away

Cause: a link that is up counted as one of the two wanted, whether its dispatcher reached the store or not, so a third one was never dialled. Entries then read the store themselves, and a slower long poll was a short one and a long pause: 6.7 s at 12 entries. A change ends all open polls at once, after which all entries paused together.

Now further dispatchers are tried while none of the linked ones is fit, two at a time, and the first fit one is used. An entry passes on a version that it read at once.

--- a/core/candidates.c
+++ b/core/candidates.c
@@ -14,6 +14,13 @@
 /* How long a dispatcher may take to answer before a further one is dialled, and
  * the best one before another is used. */
 #define ANSWER_TIMEOUT_NS (200 * MH_NS_PER_MS)
+/* Further dispatchers that are tried at a time while no linked one is fit, and for
+ * how long. A dispatcher that was just linked reads the store within that time. */
+#define SEARCH_LINKS 2
+#define SEARCH_STEP_NS (500 * MH_NS_PER_MS)
+/* The steps become longer after the first ones: the store may be away for all. */
+#define SEARCH_FAST_STEPS 5
+#define SEARCH_STEP_MAX_NS (8000 * MH_NS_PER_MS)
 /* How long a better dispatcher has to be up and unchanged before the entry
  * switches to it. Switches have to be rare, because entries use different
  * dispatchers while they switch. */
@@ -167,6 +174,64 @@
 	return n ? n : UNKNOWN_ENTRIES;
 }
 
+static bool needs_search(const struct mh_candidates *set)
+{
+	const struct mh_candidate *c;
+	bool is_linked = false;
+
+	DL_FOREACH(set->first, c) {
+		if (c->up && c->fit)
+			return false;
+		is_linked |= c->up;
+	}
+	return is_linked;
+}
+
+static uint64_t search_step_ns(const struct mh_candidates *set)
+{
+	uint64_t ns = SEARCH_STEP_NS;
+	uint32_t i;
+
+	for (i = SEARCH_FAST_STEPS;
+	     i < set->search_step && ns < SEARCH_STEP_MAX_NS; i++)
+		ns *= 2;
+	return ns;
+}
+
+/* All entries try the same ones at about the same time, as they rank them alike.
+ * In the first step the linked ones have time to read the store. */
+static void update_search(struct mh_candidates *set, uint64_t now_ns)
+{
+	const struct mh_candidate *c;
+	uint32_t n;
+
+	if (!needs_search(set)) {
+		set->search_ns = 0;
+		return;
+	}
+	if (!set->search_ns) {
+		set->search_ns = now_ns;
+		set->search_step = 0;
+		set->search_first = LINKS_WANTED;
+		return;
+	}
+	if (now_ns < set->search_ns + search_step_ns(set))
+		return;
+	set->search_ns = now_ns;
+	if (set->search_step++)
+		set->search_first += SEARCH_LINKS;
+	DL_COUNT(set->first, c, n);
+	if (set->search_first >= n)
+		set->search_first = LINKS_WANTED;
+}
+
+static bool is_searched(const struct mh_candidates *set, uint32_t position)
+{
+	return set->search_ns && set->search_step &&
+	       position >= set->search_first &&
+	       position < set->search_first + SEARCH_LINKS;
+}
+
 void mh_candidates_dial(struct mh_candidates *set,
 			const struct mh_candidate *used, uint64_t now_ns,
 			void (*change)(void *data, struct mh_candidate *c,
@@ -174,12 +239,16 @@
 			void *data)
 {
 	struct mh_candidate *c;
-	uint32_t n = 0, n_up = 0;
+	uint32_t n = 0, n_up = 0, position = 0;
 
+	update_search(set, now_ns);
 	DL_FOREACH(set->first, c) {
 		/* A link that is up is kept until better ones are. */
 		bool wanted = n < LINKS_WANTED || c == used ||
-			      (c->up && n_up < LINKS_WANTED);
+			      (c->up && n_up < LINKS_WANTED) ||
+			      is_searched(set, position);
+
+		position++;
 
 		if (wanted != c->dialled) {
 			c->dialled = wanted;
--- a/core/candidates.h
+++ b/core/candidates.h
@@ -54,6 +54,10 @@
  *            none
  * @registered: number of entries that the platform's store lists, 0 if it was
  *              not read yet
+ * @search_ns: monotonic time at which the present step of a search for a fit
+ *             dispatcher began, 0 if there is none
+ * @search_step: number of that step
+ * @search_first: position of the first candidate of that step
  */
 struct mh_candidates {
 	struct mh_candidate *first;
@@ -61,6 +65,9 @@
 	uint64_t entries_ns;
 	uint64_t found_ns;
 	uint32_t registered;
+	uint64_t search_ns;
+	uint32_t search_step;
+	uint32_t search_first;
 };
 
 /**
@@ -180,6 +187,9 @@
  * @change: called with @dial true for a link to open and keep, false for one to
  *          close
  * @data: first argument of @change
+ *
+ * While none of the linked ones can reach the store, further ones are tried in
+ * turn, a few at a time: others may reach it.
  */
 void mh_candidates_dial(struct mh_candidates *set,
 			const struct mh_candidate *used, uint64_t now_ns,
--- a/proxy/app.c
+++ b/proxy/app.c
@@ -141,6 +141,9 @@
 
 	mh_routes_unref(app->routes);
 	app->routes = mh_routes_ref(routes);
+	/* Other entries may learn it from this one first. */
+	if (app->reads_store)
+		app->next_maintenance_ns = 0;
 	mh_slot_client_set_routes(app->slot_client, routes);
 	mh_clients_set_limits(app->clients, mh_routes_limits(routes));
 	/* Begins the requests that wait for the first configuration. */
--- a/tests/test_partition.sh
+++ b/tests/test_partition.sh
@@ -103,6 +103,95 @@
 	[ "$(status_of 1 /again/ok)" = 200 ]
 }
 
+within() { # MS COMMAND...
+	local end=$(($(date +%s%3N) + $1))
+	shift
+	until "$@"; do
+		[ $(date +%s%3N) -lt $end ] || return 1
+		sleep 0.02
+	done
+}
+
+all_have() { # VERSION
+	[ "$(version_of 1) $(version_of 2) $(version_of 3)" = "$1 $1 $1" ]
+}
+
+# Names of the dispatchers that proxy 1 is linked to.
+linked() {
+	awk '/event=link_up/ { up[$NF] = 1 } /event=link_lost/ {
+		for (i = 1; i <= NF; i++) if ($i ~ /^peer=/) delete up[$i] }
+		END { for (p in up) { sub(/peer=/, "", p); print p } }' \
+		"$DIR/proxy1.log"
+}
+
+# The version is in force at all proxies within the time that a change may take,
+# and the next one, a second later, too.
+versions_come() { # FIRST
+	config $1 && within 2000 all_have $1 && sleep 1 &&
+		config $(($1 + 1)) && within 2000 all_have $(($1 + 1))
+}
+
+# The store turns both dispatchers away that the proxies are linked to. Guards
+# against proxies that stay with them while others reach the store, and that pause
+# between two reads of their own for longer than a change may take.
+t_linked_dispatchers_are_turned_away() {
+	local i rc=0 names
+	start_load 1 2 3
+	names=$(linked)
+	[ "$(echo "$names" | wc -l)" = 2 ] || return 1
+	for i in $names; do
+		store_refuses $i reset
+	done
+	sleep 3
+	for i in 1 2 3; do
+		[[ "$names" != *"$(dispatcher_in_use $i)"* ]] || rc=1
+	done
+	[ $rc = 0 ] && versions_come 20
+	rc=$?
+	for i in $names; do
+		store_refuses $i
+	done
+	sleep 2.5
+	stop_load
+	[ $rc = 0 ] && [[ "$names" == *"$(dispatcher_in_use 1)"* ]]
+}
+
+# As well as two of the three proxies.
+t_proxies_are_turned_away_too() {
+	local i rc names="$(linked) proxy-1 proxy-2"
+	start_load 1 2 3
+	for i in $names; do
+		store_refuses $i 503
+	done
+	sleep 3
+	versions_come 30
+	rc=$?
+	for i in $names; do
+		store_refuses $i
+	done
+	sleep 2.5
+	stop_load
+	return $rc
+}
+
+# All dispatchers are turned away: the proxies read the store themselves.
+t_all_dispatchers_are_turned_away() {
+	local i rc
+	start_load 1 2 3
+	for i in 1 2 3; do
+		store_refuses dispatcher-$i reset
+	done
+	sleep 3
+	versions_come 40
+	rc=$?
+	for i in 1 2 3; do
+		store_refuses dispatcher-$i
+	done
+	sleep 2.5
+	stop_load
+	return $rc
+}
+
 servers=
 for i in 1 2 3; do
 	servers="$servers $(server_port $i):s$i:app:8"
@@ -126,5 +215,10 @@
 check "partition: a server leaves while the dispatcher is cut off" \
 	t_removal_while_cut_off
 check "partition: registrations lapse in an outage" t_lapse_in_an_outage
+check "partition: the linked dispatchers are turned away" \
+	t_linked_dispatchers_are_turned_away
+check "partition: proxies are turned away too" t_proxies_are_turned_away_too
+check "partition: all dispatchers are turned away" \
+	t_all_dispatchers_are_turned_away
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -8,6 +8,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "core/candidates.h"
 #include "core/catalog.h"
@@ -429,6 +430,70 @@
 	mh_routes_unref(set);
 }
 
+static void set_fit(struct mh_candidates *set, const char *name, bool fit,
+		    uint64_t now_ns)
+{
+	struct mh_candidate *c = mh_candidates_find(set, name);
+
+	if (!c->up)
+		mh_candidate_up(c, 1, 1, now_ns);
+	mh_candidate_heartbeat(c, fit, now_ns);
+}
+
+/* Guards against an entry that stays with the dispatchers that it is linked to
+ * while others reach the store, and against one that links to all of them. */
+static void test_further_dispatchers_are_tried_while_none_is_fit(void **state)
+{
+	struct mh_candidates set = { 0 };
+	struct mh_candidate *c, *used;
+	uint64_t now_ns = 1000 * MS;
+	char tried[512] = "";
+	int dialled = 0, ms, most = 0;
+
+	(void)state;
+	add_candidates(&set);
+	mh_candidates_add(&set, "five", "1.1.1.5:1");
+	mh_candidates_add(&set, "six", "1.1.1.6:1");
+	mh_candidates_dial(&set, NULL, now_ns, count_dialled, &dialled);
+	used = set.first;
+	set_fit(&set, used->name, true, now_ns);
+	set_fit(&set, used->next->name, true, now_ns);
+	for (ms = 0; ms < 3000; ms += 100, now_ns += 100 * MS)
+		mh_candidates_dial(&set, used, now_ns, count_dialled, &dialled);
+	assert_int_equal(dialled, 2);
+	set_fit(&set, used->name, false, now_ns);
+	set_fit(&set, used->next->name, false, now_ns);
+	for (ms = 0; ms < 3000; ms += 100, now_ns += 100 * MS) {
+		int n = 0;
+
+		mh_candidates_dial(&set, used, now_ns, count_dialled, &dialled);
+		DL_FOREACH(set.first, c) {
+			n += c->dialled;
+			if (c->dialled && !strstr(tried, c->name))
+				strcat(tried, c->name);
+			if (c->dialled && !c->up)
+				set_fit(&set, c->name, false, now_ns);
+			else if (!c->dialled && c->up)
+				mh_candidate_down(c);
+		}
+		most = n > most ? n : most;
+	}
+	assert_int_equal(most, 4);
+	DL_FOREACH(set.first, c)
+		assert_non_null(strstr(tried, c->name));
+	/* One of them is fit: it is used, and the search ends. */
+	DL_FOREACH(set.first, c) {
+		if (c->up && c != used && c != used->next)
+			break;
+	}
+	assert_non_null(c);
+	set_fit(&set, c->name, true, now_ns);
+	assert_ptr_equal(mh_candidates_choose(&set, used, now_ns), c);
+	mh_candidates_dial(&set, c, now_ns, count_dialled, &dialled);
+	assert_int_equal(set.search_ns, 0);
+	mh_candidates_release(&set);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -450,6 +515,8 @@
 		cmocka_unit_test(test_weights_split_a_route),
 		cmocka_unit_test(
 			test_a_deferred_removal_makes_a_server_doubtful),
+		cmocka_unit_test(
+			test_further_dispatchers_are_tried_while_none_is_fit),
 		cmocka_unit_test(test_keys_belong_to_accounts),
 	};
 
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -17,6 +17,7 @@
 #include <unistd.h>
 
 #include "net/loop.h"
+#include "platform/feed.h"
 #include "platform/host_list.h"
 #include "platform/log_client.h"
 #include "platform/records.h"
@@ -413,6 +414,58 @@
 	close_store(&fx);
 }
 
+static void on_begin_or_end(void *data)
+{
+	(void)data;
+}
+
+static void on_keyed(void *data, const char *key, const uint8_t *value,
+		     size_t len)
+{
+	(void)value;
+	(void)len;
+	add_event(data, key);
+}
+
+static const struct mh_feed_ops feed_ops = { on_begin_or_end, on_begin_or_end,
+					     on_keyed, on_log_state };
+
+/* Guards against readers that are deaf between two slow polls, all of them after a
+ * change has ended their polls: a slower poll waits longer, and the next one comes
+ * soon after a change. The first one after a failure does not wait. */
+static void test_slow_polls_wait_longer(void **state)
+{
+	static const char one[] = U64("\2") U64("\0") "\0\0\0\3\1kz";
+	static const char listing[] = "{\"items\":[],\"more\":false,\"end\":1}";
+	static const struct step steps[] = {
+		{ "/log-newest", 200, listing, sizeof(listing) - 1 },
+		{ "from=1&wait_ms=30000 ", 503, NULL, 0 },
+		{ "from=1 ", 200, one, sizeof(one) - 1 },
+		{ "from=2&wait_ms=30000 ", 200, one, sizeof(one) - 1 },
+	};
+	struct mh_feed_conf conf = { "keyed.op", 10000, 0, 1000 };
+	struct fixture fx;
+	struct mh_feed *f;
+	uint64_t begin_ns;
+
+	(void)state;
+	open_store(&fx, steps, LEN(steps));
+	f = mh_feed_new(fx.loop, &fx.timers, &mh_system_clock, fx.address,
+			&fx.era, &conf, &feed_ops, &fx);
+	mh_feed_set_interval_factor(f, 9);
+	begin_ns = mh_clock_mono_ns(&mh_system_clock);
+	mh_feed_run(f, true, 0);
+	run_until(&fx, 2);
+	/* The backoff after the failure is 540 ms, the pause 500 ms at most. */
+	assert_in_range(mh_clock_mono_ns(&mh_system_clock) - begin_ns, 0,
+			2000 * MH_NS_PER_MS);
+	/* It would be overdue after its wait, its time limit and a pause. */
+	assert_in_range(mh_feed_due_ns(f) - mh_clock_mono_ns(&mh_system_clock),
+			29000 * MH_NS_PER_MS, 31500 * MH_NS_PER_MS);
+	mh_feed_free(f);
+	close_store(&fx);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -422,6 +475,7 @@
 		cmocka_unit_test(test_append_until_done),
 		cmocka_unit_test(test_host_list),
 		cmocka_unit_test(test_listing_goes_on_after_an_odd_key),
+		cmocka_unit_test(test_slow_polls_wait_longer),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
