A quota holds while an entry is cut off from the others' dispatcher

Cause: what the entry had been granted left the dispatcher's window, and others took it; nothing took the entry's share from what the dispatcher grants. The retry budget and the limits of servers are divided in the same way.

Now a dispatcher leaves an entry that fell silent its share for 30 s, less what it was granted in the window. The entry keeps what it used until then, and takes the rest of its share only as the usage of others leaves the window. Both count the same number of entries. As it links again it reports what it granted itself, by age and before anything else. Lost entries are part of the stored usage. An entry whose process has ended is left nothing.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -54,6 +54,7 @@
 	d->suspects = mh_suspects_new(mh_dispatch_on_suspect, d);
 	d->open_runs = mh_open_runs_new();
 	d->limits = mh_server_notices_new(clock);
+	d->lost = mh_lost_entries_new();
 	return d;
 }
 
@@ -101,6 +102,7 @@
 	mh_suspects_free(d->suspects);
 	mh_open_runs_free(d->open_runs);
 	mh_server_notices_free(d->limits);
+	mh_lost_entries_free(d->lost);
 	free(d);
 }
 
@@ -147,14 +149,6 @@
 	d->conf = *conf;
 }
 
-void mh_dispatch_set_share(struct mh_dispatch *d, uint32_t n_sharing)
-{
-	if (!n_sharing)
-		return;
-	d->n_sharing = n_sharing;
-	mh_suspects_share_early(d->suspects, n_sharing > 1);
-}
-
 void mh_dispatch_set_service(struct mh_dispatch *d,
 			     const struct mh_dispatch_service_conf *service)
 {
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -17,6 +17,7 @@
 #include "core/clock.h"
 #include "core/err.h"
 #include "core/features.h"
+#include "core/lost_entries.h"
 #include "core/routes.h"
 #include "core/server_notices.h"
 #include "core/sliding_window.h"
@@ -305,6 +306,36 @@
  */
 void mh_dispatch_set_share(struct mh_dispatch *d, uint32_t n_sharing);
 
+/**
+ * mh_dispatch_begin_share() - the share is used from now on
+ * @d: dispatcher of an entry that has lost the others'
+ *
+ * The others leave this share to it little by little, so that it grows over a
+ * window of the limits.
+ */
+void mh_dispatch_begin_share(struct mh_dispatch *d);
+
+/**
+ * mh_dispatch_lost_entries() - entries that may use their share by themselves
+ * @d: dispatcher that grants the whole otherwise
+ */
+struct mh_lost_entries *mh_dispatch_lost_entries(const struct mh_dispatch *d);
+
+/**
+ * mh_dispatch_entries() - number of entries that share slots and limits
+ * @d: dispatcher
+ *
+ * Return: linked and lost ones.
+ */
+uint32_t mh_dispatch_entries(const struct mh_dispatch *d);
+
+/**
+ * mh_dispatch_set_linked() - set the number of entries that use this dispatcher
+ * @d: dispatcher
+ * @n_linked: number of entries
+ */
+void mh_dispatch_set_linked(struct mh_dispatch *d, uint32_t n_linked);
+
 /**
  * mh_dispatch_set_service() - set the configuration of a service
  * @d: dispatcher
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -166,6 +166,13 @@
 	UT_hash_handle hh;
 };
 
+/* Units that were granted to one entry. */
+struct owner_usage {
+	uint32_t owner;
+	struct mh_usage usage;
+	UT_hash_handle hh;
+};
+
 struct quota {
 	char *account;
 	struct mh_usage own; /* granted by this dispatcher */
@@ -175,6 +182,10 @@
 	double mean_units; /* moving average per request */
 	/* When a request above the bound may pass, 0 if none came yet. */
 	uint64_t large_due_ns;
+	struct owner_usage *owners; /* of units in own */
+	/* Used when the share that began then did. */
+	double kept_units;
+	uint64_t share_began_ns;
 	UT_hash_handle hh;
 };
 
@@ -186,6 +197,9 @@
 	const struct mh_dispatch_ops *ops;
 	void *data;
 	uint32_t n_sharing;
+	uint64_t share_began_ns; /* 0 if it is that of the start */
+	struct mh_lost_entries *lost;
+	uint32_t n_linked;
 	struct pool *pools;
 	struct request *requests;
 	struct quota *quotas;
@@ -230,6 +244,12 @@
 uint32_t mh_dispatch_server_slots(const struct mh_dispatch *d,
 				  const struct server *s);
 bool mh_dispatch_server_takes_work(const struct server *s);
+/* Fraction of the retry budget and of servers' limits that is not left to lost
+ * entries. */
+double mh_dispatch_granted_part(const struct mh_dispatch *d, uint64_t now_ns);
+/* Limit of a server without the part of lost entries; MH_NO_LIMIT without one. */
+uint32_t mh_dispatch_limit_millihz(const struct mh_dispatch *d,
+				   const struct server *s, uint64_t now_ns);
 void mh_dispatch_decay_stats(struct pool *p);
 void mh_dispatch_free_server(struct mh_dispatch *d, struct pool *p,
 			     struct server *s);
--- a/core/dispatch_limit.c
+++ b/core/dispatch_limit.c
@@ -52,6 +52,15 @@
 	return change;
 }
 
+uint32_t mh_dispatch_limit_millihz(const struct mh_dispatch *d,
+				   const struct server *s, uint64_t now_ns)
+{
+	if (s->limit.max_millihz == MH_NO_LIMIT)
+		return MH_NO_LIMIT;
+	return (uint32_t)(s->limit.max_millihz *
+			  mh_dispatch_granted_part(d, now_ns));
+}
+
 /* A request that no server takes now: whether that is for limits alone. */
 void mh_dispatch_note_limited(const struct mh_dispatch *d, struct request *req,
 			      uint64_t now_ns)
--- a/core/dispatch_quota.c
+++ b/core/dispatch_quota.c
@@ -34,6 +34,10 @@
  * granted before its restart, so there the rise takes a whole window. */
 #define START_RAMP_MS 3000
 #define START_FRACTION 0.2
+/* Of its share an entry that has lost its dispatcher may use this fraction, whatever
+ * it used before, and more from this fraction of a window on. */
+#define SHARE_START_FRACTION 0.15
+#define SHARE_RISE_BEGIN 0.5
 /* Parts of a quota save up for large requests independently, so more of them
  * than the mean may be due in one window. */
 #define SAVING_MARGIN 1.25
@@ -70,14 +74,24 @@
 	free(g);
 }
 
+static void free_owner(struct quota *q, struct owner_usage *o)
+{
+	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference) */
+	HASH_DEL(q->owners, o);
+	free(o);
+}
+
 void mh_dispatch_free_quotas(struct mh_dispatch *d)
 {
+	struct owner_usage *o, *next_owner;
 	struct grantor *g, *next;
 	struct quota *q, *tmp;
 
 	HASH_ITER(hh, d->quotas, q, tmp) {
 		HASH_ITER(hh, q->grantors, g, next)
 			free_grantor(q, g);
+		HASH_ITER(hh, q->owners, o, next_owner)
+			free_owner(q, o);
 		/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference) */
 		HASH_DEL(d->quotas, q);
 		free(q->account);
@@ -193,13 +207,107 @@
 }
 
 /* The limit and the used part of the tolerance. */
-static double quota_bound(const struct mh_dispatch *d, const struct quota *q)
+static double whole_bound(const struct mh_dispatch *d, const struct quota *q)
 {
 	return quota_limit(d, q) *
 		       (1 + QUOTA_TOLERANCE_USED * d->conf.quota_excess) +
 	       QUOTA_TOLERANCE_USED * d->conf.quota_slack / d->n_sharing;
 }
 
+static struct owner_usage *find_owner(const struct quota *q, uint32_t owner)
+{
+	struct owner_usage *o;
+
+	HASH_FIND(hh, q->owners, &owner, sizeof(owner), o);
+	return o;
+}
+
+static void drop_unused_owners(struct quota *q, uint64_t now_ns)
+{
+	struct owner_usage *o, *tmp;
+
+	HASH_ITER(hh, q->owners, o, tmp) {
+		if (!mh_usage_sum(&o->usage, now_ns))
+			free_owner(q, o);
+	}
+}
+
+static void add_owner_units(struct mh_dispatch *d, struct quota *q,
+			    uint32_t owner, uint32_t units, uint64_t now_ns)
+{
+	struct owner_usage *o = find_owner(q, owner);
+
+	if (!o) {
+		drop_unused_owners(q, now_ns);
+		o = mh_check_alloc(calloc(1, sizeof(*o)));
+		o->owner = owner;
+		o->usage = mh_dispatch_new_usage(d);
+		HASH_ADD(hh, q->owners, owner, sizeof(o->owner), o);
+	}
+	mh_usage_add(&o->usage, units, 0, now_ns);
+}
+
+struct left {
+	const struct quota *q;
+	uint64_t now_ns;
+	double share;
+	double sum;
+};
+
+/* What a lost entry was granted counts as used, and as part of its share. */
+static void add_left(void *data, const char *host, uint32_t owner,
+		     uint32_t age_ms)
+{
+	struct left *left = data;
+	struct owner_usage *o = find_owner(left->q, owner);
+	double used = o ? (double)mh_usage_sum(&o->usage, left->now_ns) : 0;
+
+	(void)host;
+	(void)age_ms;
+	if (used < left->share)
+		left->sum += left->share - used;
+}
+
+/* What this dispatcher may grant: all but the unused shares of lost entries. */
+static double quota_bound(const struct mh_dispatch *d, const struct quota *q)
+{
+	uint64_t now_ns = mh_dispatch_now_ns(d);
+	double whole = whole_bound(d, q);
+	struct left left = { q, now_ns, 0, 0 };
+
+	if (!mh_lost_entries_count(d->lost, now_ns) || !d->n_linked)
+		return whole;
+	left.share = whole / mh_dispatch_entries(d);
+	mh_lost_entries_each(d->lost, now_ns, add_left, &left);
+	return whole - left.sum;
+}
+
+/*
+ * An entry that has lost its dispatcher keeps what it used until then: the others
+ * leave it its share, but may have more than theirs until that leaves the window.
+ */
+static double share_bound(const struct mh_dispatch *d, struct quota *q,
+			  double bound, double sum, uint64_t now_ns)
+{
+	double window_ns = (double)d->conf.quota_window_ms * MH_NS_PER_MS;
+	double age = (double)(now_ns - d->share_began_ns) / window_ns;
+	double least = SHARE_START_FRACTION;
+
+	if (d->n_sharing == 1 || !d->share_began_ns || age >= 1)
+		return bound;
+	if (q->share_began_ns != d->share_began_ns) {
+		q->share_began_ns = d->share_began_ns;
+		q->kept_units = sum;
+	}
+	if (age > SHARE_RISE_BEGIN)
+		least += (1 - least) * (age - SHARE_RISE_BEGIN) /
+			 (1 - SHARE_RISE_BEGIN);
+	least *= bound;
+	if (least < q->kept_units)
+		least = q->kept_units;
+	return least < bound ? least : bound;
+}
+
 static double usage_sum(struct quota *q, uint64_t now_ns)
 {
 	uint64_t sum = mh_usage_sum(&q->own, now_ns);
@@ -376,7 +484,7 @@
 		return true;
 	sum = usage_sum(q, now_ns);
 	q->mean_units += (slot_req->units - q->mean_units) * MEAN_GAIN;
-	bound = request_bound(d, q, slot_req);
+	bound = share_bound(d, q, request_bound(d, q, slot_req), sum, now_ns);
 	if (sum > 0 && sum + slot_req->units > bound) {
 		max_sum = bound > slot_req->units ? bound - slot_req->units : 0;
 		why->error = MH_ERR_ACCOUNT_LIMIT;
@@ -401,13 +509,24 @@
 		d->near_limit_ns = now_ns;
 	*over_quota = sum + slot_req->units > quota_limit(d, q);
 	mh_usage_add(&q->own, slot_req->units, 0, now_ns);
+	if (d->n_sharing == 1)
+		add_owner_units(d, q, slot_req->owner, slot_req->units, now_ns);
 	d->total_granted_units += slot_req->units;
 	return true;
 }
 
 void mh_dispatch_return_units(struct mh_dispatch *d, const struct request *req)
 {
-	if (req->units)
-		mh_usage_refund(&get_quota(d, req->account)->own, req->units,
-				req->requested_ns, mh_dispatch_now_ns(d));
+	uint64_t now_ns = mh_dispatch_now_ns(d);
+	struct owner_usage *o;
+	struct quota *q;
+
+	if (!req->units)
+		return;
+	q = get_quota(d, req->account);
+	mh_usage_refund(&q->own, req->units, req->requested_ns, now_ns);
+	o = find_owner(q, (uint32_t)req->key.owner);
+	if (o)
+		mh_usage_refund(&o->usage, req->units, req->requested_ns,
+				now_ns);
 }
--- a/core/dispatch_retry.c
+++ b/core/dispatch_retry.c
@@ -8,13 +8,22 @@
 /*
  * Before its first full window a dispatcher allows no extra retries: its former
  * incarnation may have used them up, and its retries are not known if all
- * processes were killed.
+ * processes were killed. An entry's share of them grows over a window once its
+ * dispatcher is lost, which leaves it to the entry as slowly.
  */
 static double extra_retries(const struct mh_dispatch *d, uint64_t now_ns)
 {
-	if (now_ns < d->began_ns + d->conf.retry_window_ms * MH_NS_PER_MS)
+	uint64_t window_ns = d->conf.retry_window_ms * MH_NS_PER_MS;
+	double extra;
+
+	if (now_ns < d->began_ns + window_ns)
 		return 0;
-	return d->conf.retry_extra / d->n_sharing;
+	extra = d->conf.retry_extra * mh_dispatch_granted_part(d, now_ns) /
+		d->n_sharing;
+	if (now_ns < d->share_began_ns + window_ns)
+		extra *= (double)(now_ns - d->share_began_ns) /
+			 (double)window_ns;
+	return extra;
 }
 
 bool mh_dispatch_take_retry(struct mh_dispatch *d, struct pool *p)
--- a/core/dispatch_review.c
+++ b/core/dispatch_review.c
@@ -120,8 +120,9 @@
 			continue;
 		places = mh_dispatch_server_slots(d, s) / latency_ratio;
 		if (s->limit.max_millihz != MH_NO_LIMIT) {
-			hz = mh_send_window_hz(s->limit.max_millihz,
-					       d->n_sharing);
+			hz = mh_send_window_hz(
+				mh_dispatch_limit_millihz(d, s, now_ns),
+				d->n_sharing);
 			if (places > hz * run_ms / MH_MS_PER_S)
 				places = hz * run_ms / MH_MS_PER_S;
 			wait_ms = mh_dispatch_limit_wait_ms(d, s, now_ns);
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -150,8 +150,9 @@
 {
 	uint32_t n = unlimited_slots(d, s, now_ns);
 
-	return n && mh_send_window_wait_ms(&s->sends, s->limit.max_millihz,
-					   d->n_sharing, now_ns) ?
+	return n && mh_send_window_wait_ms(
+			    &s->sends, mh_dispatch_limit_millihz(d, s, now_ns),
+			    d->n_sharing, now_ns) ?
 		       0 :
 		       n;
 }
@@ -161,7 +162,8 @@
 {
 	if (!unlimited_slots(d, s, now_ns))
 		return 0;
-	return mh_send_window_wait_ms(&s->sends, s->limit.max_millihz,
+	return mh_send_window_wait_ms(&s->sends,
+				      mh_dispatch_limit_millihz(d, s, now_ns),
 				      d->n_sharing, now_ns);
 }
 
@@ -202,8 +204,9 @@
 		   uint64_t now_ns)
 {
 	double excess = s->failure_rate - s->pool->failure_rate;
-	double used = mh_send_window_used(&s->sends, s->limit.max_millihz,
-					  d->n_sharing, now_ns);
+	double used = mh_send_window_used(
+		&s->sends, mh_dispatch_limit_millihz(d, s, now_ns),
+		d->n_sharing, now_ns);
 	double c = s->latency_ratio *
 		   (1.0 + (double)s->held / mh_dispatch_server_slots(d, s));
 
--- a/core/usage_relay.c
+++ b/core/usage_relay.c
@@ -138,6 +138,7 @@
 
 	HASH_ITER(hh, relay->rows, r, tmp) {
 		struct reported *reported = reported_to(r, peer);
+		uint64_t left;
 		uint32_t i, age_ms;
 
 		if (!mh_usage_sum(&r->usage, now_ns)) {
@@ -147,19 +148,21 @@
 		if (r->grantor == peer ||
 		    (reported && reported->units == r->total))
 			continue;
-		if (reported) {
-			report(data, r->account, r->grantor,
-			       r->total - reported->units, 0);
-			reported->units = r->total;
-			continue;
-		}
-		for (i = 0; i < MH_USAGE_BUCKETS; i++) {
+		left = r->total - (reported ? reported->units : 0);
+		for (i = 0; i < MH_USAGE_BUCKETS && left; i++) {
 			uint64_t units =
 				mh_usage_bucket(&r->usage, i, now_ns, &age_ms);
 
+			if (units > left)
+				units = left;
 			if (units)
 				report(data, r->account, r->grantor, units,
 				       age_ms);
+			left -= units;
+		}
+		if (reported) {
+			reported->units = r->total;
+			continue;
 		}
 		r->reported[r->next_reported++ % MAX_PEERS] =
 			(struct reported){ peer, r->total };
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -79,10 +79,7 @@
 static const char *entry_host(const struct mh_dispatcher_app *app,
 			      uint32_t link)
 {
-	const struct mh_linked_entry *entry =
-		mh_linked_entry_find(app->linked_entries, link);
-
-	return entry ? entry->host : "";
+	return mh_linked_entry_host(app->linked_entries, link);
 }
 
 static void refuse_slot(void *data, uint32_t owner, uint64_t id,
@@ -278,7 +275,7 @@
 {
 	struct mh_dispatcher_state state = {
 		.fit = app->fit,
-		.entries = HASH_COUNT(app->linked_entries),
+		.entries = mh_dispatch_entries(app->dispatch),
 		.store_era = app->process.store_era.current,
 	};
 	size_t len;
@@ -303,6 +300,7 @@
 
 	mh_linked_entry_add(&app->linked_entries, link, hello->host,
 			    mh_now_ns());
+	mh_linked_entries_note(app->linked_entries, app->dispatch);
 	mh_event(app->process.log, MH_EV_DEPENDENCY, "event=link_up peer=%s",
 		 hello->host);
 	mh_directory_follow(app->directory, read_slowdown(app), 0);
@@ -321,13 +319,17 @@
 	struct mh_dispatcher_app *app = data;
 	struct mh_linked_entry *entry =
 		mh_linked_entry_find(app->linked_entries, link);
+	uint64_t heard_ns;
 
 	if (!entry)
 		return;
-	mh_event(app->process.log, MH_EV_DEPENDENCY, "event=link_lost peer=%s",
-		 entry->host);
+	heard_ns = mh_links_silent_since(app->links, link);
+	mh_event(app->process.log, MH_EV_DEPENDENCY,
+		 "event=link_lost peer=%s silent=%d", entry->host,
+		 heard_ns > 0);
 	mh_dispatch_owner_gone(app->dispatch, link);
-	mh_linked_entry_remove(&app->linked_entries, entry);
+	mh_linked_entries_lose(&app->linked_entries, entry, app->dispatch,
+			       heard_ns);
 	/* Without entries there are no slot requests, so stop reading the
 	 * store. */
 	if (!app->linked_entries) {
@@ -391,16 +393,6 @@
 	}
 }
 
-static void receive_record(struct mh_dispatcher_app *app,
-			   const Mh__LedgerRecord *msg)
-{
-	if (!mh_ledger_decode_cached(app->dispatch, msg->bytes.data,
-				     msg->bytes.len, msg->age_ms))
-		mh_event(app->process.log, MH_EV_DEPENDENCY,
-			 "event=ledger_record_rejected bytes=%zu",
-			 msg->bytes.len);
-}
-
 static void on_frame(void *data, uint32_t link, const Mh__Frame *frame)
 {
 	struct mh_dispatcher_app *app = data;
@@ -446,7 +438,9 @@
 					      frame->server_notice);
 		break;
 	case MH__FRAME__BODY_LEDGER_RECORD:
-		receive_record(app, frame->ledger_record);
+		mh_ledger_receive(app->ledger, frame->ledger_record->bytes.data,
+				  frame->ledger_record->bytes.len,
+				  frame->ledger_record->age_ms);
 		break;
 	case MH__FRAME__BODY_DOCUMENT:
 		mh_directory_apply_document(app->directory,
@@ -533,6 +527,7 @@
 		mh_event(app->process.log, MH_EV_DEPENDENCY, "event=fit fit=%d",
 			 fit);
 	app->fit = fit;
+	mh_linked_entries_note(app->linked_entries, app->dispatch);
 	set_gauges(app);
 	HASH_ITER(hh, app->linked_entries, entry, tmp)
 		send_heartbeat(app, entry->link);
--- a/dispatcher/linked_entry.c
+++ b/dispatcher/linked_entry.c
@@ -28,6 +28,13 @@
 	return entry;
 }
 
+const char *mh_linked_entry_host(struct mh_linked_entry *table, uint32_t link)
+{
+	const struct mh_linked_entry *entry = mh_linked_entry_find(table, link);
+
+	return entry ? entry->host : "";
+}
+
 void mh_linked_entry_remove(struct mh_linked_entry **table,
 			    struct mh_linked_entry *entry)
 {
@@ -38,6 +45,29 @@
 	free(entry);
 }
 
+void mh_linked_entries_note(struct mh_linked_entry *table,
+			    struct mh_dispatch *d)
+{
+	struct mh_lost_entries *lost = mh_dispatch_lost_entries(d);
+	struct mh_linked_entry *entry, *tmp;
+
+	HASH_ITER(hh, table, entry, tmp)
+		mh_lost_entries_remove(lost, entry->host);
+	mh_dispatch_set_linked(d, HASH_COUNT(table));
+}
+
+void mh_linked_entries_lose(struct mh_linked_entry **table,
+			    struct mh_linked_entry *entry,
+			    struct mh_dispatch *d, uint64_t heard_ns)
+{
+	if (heard_ns)
+		mh_lost_entries_add(mh_dispatch_lost_entries(d), entry->host,
+				    entry->link, heard_ns);
+	mh_linked_entry_remove(table, entry);
+	/* It may have linked again meanwhile. */
+	mh_linked_entries_note(*table, d);
+}
+
 void mh_linked_entry_remove_all(struct mh_linked_entry **table)
 {
 	struct mh_linked_entry *entry, *tmp;
--- a/dispatcher/linked_entry.h
+++ b/dispatcher/linked_entry.h
@@ -9,6 +9,8 @@
 #include <stdint.h>
 #include <uthash.h>
 
+#include "core/dispatch.h"
+
 /**
  * struct mh_linked_entry - an entry
  * @link: number of the link
@@ -45,6 +47,35 @@
 struct mh_linked_entry *mh_linked_entry_find(struct mh_linked_entry *table,
 					     uint32_t link);
 
+/**
+ * mh_linked_entry_host() - host of an entry, for the log
+ * @table: table
+ * @link: number of its link
+ *
+ * Return: "" if there is none.
+ */
+const char *mh_linked_entry_host(struct mh_linked_entry *table, uint32_t link);
+
+/**
+ * mh_linked_entries_note() - tell a dispatcher which entries are linked
+ * @table: table
+ * @d: dispatcher: none of them is lost, whatever a stored record says
+ */
+void mh_linked_entries_note(struct mh_linked_entry *table,
+			    struct mh_dispatch *d);
+
+/**
+ * mh_linked_entries_lose() - remove and free an entry whose link was lost
+ * @table: table
+ * @entry: entry
+ * @d: dispatcher
+ * @heard_ns: monotonic time at which it was last heard of, if it fell silent: it
+ *            may live and grant its share by itself; 0 if its process has ended
+ */
+void mh_linked_entries_lose(struct mh_linked_entry **table,
+			    struct mh_linked_entry *entry,
+			    struct mh_dispatch *d, uint64_t heard_ns);
+
 /**
  * mh_linked_entry_remove() - remove and free an entry
  * @table: table
--- a/net/link.c
+++ b/net/link.c
@@ -564,6 +564,16 @@
 		close_link(l);
 }
 
+uint64_t mh_links_silent_since(const struct mh_links *set, uint32_t link)
+{
+	struct link *l;
+
+	HASH_FIND(hh, set->links, &link, sizeof(link), l);
+	if (!l || mh_now_ns() <= l->last_received_ns + set->receive_timeout_ns)
+		return 0;
+	return l->last_received_ns;
+}
+
 const char *mh_links_dialled(const struct mh_links *set, size_t i)
 {
 	struct dialled *d;
--- a/net/link.h
+++ b/net/link.h
@@ -119,6 +119,15 @@
  */
 void mh_links_close(struct mh_links *links, uint32_t link);
 
+/**
+ * mh_links_silent_since() - since when nothing was received on a link
+ * @set: links
+ * @link: link whose end is being reported
+ *
+ * Return: monotonic time; 0 if the link was not closed for that.
+ */
+uint64_t mh_links_silent_since(const struct mh_links *set, uint32_t link);
+
 /**
  * mh_links_dialled() - iterate over the dialled addresses
  * @links: set
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -116,6 +116,8 @@
 	if (old && old->up)
 		old->used_until_ns = now_of(sc);
 	sc->current = next;
+	if (!next)
+		mh_dispatch_begin_share(sc->local);
 	mh_suspect_relay_tell_observed(&sc->suspects, next);
 	forward_usage(sc);
 	HASH_ITER(hh, sc->requests, req, tmp) {
@@ -167,6 +169,8 @@
 			     &(struct mh_link_peer){ sc->links, link });
 	mh_suspect_relay_send_all(&sc->suspects, link);
 	mh_notice_relay_send_all(&sc->notices, link);
+	/* Before the dispatcher grants others what this entry used of its share. */
+	forward_usage(sc);
 	mh_event(sc->log, MH_EV_DEPENDENCY, "event=link_up peer=%s", c->name);
 }
 
