Requests that arrive while a response waits for its client are kept

Cause: while its last bytes waited, the connection was in the state of one whose request was rejected, which discards all that it receives. Now only a connection that closes afterwards discards.

--- a/proxy/client.c
+++ b/proxy/client.c
@@ -276,9 +276,10 @@
 		close_client(cl);
 		return;
 	}
-	if (cl->state == CLIENT_ENDING)
+	/* The rest of a request that was rejected. */
+	if (cl->state == CLIENT_ENDING && cl->close_after)
 		return;
-	if (cl->state == CLIENT_RESPONDING || cl->in.len) {
+	if (cl->state != CLIENT_READING || cl->in.len) {
 		mh_buffer_add(&cl->in, bytes, (size_t)n);
 		if (cl->state == CLIENT_READING)
 			read_pipelined(cl);
