Requests late in a planned stop are refused, and none ends without an answer

A request whose body came 4 s after SIGTERM was passed on, and cut without an answer at the end of the grace period if its server needed longer; those that waited for a slot then were cut too. It may be one that may not be repeated.

Cause: a connection in the middle of a request is not idle, so it stayed open after 2.5 s, and what was read on it was handled as ever. Now a request that begins 3 s after SIGTERM is refused with 503, as it has not run. At the end requests that wait are refused, and those at a server get 504.

--- a/proxy/app.c
+++ b/proxy/app.c
@@ -17,6 +17,9 @@
 /* The load balancer checks readiness once a second and removes the host after
  * two failures, so accept connections this long after SIGTERM. */
 #define UNLIST_DELAY_NS (2500 * MH_NS_PER_MS)
+/* A request that is read later may not end before the process does. Its caller is
+ * told that it has not run. */
+#define REFUSE_DELAY_NS (3000 * MH_NS_PER_MS)
 /* The process stops this long before the end of the grace period, at which it
  * would be killed. */
 #define KILL_MARGIN_NS (300 * MH_NS_PER_MS)
@@ -269,17 +272,22 @@
 		(uint64_t)(app->settings.bounds.grace_s * MH_MS_PER_S) *
 		MH_NS_PER_MS;
 	uint64_t unlist_ns = app->process.leaving_ns + UNLIST_DELAY_NS;
+	uint64_t refuse_ns = app->process.leaving_ns + REFUSE_DELAY_NS;
 	uint64_t last_ns = app->process.leaving_ns + grace_ns - KILL_MARGIN_NS;
 
 	if (now < unlist_ns)
 		return unlist_ns;
+	if (now >= refuse_ns)
+		mh_exchanges_refuse_new(app->exchanges);
 	if (!app->unlisted) {
 		app->unlisted = true;
 		mh_clients_close_idle(app->clients);
 	}
+	if (now >= last_ns)
+		mh_exchanges_end_all(app->exchanges);
 	if (!mh_clients_count(app->clients) || now >= last_ns)
 		mh_loop_stop(app->process.loop);
-	return last_ns;
+	return now < refuse_ns ? mh_earlier(refuse_ns, last_ns) : last_ns;
 }
 
 static uint64_t tick(void *data)
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -552,12 +552,40 @@
 	mh_wire_read_request(head, &x->wire);
 	HASH_ADD(hh, set->all, id, sizeof(x->id), x);
 	mh_count(set->env.counters, MH_C_REQUESTS);
-	if (set->routes)
+	if (set->refuses_new)
+		send_error(x, MH_ERR_DRAINING, DEFAULT_RETRY_AFTER_MS);
+	else if (set->routes)
 		begin_routed(x);
 	else
 		hold_or_refuse(x);
 }
 
+void mh_exchanges_refuse_new(struct mh_exchanges *set)
+{
+	set->refuses_new = true;
+}
+
+static void end_now(struct exchange *x)
+{
+	if (x->phase == PHASE_SENT || x->phase == PHASE_RESPONDING) {
+		x->servers_reached++;
+		mh_exchange_release_slot(x, MH_SLOT_CANCELLED);
+		give_up(x, MH_ERR_TIMEOUT, 0);
+		return;
+	}
+	if (x->phase == PHASE_WAITING)
+		mh_exchange_release_slot(x, MH_SLOT_UNUSED);
+	give_up(x, MH_ERR_DRAINING, DEFAULT_RETRY_AFTER_MS);
+}
+
+void mh_exchanges_end_all(struct mh_exchanges *set)
+{
+	struct exchange *x, *tmp;
+
+	HASH_ITER(hh, set->all, x, tmp)
+		end_now(x);
+}
+
 void mh_exchanges_set_routes(struct mh_exchanges *set, struct mh_routes *routes)
 {
 	struct exchange *x, *tmp;
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -62,6 +62,23 @@
 void mh_exchanges_set_routes(struct mh_exchanges *set,
 			     struct mh_routes *routes);
 
+/**
+ * mh_exchanges_refuse_new() - refuse all requests that begin from now on
+ * @set: set
+ *
+ * For a process that ends: they might not end before it does.
+ */
+void mh_exchanges_refuse_new(struct mh_exchanges *set);
+
+/**
+ * mh_exchanges_end_all() - end all requests at once
+ * @set: set
+ *
+ * Requests that were not sent are refused, those that were get the error of a
+ * time-out. A response that has begun is cut.
+ */
+void mh_exchanges_end_all(struct mh_exchanges *set);
+
 /**
  * mh_exchanges_count() - number of requests in progress
  * @set: set
--- a/proxy/exchange_impl.h
+++ b/proxy/exchange_impl.h
@@ -86,6 +86,7 @@
 	struct exchange *all;
 	uint64_t next_id;
 	uint64_t began_ns;
+	bool refuses_new;
 };
 
 static inline uint64_t mh_exchange_now_ns(const struct exchange *x)
--- a/tests/test_proxy.sh
+++ b/tests/test_proxy.sh
@@ -486,6 +486,45 @@
 	wait_until 5 ready 1
 }
 
+# Guards against a request whose body comes late in the grace period, and that is
+# passed on and cut at its end without an answer: it is refused, and has not run.
+t_late_request_of_a_stop() {
+	local fd
+	exec {fd}<>/dev/tcp/127.0.0.1/$(proxy_port 1) || return 1
+	printf 'POST /once/ok HTTP/1.1\r\nHost: h.example\r\nApi-Key: key-1\r\nX-Mangohead-Request-Id: late-1\r\nX-Mangohead-Deadline-Ms: 9000\r\nContent-Length: 4\r\n\r\nab' >&$fd
+	sleep 0.2
+	kill -TERM $(pid_of proxy1)
+	sleep 4
+	printf 'cd' >&$fd
+	timeout 4 cat <&$fd >"$DIR/late"
+	exec {fd}>&-
+	wait_until 6 [ ! -d /proc/$(pid_of proxy1) ] || return 1
+	start_proxy 1
+	wait_until 5 ready 1 || return 1
+	cat "$DIR/late"
+	head -n 1 "$DIR/late" | grep -q ' 503 ' &&
+		grep -qi '^retry-after: ' "$DIR/late" && ! runs | grep -q late-1
+}
+
+# Guards against a request that is cut at the end of the grace period without an
+# answer: its server still works on it, and the caller is told that it may have run.
+t_request_at_the_end_of_a_stop() {
+	platform 'silent?id=s1&ms=12000'
+	platform 'silent?id=s2&ms=12000'
+	status_of 1 /long/ok -H 'X-Mangohead-Deadline-Ms: 20000' --max-time 15 \
+		>"$DIR/end" &
+	local pid=$!
+	sleep 0.5
+	kill -TERM $(pid_of proxy1)
+	wait $pid
+	start_proxy 1
+	platform 'silent?id=s1&ms=0'
+	platform 'silent?id=s2&ms=0'
+	wait_until 5 ready 1 || return 1
+	cat "$DIR/end"
+	[ "$(cat "$DIR/end")" = 504 ]
+}
+
 t_everything_restarts() {
 	local n
 	for n in proxy1 proxy2 dispatcher1 dispatcher2; do
@@ -625,6 +664,8 @@
 check "proxy: dispatcher frozen" t_dispatcher_frozen
 check "proxy: no dispatcher at all" t_no_dispatcher
 check "proxy: graceful stop" t_graceful_stop
+check "proxy: a late request of a stop" t_late_request_of_a_stop
+check "proxy: a request at the end of a stop" t_request_at_the_end_of_a_stop
 check "proxy: everything restarts at once" t_everything_restarts
 check "proxy: settings change while it runs" t_reload
 check "proxy: nothing known yet" t_refused_while_not_ready
