Soak: one process cut from the store, an entry cut off, some turned away, drills

None of the soak's faults told two processes different things: its relays are shared by all entries, and the store failed for all. Four new kinds come in a pass of their own, so that a seed gives the same other faults as before. A process that does not reach the store is no excuse for a late configuration.

--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -400,8 +400,11 @@
 		    f->kind == FAULT_SERVER_REPEAT || f->kind == FAULT_RELOAD ||
 		    f->kind == FAULT_CLOCK || f->kind == FAULT_TRUNCATE_LOG)
 			continue;
-		if (f->kind == FAULT_TERM && f->target < ck->params->proxies &&
-		    f->target != proxy)
+		if ((f->kind == FAULT_TERM || f->kind == FAULT_CUT_ENTRY) &&
+		    f->target < ck->params->proxies && f->target != proxy)
+			continue;
+		/* The others go on reading. */
+		if (f->kind == FAULT_CUT_FROM_STORE)
 			continue;
 		return true;
 	}
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -177,6 +177,78 @@
 	free(fleet_platform_request("POST", target, NULL));
 }
 
+static void block_store(uint32_t process, bool block)
+{
+	relay_block(fleet_relay(relay_of_store(&params, process)), block,
+		    block);
+}
+
+static void cut_from_store(const struct fault *f)
+{
+	block_store(f->target, true);
+	soak_sleep_ms(f->ms);
+	block_store(f->target, false);
+}
+
+/* The clients of the proxy and the servers still reach it. */
+static void cut_entry(const struct fault *f)
+{
+	char name[32];
+	uint32_t i;
+
+	/* The tag of the next field tells front-1 from front-10. */
+	snprintf(name, sizeof(name), "front-%u\x18", f->target);
+	block_store(f->target, true);
+	for (i = 0; i < params.dispatchers; i++)
+		relay_block_peer(fleet_relay(relay_of_dispatcher(&params, i)),
+				 name);
+	soak_sleep_ms(f->ms);
+	for (i = 0; i < params.dispatchers; i++)
+		relay_block_peer(fleet_relay(relay_of_dispatcher(&params, i)),
+				 NULL);
+	block_store(f->target, false);
+}
+
+/* All dispatchers but one, and each second proxy. */
+static void turn_away(const struct fault *f)
+{
+	uint32_t i, served = (uint32_t)f->value % params.dispatchers;
+
+	for (i = 0; i < params.proxies + params.dispatchers; i++) {
+		if (i < params.proxies ? i % 2 : i - params.proxies != served)
+			block_store(i, true);
+	}
+	soak_sleep_ms(f->ms);
+	for (i = 0; i < params.proxies + params.dispatchers; i++)
+		block_store(i, false);
+}
+
+static pthread_mutex_t config_lock = PTHREAD_MUTEX_INITIALIZER;
+
+static void publish(uint32_t version)
+{
+	fleet_publish_config(version);
+	__atomic_store_n(&calls.version, version, __ATOMIC_RELAXED);
+}
+
+/* The operator writes the newest configuration again; servers do so anyway. */
+static void drill(const struct fault *f)
+{
+	static pthread_mutex_t one_at_a_time = PTHREAD_MUTEX_INITIALIZER;
+	char target[64];
+
+	pthread_mutex_lock(&one_at_a_time);
+	free(fleet_platform_request("POST", "/test/copy", NULL));
+	soak_sleep_ms(f->ms);
+	snprintf(target, sizeof(target), "/test/drill?ms=%d", f->value);
+	free(fleet_platform_request("POST", target, NULL));
+	soak_sleep_ms((uint32_t)f->value + 10);
+	pthread_mutex_lock(&config_lock);
+	publish(calls.version);
+	pthread_mutex_unlock(&config_lock);
+	pthread_mutex_unlock(&one_at_a_time);
+}
+
 static void restart_all(const struct fault *f)
 {
 	uint32_t i, n = params.proxies + params.dispatchers;
@@ -259,10 +331,10 @@
 		truncate_log();
 		break;
 	case FAULT_CONFIG:
+		pthread_mutex_lock(&config_lock);
 		f->value = (int32_t)(calls.version + 1);
-		fleet_publish_config((uint32_t)f->value);
-		__atomic_store_n(&calls.version, (uint32_t)f->value,
-				 __ATOMIC_RELAXED);
+		publish((uint32_t)f->value);
+		pthread_mutex_unlock(&config_lock);
 		break;
 	case FAULT_RELOAD:
 		fleet_signal(f->target, SIGHUP);
@@ -282,6 +354,18 @@
 	case FAULT_SERVER_REPEAT:
 		repeat_refusals(f);
 		break;
+	case FAULT_CUT_FROM_STORE:
+		cut_from_store(f);
+		break;
+	case FAULT_CUT_ENTRY:
+		cut_entry(f);
+		break;
+	case FAULT_TURN_AWAY:
+		turn_away(f);
+		break;
+	case FAULT_DRILL:
+		drill(f);
+		break;
 	default:
 		inject_relay_fault(f);
 		break;
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -14,6 +14,10 @@
 #define MIN_LIMIT_MS 5000
 #define MAX_LIMIT_MS 9000
 #define REPEAT_MODES 3
+/* The same between faults that two processes see differently, and drills. */
+#define PARTITION_GAP 10
+#define MIN_PARTITION_MS 500
+#define MAX_PARTITION_MS 6000
 #define MIN_PAUSE_MS 700
 #define MAX_PAUSE_MS 3000
 /* Time after a fault during which its effects on requests that were in
@@ -40,6 +44,10 @@
 	[FAULT_SERVER_SAYS] = "says",
 	[FAULT_SERVER_LIMIT] = "limit",
 	[FAULT_SERVER_REPEAT] = "repeat",
+	[FAULT_CUT_FROM_STORE] = "no store",
+	[FAULT_CUT_ENTRY] = "cut off",
+	[FAULT_TURN_AWAY] = "turn away",
+	[FAULT_DRILL] = "drill",
 };
 
 /* Relative probability of each kind in the first pass of plan_make(). */
@@ -146,6 +154,23 @@
 			     draw(rng, MAX_LIMIT_MILLIHZ - MIN_LIMIT_MILLIHZ));
 }
 
+static void draw_partition(struct fault *f, struct mh_rng *rng,
+			   const struct params *params)
+{
+	static const enum fault_kind kinds[] = { FAULT_CUT_FROM_STORE,
+						 FAULT_CUT_ENTRY,
+						 FAULT_TURN_AWAY, FAULT_DRILL };
+
+	f->kind = kinds[draw(rng, sizeof(kinds) / sizeof(kinds[0]))];
+	f->ms = MIN_PARTITION_MS +
+		draw(rng, MAX_PARTITION_MS - MIN_PARTITION_MS);
+	f->target = draw(rng, f->kind == FAULT_CUT_ENTRY ?
+				      params->proxies :
+				      params->proxies + params->dispatchers);
+	/* Absence of the store, or which processes are turned away. */
+	f->value = (int32_t)draw(rng, MIN_PARTITION_MS);
+}
+
 /* Adds faults of one kind of servers, in a pass of its own, so that a seed gives
  * the same faults of the other kinds as before. */
 static void add_pass(struct plan *plan, const struct params *params,
@@ -195,6 +220,8 @@
 		 NOTICE_GAP * params->gap_ms, draw_notice);
 	add_pass(plan, params, (struct mh_rng){ params->seed * 37 + 11 },
 		 LIMIT_GAP * params->gap_ms, draw_limit);
+	add_pass(plan, params, (struct mh_rng){ params->seed * 41 + 13 },
+		 PARTITION_GAP * params->gap_ms, draw_partition);
 	qsort(plan->v, plan->n, sizeof(*plan->v), by_start);
 }
 
--- a/tests/soak/relay.c
+++ b/tests/soak/relay.c
@@ -1,5 +1,7 @@
 #include <arpa/inet.h>
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utlist.h>
@@ -9,6 +11,8 @@
 #define BLOCK_BYTES 16384
 #define POLL_INTERVAL_MS 5
 #define STACK_BYTES (64u << 10)
+/* The handshake of a link begins with the name of the host. */
+#define FIRST_BYTES 256
 
 struct relay {
 	uint32_t target;
@@ -16,7 +20,8 @@
 	uint32_t delay_ms;
 	bool block_to_target;
 	bool block_from_target;
-	uint32_t resets; /* how often all connections were reset */
+	char blocked_peer[32]; /* whose connections are held, "" for none */
+	uint32_t resets;       /* how often all connections were reset */
 	pthread_mutex_t lock;
 	struct relay_conn *conns;
 };
@@ -27,6 +32,8 @@
 	int target;
 	uint32_t resets; /* count of the relay when the connection began */
 	bool broken;	 /* both sockets are reset when they are closed */
+	char first[FIRST_BYTES]; /* bytes of the client, with its name */
+	size_t n_first;
 	int refs;
 	struct relay_conn *prev, *next;
 };
@@ -84,6 +91,31 @@
 	}
 }
 
+static bool is_blocked_peer(struct relay_conn *conn)
+{
+	struct relay *r = conn->relay;
+	size_t len;
+	bool blocked;
+
+	pthread_mutex_lock(&r->lock);
+	len = strlen(r->blocked_peer);
+	blocked =
+		len && memmem(conn->first, conn->n_first, r->blocked_peer, len);
+	pthread_mutex_unlock(&r->lock);
+	return blocked;
+}
+
+static void keep_first(struct relay_conn *conn, const uint8_t *bytes, ssize_t n)
+{
+	size_t room = sizeof(conn->first) - conn->n_first;
+	size_t len = (size_t)n < room ? (size_t)n : room;
+
+	pthread_mutex_lock(&conn->relay->lock);
+	memcpy(conn->first + conn->n_first, bytes, len);
+	conn->n_first += len;
+	pthread_mutex_unlock(&conn->relay->lock);
+}
+
 /* Forwards one direction. Blocked bytes are held back: to the peers this looks
  * like a network that loses packets and then delivers the retransmissions. */
 static void *forward(void *data)
@@ -97,8 +129,11 @@
 		uint32_t delay_ms = __atomic_load_n(&conn->relay->delay_ms,
 						    __ATOMIC_RELAXED);
 
+		if (dir->from == conn->client)
+			keep_first(conn, block, n);
 		soak_sleep_ms(delay_ms);
-		while (__atomic_load_n(dir->blocked, __ATOMIC_RELAXED) &&
+		while ((__atomic_load_n(dir->blocked, __ATOMIC_RELAXED) ||
+			is_blocked_peer(conn)) &&
 		       !was_reset(conn))
 			soak_sleep_ms(POLL_INTERVAL_MS);
 		if (was_reset(conn) || !send_all(dir->to, block, n))
@@ -246,6 +281,14 @@
 	__atomic_store_n(&r->delay_ms, ms, __ATOMIC_RELAXED);
 }
 
+void relay_block_peer(struct relay *r, const char *peer)
+{
+	pthread_mutex_lock(&r->lock);
+	snprintf(r->blocked_peer, sizeof(r->blocked_peer), "%s",
+		 peer ? peer : "");
+	pthread_mutex_unlock(&r->lock);
+}
+
 void relay_block(struct relay *r, bool to_target, bool from_target)
 {
 	__atomic_store_n(&r->block_to_target, to_target, __ATOMIC_RELAXED);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -65,6 +65,10 @@
 	FAULT_SERVER_SAYS,	 /* a server says that it leaves, starts anew */
 	FAULT_SERVER_LIMIT,	 /* a server states a limit for a while */
 	FAULT_SERVER_REPEAT,	 /* a server writes refusals once more */
+	FAULT_CUT_FROM_STORE,	 /* one process does not reach the store */
+	FAULT_CUT_ENTRY, /* a proxy reaches no dispatcher and no store */
+	FAULT_TURN_AWAY, /* the store serves some processes only */
+	FAULT_DRILL,	 /* the store comes back from an older copy */
 	FAULT_KINDS,
 };
 
@@ -112,6 +116,8 @@
 struct relay *relay_new(uint32_t port, uint32_t target);
 void relay_reset(struct relay *r);
 void relay_delay(struct relay *r, uint32_t ms);
+/* Holds the bytes of connections whose first ones name a peer; NULL ends that. */
+void relay_block_peer(struct relay *r, const char *peer);
 /* Holds the bytes of either direction. While those to the target are held, new
  * connections wait too. */
 void relay_block(struct relay *r, bool to_target, bool from_target);
