A crash that was cleared is not taken again

Cause: records of suspects travel with ages, so that their times drift by the time on the way. A cleared crash came back with a time behind that of the run that cleared it, was added, dropped with the next message, and added again. Each change is passed on: 9,542 of 10,101 logged records were for one part, at the log's limit.

Now a process does not take a crash again that it has seen cleared, so that each adds and drops it once at most.

The unit test fails without the change.

--- a/core/suspects.c
+++ b/core/suspects.c
@@ -474,14 +474,18 @@
 }
 
 /* Return: whether there were any. */
-static bool drop_cleared_crashes(struct mh_suspect *suspect, uint64_t error_ns)
+static bool drop_cleared_crashes(struct suspect_row *r, uint64_t error_ns)
 {
+	struct mh_suspect *suspect = &r->suspect;
 	uint32_t i, n = 0, n_before = suspect->n_crashes;
 
 	for (i = 0; i < suspect->n_crashes; i++) {
 		if (suspect->crashes[i].lost_ns >=
 		    suspect->cleared_ns + error_ns)
 			suspect->crashes[n++] = suspect->crashes[i];
+		else
+			r->cleared_ids[r->n_cleared++ % MH_SUSPECT_CRASHES] =
+				suspect->crashes[i].id;
 	}
 	suspect->n_crashes = n;
 	/* What is left may not suffice: the next crash decides anew. */
@@ -504,7 +508,7 @@
 		if (!r || placed_ns <= r->suspect.cleared_ns)
 			continue;
 		r->suspect.cleared_ns = placed_ns;
-		if (!drop_cleared_crashes(&r->suspect, 0))
+		if (!drop_cleared_crashes(r, 0))
 			continue;
 		if (!r->suspect.n_crashes)
 			r->n_brief_survivals = 0;
@@ -587,9 +591,23 @@
 
 /* What clears a part drops its earlier crashes, and those that the error of times
  * may have made later: the latter must not be added again. */
-static bool merge_crash(struct mh_suspects *set, struct mh_suspect *suspect,
+/* Times drift from one process to the next: a crash that was cleared may look like
+ * a later one, and would be dropped and added again without end. */
+static bool was_cleared(const struct suspect_row *r, uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < MH_SUSPECT_CRASHES && i < r->n_cleared; i++) {
+		if (r->cleared_ids[i] == id)
+			return true;
+	}
+	return false;
+}
+
+static bool merge_crash(struct mh_suspects *set, struct suspect_row *r,
 			const struct mh_crash *other, uint64_t error_ns)
 {
+	struct mh_suspect *suspect = &r->suspect;
 	struct mh_crash *crash;
 	uint32_t i;
 
@@ -604,7 +622,8 @@
 		crash->on_trial = crash->on_trial || other->on_trial;
 		return true;
 	}
-	if (succeeded_recently(set, suspect->feature,
+	if (was_cleared(r, other->id) ||
+	    succeeded_recently(set, suspect->feature,
 			       other->lost_ns - error_ns))
 		return false;
 	return append_crash(suspect, other);
@@ -625,11 +644,10 @@
 	r = get(set, other->feature, now_ns);
 	if (other->cleared_ns > r->suspect.cleared_ns) {
 		r->suspect.cleared_ns = other->cleared_ns;
-		changed = drop_cleared_crashes(&r->suspect, error_ns);
+		changed = drop_cleared_crashes(r, error_ns);
 	}
 	for (i = 0; i < other->n_crashes; i++) {
-		changed |= merge_crash(set, &r->suspect, &other->crashes[i],
-				       error_ns);
+		changed |= merge_crash(set, r, &other->crashes[i], error_ns);
 		record_end(set, other->crashes[i].server,
 			   other->crashes[i].lost_ns);
 	}
--- a/core/suspects_impl.h
+++ b/core/suspects_impl.h
@@ -30,6 +30,9 @@
 	bool has_untold_crash; /* seen here, and not reported since */
 	/* Runs since its first crash after which their servers lived on. */
 	uint32_t n_brief_survivals;
+	/* Crashes that were cleared last, as a ring. */
+	uint64_t cleared_ids[MH_SUSPECT_CRASHES];
+	uint32_t n_cleared;
 	UT_hash_handle hh;
 };
 
--- a/tests/test_suspect_merge.c
+++ b/tests/test_suspect_merge.c
@@ -81,6 +81,36 @@
 	mh_suspects_free(b);
 }
 
+/* Guards against the same on slow links: the time of a crash drifts past that of the
+ * run that cleared its part, which drifts in turn. */
+static void test_a_cleared_crash_does_not_come_back(void **state)
+{
+	struct mh_suspects *set = mh_suspects_new(NULL, NULL);
+	struct mh_suspect uncleared = { .feature = part_5,
+					.seen_ns = 29000 * MS,
+					.n_crashes = 1 };
+	struct mh_suspect cleared;
+	uint32_t hop, changes = 0;
+
+	(void)state;
+	uncleared.crashes[0] = (struct mh_crash){ .id = 3,
+						  .server = 3,
+						  .placed_ns = 19000 * MS,
+						  .lost_ns = 20000 * MS };
+	cleared = uncleared;
+	cleared.n_crashes = 0;
+	cleared.cleared_ns = 20100 * MS;
+	for (hop = 0; hop < MAX_HOPS; hop++) {
+		changes += mh_suspects_merge(set, &uncleared, 30000 * MS);
+		changes += mh_suspects_merge(set, &cleared, 30000 * MS);
+		uncleared.crashes[0].lost_ns += 400 * MS;
+		cleared.cleared_ns += 400 * MS;
+	}
+	/* Added once, and dropped once. */
+	assert_int_equal(changes, 2);
+	mh_suspects_free(set);
+}
+
 /* Guards against the same by two processes whose records are full of unlike
  * crashes. */
 static void test_full_records_are_told_once(void **state)
@@ -167,6 +197,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_crash_beside_the_clearing_run_is_told_once),
+		cmocka_unit_test(test_a_cleared_crash_does_not_come_back),
 		cmocka_unit_test(test_full_records_are_told_once),
 		cmocka_unit_test(test_crash_of_two_requests_counts_for_neither),
 		cmocka_unit_test(test_requests_that_crash_together_are_refused),
