--- a/core/catalog.c
+++ b/core/catalog.c
@@ -261,6 +261,15 @@
 	return r ? &r->reg : NULL;
 }
 
+const struct mh_registration *
+mh_catalog_newer(const struct mh_catalog *cat,
+		 const struct mh_registration *theirs)
+{
+	const struct mh_registration *ours = mh_catalog_find(cat, theirs->id);
+
+	return ours && is_newer(theirs, ours) ? ours : NULL;
+}
+
 void mh_catalog_each(const struct mh_catalog *cat,
 		     void (*visit)(void *data,
 				   const struct mh_registration *reg),
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -143,6 +143,17 @@
 const struct mh_registration *mh_catalog_find(const struct mh_catalog *cat,
 					      const char *id);
 
+/**
+ * mh_catalog_newer() - registration that is newer than a peer's
+ * @cat: catalog
+ * @theirs: what the peer knows
+ *
+ * Return: for the peer to be told, NULL if there is none.
+ */
+const struct mh_registration *
+mh_catalog_newer(const struct mh_catalog *cat,
+		 const struct mh_registration *theirs);
+
 /**
  * mh_catalog_each() - walk all servers, including those in state MH_SERVER_GONE
  * @cat: catalog
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -417,8 +417,9 @@
 			frame->spent->age_ms);
 		break;
 	case MH__FRAME__BODY_SERVER_WORDS:
-		mh_registration_receive(app->catalog, frame->server_words,
-					mh_now_ns());
+		mh_registration_receive(
+			app->catalog, frame->server_words, mh_now_ns(),
+			&(struct mh_link_peer){ app->links, link });
 		break;
 	case MH__FRAME__BODY_CRASH_SUSPECT:
 		receive_suspect(app, link, frame->crash_suspect);
--- a/net/registrations.c
+++ b/net/registrations.c
@@ -24,8 +24,9 @@
 }
 
 void mh_registration_receive(struct mh_catalog *cat, const Mh__ServerWords *msg,
-			     uint64_t now_ns)
+			     uint64_t now_ns, const struct mh_link_peer *sender)
 {
+	const struct mh_registration *ours;
 	size_t i;
 
 	for (i = 0; i < msg->n_word; i++) {
@@ -44,6 +45,9 @@
 		};
 
 		mh_catalog_update(cat, &reg, now_ns);
+		ours = sender ? mh_catalog_newer(cat, &reg) : NULL;
+		if (ours)
+			mh_registration_send(sender->links, sender->link, ours);
 	}
 }
 
--- a/net/registrations.h
+++ b/net/registrations.h
@@ -6,6 +6,7 @@
 
 #include "core/catalog.h"
 #include "net/link.h"
+#include "net/link_peer.h"
 
 /**
  * mh_registration_send() - send a server's registration
@@ -21,9 +22,11 @@
  * @cat: catalog
  * @msg: registrations
  * @now_ns: monotonic time
+ * @sender: told of those that are newer here, or NULL
  */
 void mh_registration_receive(struct mh_catalog *cat, const Mh__ServerWords *msg,
-			     uint64_t now_ns);
+			     uint64_t now_ns,
+			     const struct mh_link_peer *sender);
 
 /**
  * mh_config_document_send() - send the newest configuration
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -280,7 +280,7 @@
 		break;
 	case MH__FRAME__BODY_SERVER_WORDS:
 		mh_registration_receive(sc->catalog, frame->server_words,
-					now_of(sc));
+					now_of(sc), NULL);
 		break;
 	case MH__FRAME__BODY_DOCUMENT:
 		sc->ops->document(sc->data, frame->document->version,
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -273,6 +273,31 @@
 	mh_catalog_free(cat);
 }
 
+/* Guards against an entry that never uses a server again, as another dispatcher told
+ * it of a removal, and the one in use, which missed that, has nothing to tell. */
+static void test_peers_are_told_of_newer_registrations(void **state)
+{
+	struct last_change last = { 0 };
+	struct mh_catalog *cat = mh_catalog_new(on_changed, &last);
+	struct mh_registration theirs = { .id = "s",
+					  .state = MH_SERVER_GONE,
+					  .sequence = 4 };
+
+	(void)state;
+	update(cat, MH_SERVER_READY, 0, 4);
+	/* Gone is newer than the registration that was removed. */
+	assert_null(mh_catalog_newer(cat, &theirs));
+	update(cat, MH_SERVER_READY, 0, 5);
+	assert_int_equal(last.changes, 1);
+	assert_non_null(mh_catalog_newer(cat, &theirs));
+	assert_int_equal(mh_catalog_newer(cat, &theirs)->sequence, 5);
+	theirs.sequence = 6;
+	assert_null(mh_catalog_newer(cat, &theirs));
+	theirs.id = "unknown";
+	assert_null(mh_catalog_newer(cat, &theirs));
+	mh_catalog_free(cat);
+}
+
 static void test_removed_server_is_gone_until_it_registers_again(void **state)
 {
 	struct last_change last = { 0 };
@@ -517,6 +542,7 @@
 			test_a_deferred_removal_makes_a_server_doubtful),
 		cmocka_unit_test(
 			test_further_dispatchers_are_tried_while_none_is_fit),
+		cmocka_unit_test(test_peers_are_told_of_newer_registrations),
 		cmocka_unit_test(test_keys_belong_to_accounts),
 	};
 
