--- a/tests/test_proxy.sh
+++ b/tests/test_proxy.sh
@@ -517,6 +517,7 @@
 	sleep 0.5
 	kill -TERM $(pid_of proxy1)
 	wait $pid
+	wait_until 6 [ ! -d /proc/$(pid_of proxy1) ] || return 1
 	start_proxy 1
 	platform 'silent?id=s1&ms=0'
 	platform 'silent?id=s2&ms=0'
