--- a/tests/test_proxy.sh
+++ b/tests/test_proxy.sh
@@ -509,8 +509,10 @@
 # Guards against a request that is cut at the end of the grace period without an
 # answer: its server still works on it, and the caller is told that it may have run.
 t_request_at_the_end_of_a_stop() {
-	platform 'silent?id=s1&ms=12000'
-	platform 'silent?id=s2&ms=12000'
+	local server
+	for server in s1 s2 s3; do
+		platform "silent?id=$server&ms=12000" || return 1
+	done
 	status_of 1 /long/ok -H 'X-Mangohead-Deadline-Ms: 20000' --max-time 15 \
 		>"$DIR/end" &
 	local pid=$!
@@ -519,8 +521,9 @@
 	wait $pid
 	wait_until 6 [ ! -d /proc/$(pid_of proxy1) ] || return 1
 	start_proxy 1
-	platform 'silent?id=s1&ms=0'
-	platform 'silent?id=s2&ms=0'
+	for server in s1 s2 s3; do
+		platform "silent?id=$server&ms=0" || return 1
+	done
 	wait_until 5 ready 1 || return 1
 	cat "$DIR/end"
 	[ "$(cat "$DIR/end")" = 504 ]
