Unfinished events of all responses are bounded together

It can happen here: 300 resumable streams at once, each with 900 kB of an event that never ends, made the proxy grow by 295 MB, more than the whole memory (160 MB) of a small entry host.

Cause: an event of such a stream is kept until it ends, up to 1 MiB, and nothing bounded the sum. Now all unfinished events may take 16 MiB together; above that the response with the longest one ends as spoiled. A buffer that a long event made large is given back at its end.

The stand-in got the shapes endlesslargeevent and endlesslarge.

--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -46,7 +46,7 @@
 		free(x->tried[i]);
 	free(x->server);
 	free(x->address);
-	mh_buffer_release(&x->partial_event);
+	mh_exchange_drop_partial_event(x);
 	mh_routes_unref(x->routes);
 	free(x);
 }
--- a/proxy/exchange_impl.h
+++ b/proxy/exchange_impl.h
@@ -87,6 +87,7 @@
 	uint64_t next_id;
 	uint64_t began_ns;
 	bool refuses_new;
+	uint64_t partial_bytes; /* of unfinished events */
 };
 
 static inline uint64_t mh_exchange_now_ns(const struct exchange *x)
@@ -123,6 +124,7 @@
 /* Responses: exchange_response.c */
 bool mh_exchange_can_resume(const struct exchange *x);
 void mh_exchange_init_response(struct exchange *x);
+void mh_exchange_drop_partial_event(struct exchange *x);
 
 /* Retries and errors: exchange.c */
 void mh_exchange_release_slot(struct exchange *x, enum mh_slot_outcome outcome);
--- a/proxy/exchange_response.c
+++ b/proxy/exchange_response.c
@@ -5,6 +5,11 @@
 
 /* A longer one is no event: the server's stream is spoiled. */
 #define MAX_EVENT_BYTES (1u << 20)
+/* Of all unfinished events: servers that never end theirs must not use up the
+ * host's memory. */
+#define MAX_PARTIAL_BYTES (16u << 20)
+/* A larger buffer is not kept for the next event. */
+#define KEPT_EVENT_BYTES (64u << 10)
 /* A response that is not forwarded is read to its end, so that its connection
  * can be used again, unless it is longer or takes longer. */
 #define MAX_DISCARDED_BYTES 16384
@@ -200,9 +205,64 @@
 		mh_buffer_add(out, "\r\n", 2);
 }
 
+void mh_exchange_drop_partial_event(struct exchange *x)
+{
+	x->set->partial_bytes -= x->partial_event.len;
+	mh_buffer_release(&x->partial_event);
+}
+
+static void consume_partial_event(struct exchange *x)
+{
+	struct mh_buffer *partial = &x->partial_event;
+
+	if (partial->cap > KEPT_EVENT_BYTES) {
+		mh_exchange_drop_partial_event(x);
+		return;
+	}
+	x->set->partial_bytes -= partial->len;
+	mh_buffer_consume(partial, partial->len);
+}
+
+static bool keep_partial_event(struct exchange *x, const uint8_t *bytes,
+			       size_t len)
+{
+	if (!mh_buffer_add(&x->partial_event, bytes, len))
+		return false;
+	x->set->partial_bytes += len;
+	return x->partial_event.len <= MAX_EVENT_BYTES;
+}
+
+static struct exchange *longest_partial_event(struct mh_exchanges *set)
+{
+	struct exchange *x, *tmp, *longest = set->all;
+
+	HASH_ITER(hh, set->all, x, tmp) {
+		if (x->partial_event.len > longest->partial_event.len)
+			longest = x;
+	}
+	return longest;
+}
+
+/* Ends the response with the longest unfinished event if all of them together are
+ * too long.
+ * Return: false if it is the one of @x, which its caller has to end. */
+static bool bound_partial_events(struct exchange *x)
+{
+	struct exchange *longest;
+
+	if (x->set->partial_bytes <= MAX_PARTIAL_BYTES)
+		return true;
+	longest = longest_partial_event(x->set);
+	if (longest == x)
+		return false;
+	mh_upstream_cancel(longest->upstream);
+	mh_exchange_upstream_ops.failed(longest, MH_UPSTREAM_MALFORMED);
+	return true;
+}
+
 /* Forwards whole events only, so that another server can continue the stream
  * after the last one: @whole of @bytes end with one.
- * Return: false if an event is too long or memory runs out. */
+ * Return: false if unfinished events are too long or memory runs out. */
 static bool forward_events(struct exchange *x, const uint8_t *bytes, size_t len,
 			   size_t whole)
 {
@@ -211,16 +271,17 @@
 	if (whole && partial->len) {
 		if (!mh_buffer_add(partial, bytes, whole))
 			return false;
+		x->set->partial_bytes += whole;
 		forward_bytes(x, mh_buffer_front(partial), partial->len);
-		mh_buffer_consume(partial, partial->len);
+		consume_partial_event(x);
 	} else {
 		forward_bytes(x, bytes, whole);
 	}
 	if (whole && x->judge.events.last_id[0])
 		memcpy(x->last_event, x->judge.events.last_id,
 		       sizeof(x->last_event));
-	return partial->len + len - whole <= MAX_EVENT_BYTES &&
-	       mh_buffer_add(partial, bytes + whole, len - whole);
+	return keep_partial_event(x, bytes + whole, len - whole) &&
+	       bound_partial_events(x);
 }
 
 static int on_body(void *data, const uint8_t *bytes, size_t len)
@@ -304,7 +365,7 @@
 
 	x->servers_reached++;
 	x->attempts++;
-	mh_buffer_release(&x->partial_event);
+	mh_exchange_drop_partial_event(x);
 	mh_exchange_release_slot(x, MH_SLOT_LOST);
 	mh_probes_start(x->set->env.probes, &server);
 	mh_exchange_on_outcome_unknown(x, MH_ERR_BACKEND_CUT);
@@ -367,7 +428,7 @@
 	x->servers_reached++;
 	x->attempts++;
 	mh_count(x->set->env.counters, MH_C_BAD_ANSWERS);
-	mh_buffer_release(&x->partial_event);
+	mh_exchange_drop_partial_event(x);
 	mh_exchange_release_slot(x, MH_SLOT_CORRUPT);
 	mh_exchange_on_outcome_unknown(x, MH_ERR_CORRUPT_ANSWER);
 }
--- a/tests/standins/shapes.c
+++ b/tests/standins/shapes.c
@@ -18,7 +18,8 @@
  * Without end, until the other side closes: endlessevent, endlesserror (500),
  * endlessslow (500, a byte at a time), endlesshead, endlessslowhead,
  * endlessinterim (1xx), endlesslines (empty lines before a head),
- * endlesstrailer, endlessextension, endlessnoise.
+ * endlesstrailer, endlessextension, endlessnoise, endlesslargeevent (a byte at a
+ * time after LARGE_EVENT_BYTES), endlesslarge (200, with a length).
  */
 #include <poll.h>
 #include <stdio.h>
@@ -32,6 +33,7 @@
 #define BLOCK_BYTES 16384
 #define EVENT_BYTES 128
 #define SLOW_GAP_MS 20
+#define LARGE_EVENT_BYTES 900000
 /* Ends responses whose reader never closes. */
 #define ENDLESS_BYTES (2ULL << 30)
 
@@ -218,6 +220,7 @@
 	const char *begin;
 	const char *repeated;
 	bool slow;
+	size_t burst; /* bytes before it is slow */
 };
 
 #define STREAM_FIELDS                                                          \
@@ -228,21 +231,28 @@
 	{ "endlessevent", 200,
 	  SIGNED "Content-Type: text/event-stream\r\n"
 		 "Connection: close\r\n\r\n",
-	  "id: 1\ndata: e1\n\nid: 2\ndata: ", "xxxxxxxxxxxxxxxx", false },
+	  "id: 1\ndata: e1\n\nid: 2\ndata: ", "xxxxxxxxxxxxxxxx", false, 0 },
+	{ "endlesslargeevent", 200,
+	  SIGNED "Content-Type: text/event-stream\r\n"
+		 "Connection: close\r\n\r\n",
+	  "data: ", "x", true, LARGE_EVENT_BYTES },
+	{ "endlesslarge", 200, SIGNED "Content-Length: 900000000000\r\n\r\n",
+	  "", "xxxxxxxxxxxxxxxx", false, 0 },
 	{ "endlesserror", 500, SIGNED "Connection: close\r\n\r\n", "",
-	  "xxxxxxxxxxxxxxxx", false },
-	{ "endlessslow", 500, SIGNED "Connection: close\r\n\r\n", "", "x",
-	  true },
-	{ "endlesshead", 200, SIGNED, "X-Long: ", "xxxxxxxxxxxxxxxx", false },
-	{ "endlessslowhead", 200, SIGNED, "X-Long: ", "x", true },
-	{ "endlessinterim", 0, "", "", "HTTP/1.1 102 X\r\nA: b\r\n\r\n",
-	  false },
-	{ "endlesslines", 0, "", "", "\r\n", false },
+	  "xxxxxxxxxxxxxxxx", false, 0 },
+	{ "endlessslow", 500, SIGNED "Connection: close\r\n\r\n", "", "x", true,
+	  0 },
+	{ "endlesshead", 200, SIGNED, "X-Long: ", "xxxxxxxxxxxxxxxx", false,
+	  0 },
+	{ "endlessslowhead", 200, SIGNED, "X-Long: ", "x", true, 0 },
+	{ "endlessinterim", 0, "", "", "HTTP/1.1 102 X\r\nA: b\r\n\r\n", false,
+	  0 },
+	{ "endlesslines", 0, "", "", "\r\n", false, 0 },
 	{ "endlesstrailer", 200, STREAM_FIELDS,
-	  "f\r\nid: 1\ndata: a\n\n\r\n0\r\n", "A: bbbbbbbbbbbb\r\n", false },
-	{ "endlessextension", 200, STREAM_FIELDS, "f", ";name=extension",
-	  false },
-	{ "endlessnoise", 0, "", "", "\x01\xff\x02noise", false },
+	  "f\r\nid: 1\ndata: a\n\n\r\n0\r\n", "A: bbbbbbbbbbbb\r\n", false, 0 },
+	{ "endlessextension", 200, STREAM_FIELDS, "f", ";name=extension", false,
+	  0 },
+	{ "endlessnoise", 0, "", "", "\x01\xff\x02noise", false, 0 },
 };
 
 static bool is_closed(const struct conn *c)
@@ -265,6 +275,8 @@
 		mh_buffer_add(&block, shape->repeated, len);
 	if (shape->slow)
 		mh_buffer_add(&block, shape->repeated, len);
+	while (c->out.len < shape->burst)
+		mh_buffer_add(&c->out, shape->repeated, len);
 	while (sent < ENDLESS_BYTES && send_all(c)) {
 		mh_buffer_add(&c->out, mh_buffer_front(&block), block.len);
 		sent += block.len;
--- a/tests/test_endless.sh
+++ b/tests/test_endless.sh
@@ -160,9 +160,41 @@
 }
 MAX_STORE_GROWTH_KB=$((49152 * SLACK))
 
+MANY=300
+# Less than half of the memory of a small entry host.
+MAX_MANY_GROWTH_KB=$((65536 * SLACK))
+
+# Sends many requests at once to one server, through a proxy of its own.
+# Return: whether the proxy's memory is bounded and another caller is answered.
+many_are_bounded() { # PROXY PATH CURL-ARGS...
+	local n=$1 path=$2 i peak others pids=
+	shift 2
+	start_proxy $n
+	wait_until 10 ready $n || return 1
+	peak=$(peak_kb proxy$n)
+	for i in $(seq $MANY); do
+		ID=many-$n-$i call $n $path -N -o /dev/null --max-time 3 \
+			"$@" 2>/dev/null &
+		pids="$pids $!"
+	done
+	sleep 2
+	call $n /open/ok -o /dev/null -m 1
+	others=$?
+	wait $pids
+	peak=$(($(peak_kb proxy$n) - peak))
+	echo "$path: $(runs | grep -c " many-$n-") runs, memory +$peak KB"
+	[ $others = 0 ] && [ $peak -le $MAX_MANY_GROWTH_KB ] &&
+		[ $(runs | grep -c " many-$n-") -ge $MANY ]
+}
+
+# Guards against unfinished events that are bounded one by one only.
+t_many_events() {
+	many_are_bounded 2 /resume-wide/endlesslargeevent
+}
+
 start platform $BIN/standin-platform $STORE \
 	$(server_port 1):s1:app:4 $(server_port 2):s2:app:4 \
-	$(server_port 3):s3:app:4
+	$(server_port 3):s3:app:4 $(server_port 4):w1:wide:$MANY
 wait_until 5 config 10 || exit 1
 start_dispatcher 1
 start_proxy 1
@@ -181,5 +213,6 @@
 check "endless: a second attempt does not wait" t_second_attempt_does_not_wait
 check "endless: a body that is forwarded" t_body_that_is_forwarded
 check "endless: the store" t_store_without_end
+check "endless: many events" t_many_events
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
