What all callers have not read yet is bounded together

A small entry host has 160 MB and descriptors for some thousand callers.

Now the response to a caller is no longer read above its part of 16 MiB, between 32 and 256 KiB: with up to 64 callers nothing changes. It costs nothing to callers who read.

--- a/proxy/client.c
+++ b/proxy/client.c
@@ -15,8 +15,12 @@
 #define READ_BYTES 32768
 #define LISTEN_BACKLOG 512
 #define MAX_ACCEPTS_PER_EVENT 32
-/* Above this many unsent bytes the server's response is no longer read. */
-#define CONGESTED_BYTES (256u << 10)
+/* Above its part of this many unsent bytes the server's response to a client is no
+ * longer read. */
+#define MAX_UNSENT_BYTES (16u << 20)
+#define MAX_UNSENT_BYTES_PER_CLIENT (256u << 10)
+/* With fewer each write would be a small one. */
+#define MIN_UNSENT_BYTES_PER_CLIENT (32u << 10)
 /* Pipelined bytes that are buffered while a request is handled. */
 #define MAX_PIPELINED_BYTES (64u << 10)
 /* Time to read the rest of a rejected request before the connection is closed:
@@ -65,6 +69,17 @@
 	void *data;
 };
 
+static uint32_t max_unsent_bytes(const struct mh_clients *set)
+{
+	uint32_t part = MAX_UNSENT_BYTES / set->n_open;
+
+	if (part > MAX_UNSENT_BYTES_PER_CLIENT)
+		return MAX_UNSENT_BYTES_PER_CLIENT;
+	if (part < MIN_UNSENT_BYTES_PER_CLIENT)
+		return MIN_UNSENT_BYTES_PER_CLIENT;
+	return part;
+}
+
 static uint64_t now_of(const struct mh_client *cl)
 {
 	return mh_clock_mono_ns(cl->set->env.clock);
@@ -355,7 +370,7 @@
 			return;
 		}
 		update_watch(cl);
-		if (cl->congested && cl->out.len < CONGESTED_BYTES / 2) {
+		if (cl->congested && cl->out.len < max_unsent_bytes(set) / 2) {
 			cl->congested = false;
 			set->ops->drained(set->data, cl);
 			return;
@@ -525,7 +540,7 @@
 void mh_client_flush(struct mh_client *cl)
 {
 	write_socket(cl);
-	if (cl->out.len > CONGESTED_BYTES)
+	if (cl->out.len > max_unsent_bytes(cl->set))
 		cl->congested = true;
 	update_watch(cl);
 }
--- a/tests/test_endless.sh
+++ b/tests/test_endless.sh
@@ -192,6 +192,11 @@
 	many_are_bounded 2 /resume-wide/endlesslargeevent
 }
 
+# Guards against bytes for slow callers that are bounded one by one only.
+t_many_bodies() {
+	many_are_bounded 3 /wide/endlesslarge --limit-rate 20k
+}
+
 start platform $BIN/standin-platform $STORE \
 	$(server_port 1):s1:app:4 $(server_port 2):s2:app:4 \
 	$(server_port 3):s3:app:4 $(server_port 4):w1:wide:$MANY
@@ -214,5 +219,6 @@
 check "endless: a body that is forwarded" t_body_that_is_forwarded
 check "endless: the store" t_store_without_end
 check "endless: many events" t_many_events
+check "endless: many bodies" t_many_bodies
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
