Tests of heads that break off, and of heads without end at the side

The report: a server stopped in its answer's head and closed, and clients got a 200 with an empty or short body. It cannot happen here; what was tried is kept as tests: heads that lack 1 to 100 bytes or all, on used connections, after a 102, for HTTP/1.0 and 1.1 callers, on four routes, and as the response that is to continue a stream (tests/test_cut_streams.sh); each prefix of a head at the store's client (test_store_ends.c) and at the side's client and its health check (test_backend_bytes.c, new), which also gives up heads without end in time. That they can fail: with a reader that takes the end of the connection in a head for the end of the response the proxy's and the store's tests fail (a mutant; the store's test now calls a second time on the same client); the side reads with neon.

--- a/Makefile
+++ b/Makefile
@@ -121,7 +121,7 @@
 	      test_system_start test_link_dial test_parts \
 	      test_suspect_merge test_part_suspects test_wire_parts test_parts_alone \
 	      test_send_window test_limits test_usage_relay test_observed_crashes \
-	      test_store_era test_lost_entries test_client
+	      test_store_era test_lost_entries test_client test_backend_bytes
 # Those that fail for a fault that KNOWN-RED.txt lists.
 RED_TESTS =
 
@@ -130,6 +130,7 @@
 $(BUILD)/bin/test_limits: $(BUILD)/tests/limit_simulation.o
 $(BUILD)/bin/test_usage_relay: $(BUILD)/proxy/usage_forward.o
 $(BUILD)/bin/test_client: $(BUILD)/proxy/client.o
+$(BUILD)/bin/test_backend_bytes: $(BUILD)/side/backend.o
 
 $(addprefix $(BUILD)/bin/,$(SMALL_TESTS)): \
 $(BUILD)/bin/%: $(BUILD)/tests/%.o $(BUILD)/libmangohead.a
--- a/tests/standins/shapes.c
+++ b/tests/standins/shapes.c
@@ -15,6 +15,10 @@
  * another response: html, unsigned, nocontent, notmodified, redirect, error (500
  * without a length), interim (102, then 500), busy (429), cut (once more).
  *
+ * cuthead-N, interim-cuthead-N: the head lacks its last N bytes, and the connection
+ * ends; after a 102. then-cuthead-N: so does the response that is to continue a
+ * stream, which is cut in its fourth event.
+ *
  * Without end, until the other side closes: endlessevent, endlesserror (500),
  * endlessslow (500, a byte at a time), endlesshead, endlessslowhead,
  * endlessinterim (1xx), endlesslines (empty lines before a head),
@@ -213,6 +217,40 @@
 	return send_all(c) && !shape->closes;
 }
 
+/* Return: bytes that the head lacks, 0 for other targets. */
+static size_t missing_head_bytes(const struct conn *c)
+{
+	static const char name[] = "cuthead-";
+	const struct mh_http_text *t = &c->reader.head.target;
+	const char *p = memmem(t->p, t->len, name, sizeof(name) - 1);
+
+	return p ? strtoul(p + sizeof(name) - 1, NULL, 10) : 0;
+}
+
+/* Return: whether the connection stays open. */
+static bool serve_cut_head(struct conn *c, size_t missing)
+{
+	const struct mh_http_text *t = &c->reader.head.target;
+
+	if (memmem(t->p, t->len, "/then-", 6) &&
+	    header(c, "Last-Event-Id").p[0] == '-')
+		return serve_stream_shape(c, &streams[0]);
+	begin_response(c, 200,
+		       SIGNED "Content-Type: text/event-stream\r\n"
+			      "Content-Length: 0\r\n\r\n");
+	c->out.len -= missing < c->out.len ? missing : c->out.len;
+	if (memmem(t->p, t->len, "/interim-", 9)) {
+		struct mh_buffer head = c->out;
+
+		memset(&c->out, 0, sizeof(c->out));
+		mh_buffer_printf(&c->out, "HTTP/1.1 102 X\r\n\r\n");
+		mh_buffer_add(&c->out, mh_buffer_front(&head), head.len);
+		mh_buffer_release(&head);
+	}
+	send_all(c);
+	return false;
+}
+
 struct endless_shape {
 	const char *name;
 	int status; /* of the response that begins it, 0: none */
@@ -288,8 +326,12 @@
 
 bool serve_shape(struct conn *c, bool *ok)
 {
-	size_t i;
+	size_t i = missing_head_bytes(c);
 
+	if (i) {
+		*ok = serve_cut_head(c, i);
+		return true;
+	}
 	for (i = 0; i < sizeof(resumed) / sizeof(resumed[0]); i++) {
 		if (!target_ends_with(c, resumed[i].name))
 			continue;
--- a/tests/test_cut_streams.sh
+++ b/tests/test_cut_streams.sh
@@ -168,6 +168,49 @@
 		[ "$(tail -n 4 "$DIR/inside" | sort -u)" = 503 ]
 }
 
+# Bytes that a head of some 200 lacks: of its last line's end, of a field, of all.
+CUT_HEADS='1 2 3 20 100'
+
+# Guards against a head that breaks off and that reaches its caller as a whole
+# response with a short body: on new and used connections, after an interim one.
+t_head_that_breaks_off_is_no_response() {
+	local version kind n route status
+	for version in --http1.0 --http1.1; do
+		for kind in cuthead interim-cuthead; do
+			for n in $CUT_HEADS; do
+				for route in once again gen resume; do
+					call 1 /once/ok -o /dev/null
+					status=$(status_of 1 \
+						/$route/$kind-$n $version)
+					echo $version $kind $n $route $status
+					[[ $status = 50[234] ]] || return 1
+				done
+			done
+		done
+	done
+}
+
+# The same where the response is to continue a stream.
+t_head_that_breaks_off_does_not_continue_a_stream() {
+	local version n rc
+	for version in --http1.0 --http1.1; do
+		for n in $CUT_HEADS; do
+			ID=then$version-$n call 1 /resume/then-cuthead-$n \
+				$version -N -o "$DIR/cut"
+			rc=$?
+			echo $version $n $rc
+			cat "$DIR/cut"
+			[ $rc != 0 ] || return 1
+			[ "$(events_of "$DIR/cut")" = '1 d1 2 d2 3 d3 ' ] ||
+				return 1
+			grep -qE 'HTTP/1|X-Mangohead' "$DIR/cut" && return 1
+			[ "$(runs | grep -c " then$version-$n ")" = 2 ] ||
+				return 1
+		done
+	done
+	true
+}
+
 start platform $BIN/standin-platform $STORE \
 	$(server_port 1):s1:app:4 $(server_port 2):s2:app:4 \
 	$(server_port 3):s3:app:4 0:c1:fragile:4:$(server_port 6) \
@@ -198,6 +241,10 @@
 	t_plain_response_without_length_keeps_its_frame
 check "cut streams: a plain answer that is reset looks cut" \
 	t_plain_response_that_is_reset_looks_cut
+check "cut streams: a head that breaks off is no response" \
+	t_head_that_breaks_off_is_no_response
+check "cut streams: a head that breaks off does not continue one" \
+	t_head_that_breaks_off_does_not_continue_a_stream
 check "cut streams: logs and metrics" t_cut_stream_is_logged_as_cut
 check "cut streams: a request that crashes servers inside an event" \
 	t_request_that_crashes_inside_an_event
--- a/tests/test_store_ends.c
+++ b/tests/test_store_ends.c
@@ -34,6 +34,8 @@
 	int listener;
 	pthread_t thread;
 	const struct script *script;
+	const struct script *next; /* of a second call */
+	uint64_t begin_ns;
 	uint64_t sent;
 	bool ended;
 	struct mh_store_reply reply;
@@ -79,24 +81,45 @@
 	return mh_timers_run(&fx->timers, mh_clock_mono_ns(&mh_system_clock));
 }
 
+static void start_call(struct fixture *fx);
+
 static void on_reply(void *data, const struct mh_store_reply *reply)
 {
 	struct fixture *fx = data;
 
+	if (fx->next) {
+		assert_int_equal(reply->status, 200);
+		fx->script = fx->next;
+		fx->next = NULL;
+		fx->begin_ns = mh_clock_mono_ns(&mh_system_clock);
+		start_call(fx);
+		return;
+	}
 	fx->reply = *reply;
 	fx->ended = true;
 	mh_loop_stop(fx->loop);
 }
 
-/* Makes one call. Return: the status of its answer, 0 without one. */
+static void start_call(struct fixture *fx)
+{
+	mh_store_call(fx->store, "GET", "/x", NULL, 0, TIMEOUT_MS, on_reply,
+		      fx);
+}
+
+/* Makes a call after one that was answered.
+ * Return: the status of its answer, 0 without one. */
 static uint16_t call(const struct script *script, uint64_t *sent,
 		     uint64_t *took_ms)
 {
+	static const struct script first = {
+		"HTTP/1.1 200 X\r\nConnection: close\r\n"
+		"Content-Length: 2\r\n\r\n{}",
+		""
+	};
 	struct sockaddr_in sa = { .sin_family = AF_INET };
-	struct fixture fx = { .script = script };
+	struct fixture fx = { .script = &first, .next = script };
 	socklen_t len = sizeof(sa);
 	char address[32];
-	uint64_t begin_ns;
 
 	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	fx.listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -109,12 +132,10 @@
 	assert_int_equal(pthread_create(&fx.thread, NULL, serve, &fx), 0);
 	fx.store = mh_store_new(fx.loop, &fx.timers, &mh_system_clock, address,
 				&fx.era);
-	begin_ns = mh_clock_mono_ns(&mh_system_clock);
-	mh_store_call(fx.store, "GET", "/x", NULL, 0, TIMEOUT_MS, on_reply,
-		      &fx);
+	start_call(&fx);
 	mh_loop_run(fx.loop, tick, &fx);
-	*took_ms =
-		(mh_clock_mono_ns(&mh_system_clock) - begin_ns) / MH_NS_PER_MS;
+	*took_ms = (mh_clock_mono_ns(&mh_system_clock) - fx.begin_ns) /
+		   MH_NS_PER_MS;
 	assert_true(fx.ended);
 	mh_store_free(fx.store);
 	shutdown(fx.listener, SHUT_RDWR);
@@ -156,6 +177,22 @@
 			 0);
 }
 
+/* Guards against an answer whose head breaks off being taken for whole. */
+static void test_head_that_breaks_off_is_no_answer(void **state)
+{
+	static const char whole[] = "HTTP/1.1 102 X\r\n\r\n"
+				    "HTTP/1.1 204 X\r\nStore-Era: 7\r\n\r\n";
+	char head[sizeof(whole)] = "";
+	size_t len;
+
+	(void)state;
+	for (len = 1; len < sizeof(whole) - 1; len++) {
+		head[len - 1] = whole[len - 1];
+		assert_int_equal(status_of(head), 0);
+	}
+	assert_int_equal(status_of(whole), 204);
+}
+
 /* Guards against answers without end that are kept until the time-out. */
 static void test_answers_without_end_are_given_up(void **state)
 {
@@ -184,6 +221,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_only_framed_answers_are_whole),
+		cmocka_unit_test(test_head_that_breaks_off_is_no_answer),
 		cmocka_unit_test(test_answers_without_end_are_given_up),
 	};
 
