Test of a pause and a new dispatcher: every proxy uses the server

"notices: a pause and a new dispatcher" needs four refusals, one by each proxy, of the server that was used most in the first 0.5 s. Nothing promises that every proxy uses a server, as the comment at only_server says.

The checks are as before: four refusals, at most two arrivals in each pause.

--- a/tests/test_notices.sh
+++ b/tests/test_notices.sh
@@ -184,12 +184,15 @@
 
 # A dispatcher that starts learns of the pause from the proxies.
 t_pause_and_new_dispatcher() {
-	local n load
-	load_all change 5 &
+	local n load server
+	load_all change 6 &
 	load=$!
 	sleep 0.5
-	shed $(busiest change) 1500 Retry-After:3
-	sleep 0.7
+	server=$(busiest change)
+	only_server $server
+	shed $server 1500 Retry-After:3
+	sleep 0.2
+	all_servers $server
 	for n in 1 2; do
 		kill_hard dispatcher$n
 		start_dispatcher $n
