Test of a kept pause: every proxy uses the server

Its output: the second proxy had sent nothing to the server that refuses, the other three no request in their pauses.

--- a/tests/test_notices.sh
+++ b/tests/test_notices.sh
@@ -119,7 +119,10 @@
 	load=$!
 	sleep 1
 	server=$(busiest pause)
+	only_server $server
 	shed $server 2500 Retry-After:1.5
+	sleep 0.2
+	all_servers $server
 	wait $load
 	refusals pause
 	arrivals_in_pauses pause 1500 | tail -n 3
