--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -317,11 +317,12 @@
  * that it began before. */
 static void test_restart_does_not_wait_for_an_old_poll(void **state)
 {
+	static const char one[] = U64("\2") U64("\0") "\0\0\0\3\1kz";
 	static const char listing[] = "{\"items\":[],\"more\":false,\"end\":1}";
 	static const struct step steps[] = {
 		{ "/log-newest", 200, listing, sizeof(listing) - 1, NULL },
 		{ "from=1&wait_ms=10000 ", HELD, NULL, 0, NULL },
-		{ "from=1&", HELD, NULL, 0, NULL },
+		{ "from=1&", 200, one, sizeof(one) - 1, NULL },
 	};
 	struct mh_feed_conf conf = { "keyed.op", 10000, 0, 1000 };
 	struct mh_timer timer;
