A new dispatcher leaves entries that are cut off their share

Cause: an entry is cut off from dispatchers and store, and the dispatcher in use restarts before it has counted the entry as lost. Its successor has never been linked to the entry, takes the entries that link to it for all, and grants the whole quota, while the entry grants its share by itself.

Nothing is left to an entry heard of less than 1.35 s ago, as it can't serve by itself yet and may be about to link. core/lost_entries.c becomes core/entry_set.c, as it now holds the linked ones as well.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -54,7 +54,8 @@
 	d->suspects = mh_suspects_new(mh_dispatch_on_suspect, d);
 	d->open_runs = mh_open_runs_new();
 	d->limits = mh_server_notices_new(clock);
-	d->lost = mh_lost_entries_new();
+	d->linked = mh_entry_set_new();
+	d->lost = mh_entry_set_new();
 	return d;
 }
 
@@ -102,7 +103,8 @@
 	mh_suspects_free(d->suspects);
 	mh_open_runs_free(d->open_runs);
 	mh_server_notices_free(d->limits);
-	mh_lost_entries_free(d->lost);
+	mh_entry_set_free(d->linked);
+	mh_entry_set_free(d->lost);
 	free(d);
 }
 
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -17,7 +17,7 @@
 #include "core/clock.h"
 #include "core/err.h"
 #include "core/features.h"
-#include "core/lost_entries.h"
+#include "core/entry_set.h"
 #include "core/routes.h"
 #include "core/server_notices.h"
 #include "core/sliding_window.h"
@@ -315,11 +315,53 @@
  */
 void mh_dispatch_begin_share(struct mh_dispatch *d);
 
+/**
+ * mh_dispatch_entry_linked() - an entry is linked to this dispatcher
+ * @d: dispatcher
+ * @host: its host
+ */
+void mh_dispatch_entry_linked(struct mh_dispatch *d, const char *host);
+
+/**
+ * mh_dispatch_entry_ended() - an entry's process has ended
+ * @d: dispatcher
+ * @host: its host
+ */
+void mh_dispatch_entry_ended(struct mh_dispatch *d, const char *host);
+
+/**
+ * mh_dispatch_entry_lost() - an entry fell silent
+ * @d: dispatcher
+ * @host: its host
+ * @owner: owner of its slot requests, 0 if not known
+ * @heard_ns: monotonic time at which it was last heard of
+ *
+ * It may live, cut off, and use its share of the limits by itself, which this
+ * dispatcher leaves to it.
+ */
+void mh_dispatch_entry_lost(struct mh_dispatch *d, const char *host,
+			    uint32_t owner, uint64_t heard_ns);
+
+/**
+ * mh_dispatch_entry_recorded() - another dispatcher heard of an entry
+ * @d: dispatcher, which has lost the entry unless it is linked
+ * @host: its host
+ * @heard_ns: monotonic time at which it was last heard of
+ */
+void mh_dispatch_entry_recorded(struct mh_dispatch *d, const char *host,
+				uint64_t heard_ns);
+
+/**
+ * mh_dispatch_linked_entries() - entries that are linked to this dispatcher
+ * @d: dispatcher
+ */
+struct mh_entry_set *mh_dispatch_linked_entries(const struct mh_dispatch *d);
+
 /**
  * mh_dispatch_lost_entries() - entries that may use their share by themselves
  * @d: dispatcher that grants the whole otherwise
  */
-struct mh_lost_entries *mh_dispatch_lost_entries(const struct mh_dispatch *d);
+struct mh_entry_set *mh_dispatch_lost_entries(const struct mh_dispatch *d);
 
 /**
  * mh_dispatch_entries() - number of entries that share slots and limits
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -198,7 +198,9 @@
 	void *data;
 	uint32_t n_sharing;
 	uint64_t share_began_ns; /* 0 if it is that of the start */
-	struct mh_lost_entries *lost;
+	/* Those linked to this dispatcher, and those that may live without. */
+	struct mh_entry_set *linked;
+	struct mh_entry_set *lost;
 	uint32_t n_linked;
 	struct pool *pools;
 	struct request *requests;
--- a/core/dispatch_quota.c
+++ b/core/dispatch_quota.c
@@ -38,6 +38,10 @@
  * it used before, and more from this fraction of a window on. */
 #define SHARE_START_FRACTION 0.15
 #define SHARE_RISE_BEGIN 0.5
+/* An entry grants its share by itself once it was cut off for about so long. One
+ * that was heard of later may be about to link to a dispatcher that has just
+ * started. */
+#define ALONE_AFTER_MS 1350
 /* Parts of a quota save up for large requests independently, so more of them
  * than the mean may be due in one window. */
 #define SAVING_MARGIN 1.25
@@ -263,8 +267,7 @@
 	double used = o ? (double)mh_usage_sum(&o->usage, left->now_ns) : 0;
 
 	(void)host;
-	(void)age_ms;
-	if (used < left->share)
+	if (age_ms >= ALONE_AFTER_MS && used < left->share)
 		left->sum += left->share - used;
 }
 
@@ -275,10 +278,10 @@
 	double whole = whole_bound(d, q);
 	struct left left = { q, now_ns, 0, 0 };
 
-	if (!mh_lost_entries_count(d->lost, now_ns) || !d->n_linked)
+	if (!mh_entry_set_count(d->lost, now_ns) || !d->n_linked)
 		return whole;
 	left.share = whole / mh_dispatch_entries(d);
-	mh_lost_entries_each(d->lost, now_ns, add_left, &left);
+	mh_entry_set_each(d->lost, now_ns, add_left, &left);
 	return whole - left.sum;
 }
 
--- a/dispatcher/linked_entry.c
+++ b/dispatcher/linked_entry.c
@@ -48,11 +48,10 @@
 void mh_linked_entries_note(struct mh_linked_entry *table,
 			    struct mh_dispatch *d)
 {
-	struct mh_lost_entries *lost = mh_dispatch_lost_entries(d);
 	struct mh_linked_entry *entry, *tmp;
 
 	HASH_ITER(hh, table, entry, tmp)
-		mh_lost_entries_remove(lost, entry->host);
+		mh_dispatch_entry_linked(d, entry->host);
 	mh_dispatch_set_linked(d, HASH_COUNT(table));
 }
 
@@ -61,8 +60,9 @@
 			    struct mh_dispatch *d, uint64_t heard_ns)
 {
 	if (heard_ns)
-		mh_lost_entries_add(mh_dispatch_lost_entries(d), entry->host,
-				    entry->link, heard_ns);
+		mh_dispatch_entry_lost(d, entry->host, entry->link, heard_ns);
+	else
+		mh_dispatch_entry_ended(d, entry->host);
 	mh_linked_entry_remove(table, entry);
 	/* It may have linked again meanwhile. */
 	mh_linked_entries_note(*table, d);
--- a/tests/test_lost_entries.c
+++ b/tests/test_lost_entries.c
@@ -146,9 +146,8 @@
 {
 	uint32_t i, linked = 0;
 
-	mh_lost_entries_add(mh_dispatch_lost_entries(site->shared->d),
-			    host_of(entry), entry + 1,
-			    site->shared->now_ns - 2000 * MS);
+	mh_dispatch_entry_lost(site->shared->d, host_of(entry), entry + 1,
+			       site->shared->now_ns - 2000 * MS);
 	for (i = 0; i < site->n; i++)
 		linked += site->alone_from[i] < 0;
 	mh_dispatch_set_linked(site->shared->d, linked);
@@ -167,8 +166,7 @@
 				(site->now - t) * STEP_MS);
 	}
 	site->alone_from[entry] = -1;
-	mh_lost_entries_remove(mh_dispatch_lost_entries(site->shared->d),
-			       host_of(entry));
+	mh_dispatch_entry_linked(site->shared->d, host_of(entry));
 }
 
 static uint32_t most_in_a_window(const struct site *site, uint32_t from)
@@ -315,6 +313,87 @@
 	close_site(&site);
 }
 
+/* The dispatcher is replaced, without a stored record, by one that has the copies of
+ * linked entries only: the one that is cut off was not known to be lost yet. */
+static void replace(struct site *site, char *record)
+{
+	struct fixture *next = new_fixture_at(site->shared->now_ns);
+	uint32_t i, linked = 0;
+
+	add_server(next, "a", 1, true);
+	mh_dispatch_set_quota(next->d, "hot", 100, 200);
+	mh_dispatch_set_grantor(next->d, SHARED + 1);
+	for (i = 0; i < site->n; i++) {
+		if (site->alone_from[i] >= 0)
+			continue;
+		mh_dispatch_entry_linked(next->d, host_of(i));
+		linked++;
+	}
+	mh_dispatch_set_linked(next->d, linked);
+	assert_true(mh_ledger_decode_cached(next->d, (const uint8_t *)record,
+					    strlen(record), 0));
+	free(record);
+	free_fixture(site->shared);
+	site->shared = next;
+}
+
+/* Guards against a dispatcher that starts just after an entry was cut off, has never
+ * been linked to it, and grants its share as well. */
+static void test_a_cut_beside_a_new_dispatcher(void **state)
+{
+	struct site site;
+	char *record;
+	uint32_t i;
+
+	(void)state;
+	open_site(&site, ENTRIES);
+	run(&site, 60, 2);
+	for (i = 0; i < ENTRIES; i++)
+		mh_dispatch_entry_linked(site.shared->d, host_of(i));
+	record = mh_ledger_encode(site.shared->d, site.shared->now_ns / MS);
+	cut(&site, 0);
+	replace(&site, record);
+	run(&site, 100, 2);
+	assert_in_range(most_in_a_window(&site, 0), 0, ALLOWED);
+	assert_int_equal(mh_dispatch_entries(site.shared->d), ENTRIES);
+	close_site(&site);
+}
+
+static double limit_of(struct fixture *f)
+{
+	uint32_t n = 0;
+
+	while (grant(f, 1))
+		n += UNITS;
+	return n;
+}
+
+/* The other side: of entries that link to it in time nothing is left unused. */
+static void test_entries_that_link_in_time(void **state)
+{
+	struct fixture *f = new_fixture_at(start_ns());
+	uint32_t i;
+
+	(void)state;
+	add_server(f, "a", 1, true);
+	mh_dispatch_set_quota(f->d, "hot", 100, 200);
+	advance_clock(f, 20000);
+	mh_dispatch_entry_linked(f->d, host_of(0));
+	mh_dispatch_set_linked(f->d, 1);
+	for (i = 0; i < ENTRIES; i++)
+		mh_dispatch_entry_recorded(f->d, host_of(i),
+					   f->now_ns - 1000 * MS);
+	assert_int_equal(mh_dispatch_entries(f->d), ENTRIES);
+	assert_in_range(limit_of(f), GRANTED - UNITS, GRANTED);
+	for (i = 0; i < ENTRIES; i++)
+		mh_dispatch_entry_linked(f->d, host_of(i));
+	mh_dispatch_set_linked(f->d, ENTRIES);
+	advance_clock(f, 20000);
+	assert_in_range(limit_of(f), GRANTED - UNITS, GRANTED);
+	assert_int_equal(mh_dispatch_entries(f->d), ENTRIES);
+	free_fixture(f);
+}
+
 /* Guards against the extra retries of the budget that both grant. */
 static uint32_t extra_retries(struct fixture *f)
 {
@@ -345,8 +424,8 @@
 	all = extra_retries(f);
 	mh_dispatch_set_linked(f->d, 3);
 	advance_clock(f, 20000);
-	mh_lost_entries_add(mh_dispatch_lost_entries(f->d), "h0", 4, f->now_ns);
-	mh_lost_entries_add(mh_dispatch_lost_entries(f->d), "h1", 5, f->now_ns);
+	mh_dispatch_entry_lost(f->d, "h0", 4, f->now_ns);
+	mh_dispatch_entry_lost(f->d, "h1", 5, f->now_ns);
 	rest = extra_retries(f);
 	assert_in_range(all, 4, 5);
 	assert_in_range(rest, 2, 3);
@@ -361,6 +440,8 @@
 		cmocka_unit_test(test_shares_are_used),
 		cmocka_unit_test(test_a_dead_entry_is_given_up),
 		cmocka_unit_test(test_the_next_dispatcher_knows_of_the_lost),
+		cmocka_unit_test(test_a_cut_beside_a_new_dispatcher),
+		cmocka_unit_test(test_entries_that_link_in_time),
 		cmocka_unit_test(test_extra_retries_are_shared_with_the_lost),
 	};
 
