--- a/tests/soak_mutants.sh
+++ b/tests/soak_mutants.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # Mutation test: disables one mechanism at a time in a copy of the tree and
 # expects the soak test to report the guarantee that it provides as BROKEN.
-# Usage: soak_mutants.sh [PATTERN]
+# Usage: [PORTS=first] [JOBS=n] soak_mutants.sh [PATTERN]
 cd "$(dirname "$0")/.." || exit 1
 . tests/mutate.sh
 dir=$(mktemp -d)
@@ -44,7 +44,8 @@
 	done
 	n=$(((n + 1) % 12))
 	try_mutant "$(echo $guarantee)" "$(echo $file)" \
-		"$(echo "$expression" | sed 's/^ //')" $((26000 + 500 * n)) &
+		"$(echo "$expression" | sed 's/^ //')" \
+		$((${PORTS:-26000} + 500 * n)) &
 done <tests/soak_mutants.txt >"$dir/result"
 wait
 sort "$dir/result"
