Waiting requests outlive a broken link to their dispatcher

Cause: an entry sends the requests that wait to a dispatcher as it begins to use it. One whose link breaks and is back within 0.9 s, with no other fit one, stays the one in use, so nothing was sent to it again, although it had dropped what belonged to the old link or had started anew. Requests that came meanwhile were sent to a link that was down.

Evidence: between link_up of the dispatcher in use and the next change, 1.9 s later, no process has a line about the 17 requests; then all are granted or refused within 3 ms (postmortem).

Requests are now held while the dispatcher in use is down or has not read the store, and all are sent when it is fit. Sending them as the link comes up was tried first: a dispatcher that has just started refused them, 503 in 0.25 s.

tests/test_finding.sh "a dispatcher restarts below waiting requests" fails before: 503 after 3.0 s.

--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -1,4 +1,4 @@
-#include "proxy/slot_client.h"
+#include "proxy/slot_client_impl.h"
 
 #include <sodium.h>
 #include <stdio.h>
@@ -7,18 +7,12 @@
 #include <uthash.h>
 #include <utlist.h>
 
-#include "core/candidates.h"
 #include "core/check_alloc.h"
-#include "core/ledger_cache.h"
 #include "core/store_reads.h"
 #include "net/crash_log.h"
 #include "net/link_peer.h"
 #include "net/registrations.h"
-#include "proxy/dispatcher_finder.h"
-#include "proxy/requests.h"
 #include "proxy/slot_frames.h"
-#include "proxy/suspect_relay.h"
-#include "proxy/usage_forward.h"
 
 /* Dispatchers send a heartbeat every 100 ms; a link that is silent for longer
  * than three missed heartbeats is closed. */
@@ -30,32 +24,6 @@
 #define MAX_FRAME_BYTES (8u << 20)
 #define MAX_QUEUE_BYTES (16u << 20)
 
-struct mh_slot_client {
-	const struct mh_clock *clock;
-	struct mh_counters *counters;
-	struct mh_event_log *log;
-	struct mh_store_era *store_era;
-	const struct mh_slot_client_ops *ops;
-	void *data;
-	struct mh_links *links;
-	struct mh_catalog *catalog;
-	struct mh_dispatch *local;
-	struct mh_candidates candidates;
-	struct mh_dispatcher_finder finder;
-	uint32_t patience_ms;	      /* as in struct mh_store_reads */
-	struct mh_candidate *current; /* NULL: the local share is used */
-	uint64_t heartbeat_ns;	      /* last heartbeat of the current one */
-	uint64_t lost_ns; /* since when no dispatcher is usable, 0 if one is */
-	uint64_t next_scan_ns;
-	uint64_t next_ping_ns;
-	uint32_t ready_registrations; /* received so far, never decreases */
-	struct mh_request *requests;
-	struct mh_usage_forward usage;
-	struct mh_ledger_cache *ledger_cache;
-	struct mh_suspect_relay suspects;
-	struct mh_notice_relay notices;
-};
-
 static uint64_t now_of(const struct mh_slot_client *sc)
 {
 	return mh_clock_mono_ns(sc->clock);
@@ -88,8 +56,29 @@
 	mh_usage_forward_send(&sc->usage, !sc->current);
 }
 
-/* Moves all requests to the next dispatcher, which adopts the slots that they
- * hold. NULL stands for the local dispatcher. */
+/* The dispatcher in use grants the slots that requests wait for, and adopts those
+ * that they hold. */
+static void send_slot_requests(struct mh_slot_client *sc)
+{
+	struct mh_request *req, *tmp;
+
+	HASH_ITER(hh, sc->requests, req, tmp) {
+		if (sc->current)
+			send_slot_request(sc, req);
+		else
+			request_local_slot(sc, req);
+	}
+}
+
+/* The dispatcher in use is back and has read the store. It forgot the requests as its
+ * link broke, or has started anew. */
+static void resume(struct mh_slot_client *sc)
+{
+	mh_suspect_relay_tell_observed(&sc->suspects, sc->current);
+	send_slot_requests(sc);
+}
+
+/* Moves all requests to the next dispatcher. NULL stands for the local one. */
 static void switch_dispatcher(struct mh_slot_client *sc,
 			      struct mh_candidate *next)
 {
@@ -120,12 +109,7 @@
 		mh_dispatch_begin_share(sc->local);
 	mh_suspect_relay_tell_observed(&sc->suspects, next);
 	forward_usage(sc);
-	HASH_ITER(hh, sc->requests, req, tmp) {
-		if (next)
-			send_slot_request(sc, req);
-		else
-			request_local_slot(sc, req);
-	}
+	send_slot_requests(sc);
 }
 
 static void select_dispatcher(struct mh_slot_client *sc)
@@ -241,13 +225,18 @@
 static void on_heartbeat(struct mh_slot_client *sc, struct mh_candidate *c,
 			 const Mh__Standing *msg)
 {
+	bool was_fit;
+
 	mh_candidates_count_entries(&sc->candidates, msg->entries,
 				    c == sc->current, now_of(sc));
 	if (c->fit != msg->fit)
 		mh_event(sc->log, MH_EV_DEPENDENCY,
 			 "event=dispatcher_fit peer=%s fit=%d version=%llu",
 			 c->name, msg->fit, (unsigned long long)msg->version);
+	was_fit = c->was_fit;
 	mh_candidate_heartbeat(c, msg->fit, now_of(sc));
+	if (c == sc->current && c->was_fit && !was_fit)
+		resume(sc);
 	/* An entry that reads nothing from the store learns it this way. */
 	mh_store_era_learn(sc->store_era, msg->store_era);
 	if (c == sc->current)
@@ -497,58 +486,15 @@
 	mh_dispatch_set_conf(sc->local, conf);
 }
 
-static void send_registration(void *data, const struct mh_registration *reg)
-{
-	struct mh_slot_client *sc = data;
-
-	mh_registration_send(sc->links, sc->current->link, reg);
-}
-
-void mh_slot_client_forward_state(struct mh_slot_client *sc, uint64_t version,
-				  const uint8_t *bytes, size_t len)
-{
-	if (!sc->current)
-		return;
-	mh_catalog_each(sc->catalog, send_registration, sc);
-	if (bytes)
-		mh_config_document_send(sc->links, sc->current->link, version,
-					bytes, len);
-}
-
-struct mh_catalog *mh_slot_client_catalog(struct mh_slot_client *sc)
-{
-	return sc->catalog;
-}
-
-bool mh_slot_client_may_send(const struct mh_slot_client *sc,
-			     const struct mh_server_ref *server)
-{
-	const struct mh_registration *reg =
-		mh_catalog_find(sc->catalog, server->id);
-
-	return !reg || reg->state == MH_SERVER_READY ||
-	       reg->born_ms != server->born_ms;
-}
-
-void mh_slot_client_send_registration(struct mh_slot_client *sc,
-				      const struct mh_server_ref *server)
-{
-	const struct mh_registration *reg =
-		mh_catalog_find(sc->catalog, server->id);
-
-	if (reg && sc->current && sc->current->up)
-		mh_registration_send(sc->links, sc->current->link, reg);
-}
-
 void mh_slot_client_request(struct mh_slot_client *sc,
 			    const struct mh_slot_request *slot_req)
 {
 	struct mh_request *req = mh_request_add(&sc->requests, slot_req);
 
-	if (sc->current)
-		send_slot_request(sc, req);
-	else if (now_of(sc) > sc->lost_ns + FALLBACK_DELAY_NS)
+	if (!sc->current && now_of(sc) > sc->lost_ns + FALLBACK_DELAY_NS)
 		request_local_slot(sc, req);
+	else if (sc->current && sc->current->up && sc->current->was_fit)
+		send_slot_request(sc, req);
 }
 
 void mh_slot_client_first_byte(struct mh_slot_client *sc, uint64_t id,
@@ -653,15 +599,6 @@
 			     sc->ready_registrations > 0;
 }
 
-/* The local dispatcher ignores requests that it already has. */
-static void request_local_slots(struct mh_slot_client *sc)
-{
-	struct mh_request *req, *tmp;
-
-	HASH_ITER(hh, sc->requests, req, tmp)
-		request_local_slot(sc, req);
-}
-
 static bool is_fallback_due(const struct mh_slot_client *sc, uint64_t now_ns)
 {
 	return sc->lost_ns && now_ns > sc->lost_ns + FALLBACK_DELAY_NS;
@@ -686,7 +623,8 @@
 		if (sc->current && is_fallback_due(sc, now_ns))
 			switch_dispatcher(sc, NULL);
 		else if (!sc->current && is_fallback_due(sc, now_ns))
-			request_local_slots(sc);
+			/* The local dispatcher ignores those that it has. */
+			send_slot_requests(sc);
 	}
 	if (!sc->current && is_fallback_due(sc, now_ns)) {
 		mh_catalog_tick(sc->catalog, now_ns);
--- a/tests/test_finding.sh
+++ b/tests/test_finding.sh
@@ -60,6 +60,10 @@
 	[ "$(last_choice)" = own ]
 }
 
+uses_dispatcher() { # N
+	[ "$(last_choice)" = dispatcher-$1 ]
+}
+
 uses_a_dispatcher() {
 	[[ "$(last_choice)" == dispatcher-* ]]
 }
@@ -191,6 +195,31 @@
 		grep -q 'event=announced status=200' "$DIR/proxy3.log"
 }
 
+# Guards against requests that wait in vain until their deadline, as the only
+# dispatcher ends with what it knew of them and is back before the proxy uses its own
+# share.
+t_waiting_requests_outlive_a_restart() {
+	local i caller
+	kill_hard dispatcher2
+	is_alive proxy1 || start_storeless_proxy 1 1
+	wait_until 5 uses_dispatcher 1 && wait_until 3 serves 1 || return 1
+	for i in 1 2 3; do
+		kill -STOP $(pid_of dispatcher1)
+		call 1 /once/ok -o /dev/null \
+			-w '%{http_code} %{time_total}' >"$DIR/waited" &
+		caller=$!
+		sleep 0.1
+		kill_hard dispatcher1
+		start_dispatcher 1
+		wait $caller
+		cat "$DIR/waited"
+		awk '{ exit !($1 == 200 && $2 < 2) }' "$DIR/waited" || return 1
+		wait_until 3 serves 1 || return 1
+		sleep 1
+	done
+	start_dispatcher 2
+}
+
 t_wrong_seed_is_an_error() {
 	sed 's/^\s*seeds.*/seeds = ["nowhere"]/' "$DIR/proxy1.toml" >"$DIR/bad.toml"
 	$BIN/mangohead-proxy --config "$DIR/bad.toml" --check 2>"$DIR/err"
@@ -240,6 +269,8 @@
 	t_first_request_waits
 check "finding: nothing old after a restart" t_nothing_old_after_a_restart
 check "finding: nothing is read with a dispatcher" t_no_reads_with_a_dispatcher
+check "finding: a dispatcher restarts below waiting requests" \
+	t_waiting_requests_outlive_a_restart
 check "finding: a wrong seed is an error" t_wrong_seed_is_an_error
 check "finding: entries alone share a quota" t_entries_alone_share_a_quota
 echo "$passed passed, $failed failed"
