The blame of a suspect on trial is told to other processes

Cause: that a server ended under a suspect on trial was known to the dispatcher that had placed it, and to nobody else. An entry that changed to another dispatcher told it of a proper request that was lost there, judged "beside" by the first, and it was counted; the request was a suspect from then on, and its next losses beside crashing ones counted as trials.

A crash tells that its request was on trial (is_blamed, a new field that older versions pass over). Who learns of it counts that server's end against no other request that was not on trial itself, in whichever order they are told.

The parameters of a crash go through struct mh_crash; blame is in a file of its own.

--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -77,14 +77,13 @@
 	return bits;
 }
 
-/* Whether a run began as that of a suspect, and may crash its server yet. */
-static bool is_on_trial(const struct mh_dispatch *d, const struct request *req,
-			uint64_t now_ns)
+/* Whether a run began as that of a suspect request, and may crash its server yet. */
+static bool is_request_on_trial(const struct mh_dispatch *d,
+				const struct request *req, uint64_t now_ns)
 {
-	return parts_on_trial(d, req, now_ns) ||
-	       (mh_dispatch_has_just_begun(req, now_ns) &&
-		mh_suspects_was_known(d->suspects, request_of(req),
-				      req->placed_ns, now_ns));
+	return mh_dispatch_has_just_begun(req, now_ns) &&
+	       mh_suspects_was_known(d->suspects, request_of(req),
+				     req->placed_ns, now_ns);
 }
 
 /* Features that a lost run counts against, as bits by their number: the whole
@@ -108,35 +107,67 @@
 	return bits;
 }
 
-/* Counts a crash against features of a run, given as bits by their number.
- * Return: whether it counts against any. */
+struct lost_run {
+	const struct mh_features *features;
+	uint64_t counted; /* features that it counts against, as bits */
+	bool is_blamed;
+	uint64_t placed_ns;
+	bool was_responding;
+};
+
+/* Return: whether it counts against any feature. */
 static bool count_crash(struct mh_dispatch *d, const struct server *s,
-			const struct mh_features *features, uint64_t bits,
-			uint64_t placed_ns, bool was_responding,
-			uint64_t now_ns)
+			const struct lost_run *run, uint64_t now_ns)
 {
+	const struct mh_features *features = run->features;
+	struct mh_crash lost = {
+		.server = s->incarnation,
+		.request = features->request,
+		.placed_ns = run->placed_ns,
+		.lost_ns = now_ns,
+	};
 	struct mh_feature feature;
 	bool counts = false;
 	uint32_t i;
 
 	for (i = 0; i < mh_features_count(features); i++) {
-		if (!(bits >> i & 1))
+		if (!(run->counted >> i & 1))
 			continue;
+		lost.is_blamed = run->is_blamed && !i;
 		feature = mh_features_at(features, i);
 		/* Runs that began before the first crash prove nothing. */
 		if (i && !mh_suspects_crashes(d->suspects, feature, now_ns))
 			mh_open_runs_restart(d->open_runs, feature, now_ns);
-		counts |= mh_suspects_add_crash(
-			d->suspects, feature, features->request, s->incarnation,
-			placed_ns, was_responding, now_ns);
+		counts |= mh_suspects_add_crash(d->suspects, feature, &lost,
+						run->was_responding);
 	}
 	mh_suspects_confirm(d->suspects, mh_dispatch_has_settled, d, now_ns);
 	return counts;
 }
 
+/* Whether another process has told that its trial ended the server. */
+static bool is_beside_trial_elsewhere(const struct mh_dispatch *d,
+				      const struct request *req,
+				      uint64_t now_ns)
+{
+	struct mh_crash lost = {
+		.server = req->server->incarnation,
+		.request = req->features->request,
+		.placed_ns = req->placed_ns,
+		.lost_ns = now_ns,
+	};
+
+	return mh_suspects_blames_other(d->suspects, &lost);
+}
+
 static enum mh_lost_verdict judge(struct mh_dispatch *d, struct request *req,
 				  uint64_t now_ns)
 {
+	struct lost_run run = {
+		.features = req->features,
+		.placed_ns = req->placed_ns,
+		.was_responding = req->answering,
+	};
 	struct server *s = req->server;
 	bool is_beside_trial;
 
@@ -148,7 +179,8 @@
 	mh_open_runs_unsettle(d->open_runs, req->features, s->incarnation);
 	is_beside_trial =
 		s->trial_lost_ns && now_ns < s->trial_lost_ns + REPORTS_NS;
-	if (is_on_trial(d, req, now_ns)) {
+	run.is_blamed = is_request_on_trial(d, req, now_ns);
+	if (run.is_blamed || parts_on_trial(d, req, now_ns)) {
 		/* Of several trials each may be the cause. */
 		if (!is_beside_trial)
 			mh_suspects_blame(d->suspects, s->incarnation,
@@ -158,21 +190,29 @@
 	} else if (is_beside_trial) {
 		return MH_LOST_BESIDE;
 	}
+	run.counted = features_to_count(d, req, now_ns);
+	/* Its parts may be the cause all the same. */
+	if (!run.is_blamed && is_beside_trial_elsewhere(d, req, now_ns))
+		run.counted &= ~1ull;
+	if (!run.counted)
+		return MH_LOST_BESIDE;
 	s->lost_ns = now_ns;
-	return count_crash(d, s, req->features,
-			   features_to_count(d, req, now_ns), req->placed_ns,
-			   req->answering, now_ns) ?
-		       MH_LOST_COUNTED :
-		       MH_LOST_SUCCEEDED;
+	return count_crash(d, s, &run, now_ns) ? MH_LOST_COUNTED :
+						 MH_LOST_SUCCEEDED;
 }
 
 /* Counts a run that ended without a response, or with one after which its server
  * may have crashed. */
 static void count_ended_run(struct mh_dispatch *d, const struct server *s,
-			    const struct ended_run *run, uint64_t now_ns)
+			    const struct ended_run *ended, uint64_t now_ns)
 {
-	count_crash(d, s, run->features, UINT64_MAX, run->placed_ns, false,
-		    now_ns);
+	const struct lost_run run = {
+		.features = ended->features,
+		.counted = UINT64_MAX,
+		.placed_ns = ended->placed_ns,
+	};
+
+	count_crash(d, s, &run, now_ns);
 }
 
 /* The newest runs replace the oldest ones. */
@@ -240,8 +280,11 @@
 	if (req->answering || s->last_answer_ns > req->placed_ns)
 		return;
 	if (s->vanished)
-		count_crash(d, s, req->features, UINT64_MAX, req->placed_ns,
-			    false, now_ns);
+		count_ended_run(
+			d, s,
+			&(struct ended_run){ .features = req->features,
+					     .placed_ns = req->placed_ns },
+			now_ns);
 	if (s->takes_work)
 		keep_ended(s->silent, &s->n_silent, req, now_ns);
 }
--- a/core/observed_crashes.c
+++ b/core/observed_crashes.c
@@ -42,15 +42,19 @@
 		      const struct mh_observed_run *run,
 		      const struct mh_features *features, uint64_t now_ns)
 {
-	uint64_t server = mh_server_incarnation(run->server);
+	const struct mh_crash lost = {
+		.server = mh_server_incarnation(run->server),
+		.request = features->request,
+		.placed_ns = run->placed_ns,
+		.lost_ns = now_ns,
+	};
 	uint32_t i, n = has_just_begun(run, now_ns) ?
 				mh_features_count(features) :
 				1;
 
 	for (i = 0; i < n; i++)
 		mh_suspects_add_crash(suspects, mh_features_at(features, i),
-				      features->request, server, run->placed_ns,
-				      run->responded_ns, now_ns);
+				      &lost, run->responded_ns);
 }
 
 void mh_observed_crashes_end(struct mh_observed_crashes *observed,
--- a/core/suspects.c
+++ b/core/suspects.c
@@ -368,17 +368,10 @@
 }
 
 bool mh_suspects_add_crash(struct mh_suspects *set, struct mh_feature feature,
-			   uint64_t request, uint64_t server,
-			   uint64_t placed_ns, bool was_responding,
-			   uint64_t now_ns)
+			   const struct mh_crash *lost, bool was_responding)
 {
-	struct mh_crash crash = {
-		.id = crash_id(server, now_ns),
-		.server = server,
-		.request = request,
-		.placed_ns = placed_ns,
-		.lost_ns = now_ns,
-	};
+	uint64_t now_ns = lost->lost_ns;
+	struct mh_crash crash = *lost;
 	struct mh_suspect *suspect;
 	struct suspect_row *r;
 	bool is_urgent;
@@ -386,18 +379,19 @@
 
 	if (!feature.id || succeeded_recently(set, feature, now_ns))
 		return false;
-	record_end(set, server, now_ns);
+	crash.id = crash_id(lost->server, now_ns);
+	record_end(set, lost->server, now_ns);
 	r = get(set, feature, now_ns);
 	suspect = &r->suspect;
 	for (i = 0; i < suspect->n_crashes; i++) {
 		const struct mh_crash *known = &suspect->crashes[i];
 
-		if (known->server == server &&
-		    (placed_ns <= known->lost_ns ||
+		if (known->server == lost->server &&
+		    (lost->placed_ns <= known->lost_ns ||
 		     now_ns < known->lost_ns + MH_CRASH_REPORTS_NS))
 			return !known->refuted;
 	}
-	crash.on_trial = was_known(suspect, placed_ns);
+	crash.on_trial = was_known(suspect, lost->placed_ns);
 	suspect->seen_ns = now_ns;
 	if (append_crash(suspect, &crash))
 		r->has_untold_crash = true;
@@ -412,48 +406,6 @@
 	return true;
 }
 
-/* Refutes crashes of a server, except those of @blamed and those that were on
- * trial if it is given. */
-static void refute(struct mh_suspects *set, uint64_t server,
-		   const struct mh_features *blamed, uint64_t since_ns,
-		   uint64_t now_ns)
-{
-	struct suspect_row *r, *tmp;
-	uint32_t i;
-
-	HASH_ITER(hh, set->rows, r, tmp) {
-		bool changed = false;
-
-		if (blamed && mh_features_hold(blamed, r->suspect.feature))
-			continue;
-		for (i = 0; i < r->suspect.n_crashes; i++) {
-			struct mh_crash *crash = &r->suspect.crashes[i];
-
-			if (crash->server != server || crash->refuted ||
-			    crash->lost_ns < since_ns ||
-			    (blamed && crash->on_trial))
-				continue;
-			crash->refuted = true;
-			changed = true;
-		}
-		if (changed)
-			mh_suspects_report_less(set, r, now_ns);
-	}
-}
-
-void mh_suspects_refute(struct mh_suspects *set, uint64_t server,
-			uint64_t since_ns, uint64_t now_ns)
-{
-	refute(set, server, NULL, since_ns, now_ns);
-}
-
-void mh_suspects_blame(struct mh_suspects *set, uint64_t server,
-		       const struct mh_features *blamed, uint64_t since_ns,
-		       uint64_t now_ns)
-{
-	refute(set, server, blamed, since_ns, now_ns);
-}
-
 void mh_suspects_clear(struct mh_suspects *set, uint64_t fingerprint,
 		       uint64_t now_ns)
 {
@@ -616,8 +568,10 @@
 		if (!mh_crash_is_same(crash, other))
 			continue;
 		if (crash->refuted >= other->refuted &&
-		    crash->on_trial >= other->on_trial)
+		    crash->on_trial >= other->on_trial &&
+		    crash->is_blamed >= other->is_blamed)
 			return false;
+		crash->is_blamed = crash->is_blamed || other->is_blamed;
 		crash->refuted = crash->refuted || other->refuted;
 		crash->on_trial = crash->on_trial || other->on_trial;
 		return true;
@@ -651,6 +605,8 @@
 		record_end(set, other->crashes[i].server,
 			   other->crashes[i].lost_ns);
 	}
+	if (changed)
+		mh_suspects_settle_blame(set, r, now_ns);
 	/* Unless it was confirmed before it was cleared. */
 	if (other->is_confirmed && !r->suspect.is_confirmed &&
 	    other->cleared_ns + MH_SUSPECT_TIME_ERROR_NS >=
--- a/core/suspects.h
+++ b/core/suspects.h
@@ -27,6 +27,8 @@
  * @placed_ns: monotonic time at which the run began, 0 if unknown
  * @lost_ns: monotonic time at which the run was lost
  * @on_trial: the run began when its feature was a suspect already
+ * @is_blamed: the request was on trial as the server ended: it takes the blame for
+ *             other requests that ran there; of parts never
  * @refuted: it does not count: the server did not crash, or did by another
  *           request
  */
@@ -37,6 +39,7 @@
 	uint64_t placed_ns;
 	uint64_t lost_ns;
 	bool on_trial;
+	bool is_blamed;
 	bool refuted;
 };
 
@@ -117,13 +120,10 @@
  * mh_suspects_add_crash() - count a server that a run was lost with
  * @set: set
  * @feature: feature of the run's request
- * @request: fingerprint of the whole request
- * @server: the server's incarnation
- * @placed_ns: monotonic time at which the run began
+ * @lost: what is known of it, but for @id and @on_trial; @lost_ns is the time
  * @was_responding: its response had begun: most such servers live, and other
  *                  processes are told only after the time to find out, unless
  *                  they were told of the crash with another part
- * @now_ns: monotonic time
  *
  * Runs with the same feature that are lost with a server together count once.
  *
@@ -131,9 +131,15 @@
  * shortly before.
  */
 bool mh_suspects_add_crash(struct mh_suspects *set, struct mh_feature feature,
-			   uint64_t request, uint64_t server,
-			   uint64_t placed_ns, bool was_responding,
-			   uint64_t now_ns);
+			   const struct mh_crash *lost, bool was_responding);
+
+/**
+ * mh_suspects_blames_other() - whether a server ended under a suspect on trial
+ * @set: set
+ * @lost: crash of another run, seen here or told by another process
+ */
+bool mh_suspects_blames_other(const struct mh_suspects *set,
+			      const struct mh_crash *lost);
 
 /**
  * mh_suspects_refute() - a server did not crash
--- a/core/suspects_impl.h
+++ b/core/suspects_impl.h
@@ -81,4 +81,10 @@
 bool mh_suspects_is_told(const struct mh_suspects *set,
 			 const struct mh_crash *crash);
 
+/* Blame: suspect_blame.c. Two processes may have placed a suspect on trial and
+ * another request at a server, and each saw one of them lost: settles which crashes
+ * of a record that was merged, and of others, count. */
+void mh_suspects_settle_blame(struct mh_suspects *set,
+			      struct suspect_row *merged, uint64_t now_ns);
+
 #endif
--- a/net/suspect_frames.c
+++ b/net/suspect_frames.c
@@ -50,6 +50,7 @@
 		crashes[i].server = crash->server;
 		crashes[i].age_ms = age_ms(crash->lost_ns, now_ns);
 		crashes[i].on_trial = crash->on_trial;
+		crashes[i].is_blamed = crash->is_blamed;
 		crashes[i].refuted = crash->refuted;
 		crashes[i].run_ms = run_ms(crash);
 		crashes[i].request = crash->request;
@@ -112,6 +113,7 @@
 			.placed_ns = placed_ns(from->run_ms, lost_ns),
 			.lost_ns = lost_ns,
 			.on_trial = from->on_trial,
+			.is_blamed = from->is_blamed,
 			.refuted = from->refuted,
 		};
 	}
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -3931,7 +3931,7 @@
   (ProtobufCMessageInit) mh__ledger_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__crash__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mh__crash__field_descriptors[8] =
 {
   {
     "id",
@@ -4017,10 +4017,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_blamed",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Crash, is_blamed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__crash__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   0,   /* field[0] = id */
+  7,   /* field[7] = is_blamed */
   3,   /* field[3] = on_trial */
   4,   /* field[4] = refuted */
   6,   /* field[6] = request */
@@ -4030,7 +4043,7 @@
 static const ProtobufCIntRange mh__crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor mh__crash__descriptor =
 {
@@ -4040,7 +4053,7 @@
   "Mh__Crash",
   "mh",
   sizeof(Mh__Crash),
-  7,
+  8,
   mh__crash__field_descriptors,
   mh__crash__field_indices_by_name,
   1,  mh__crash__number_ranges,
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -572,10 +572,14 @@
    * fingerprint of the run's request, 0: unknown
    */
   uint64_t request;
+  /*
+   * it was on trial: others lost with it are not the cause
+   */
+  protobuf_c_boolean is_blamed;
 };
 #define MH__CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__crash__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test_part_suspects.c
+++ b/tests/test_part_suspects.c
@@ -282,8 +282,13 @@
 	uint32_t i;
 
 	for (i = 0; i < 2; i++)
-		mh_suspects_add_crash(set, features[i], ms, server_at_ms(ms),
-				      (ms - 50) * MS, true, ms * MS);
+		mh_suspects_add_crash(
+			set, features[i],
+			&(struct mh_crash){ .server = server_at_ms(ms),
+					    .request = ms,
+					    .placed_ns = (ms - 50) * MS,
+					    .lost_ns = ms * MS },
+			true);
 }
 
 static void note_part(void *data, const struct mh_suspect *suspect)
--- a/tests/test_suspect_merge.c
+++ b/tests/test_suspect_merge.c
@@ -56,9 +56,14 @@
 		uint64_t lost_ms = first_ms + i * step_ms;
 		uint64_t lost_ns = lost_ms * MS;
 
-		mh_suspects_add_crash(set, part_5, lost_ms, lost_ms,
-				      lost_ns - step_ms * MS / 2, false,
-				      lost_ns);
+		mh_suspects_add_crash(
+			set, part_5,
+			&(struct mh_crash){ .server = lost_ms,
+					    .request = lost_ms,
+					    .placed_ns =
+						    lost_ns - step_ms * MS / 2,
+					    .lost_ns = lost_ns },
+			false);
 	}
 }
 
@@ -139,8 +144,13 @@
 {
 	struct mh_feature feature = { MH_FEATURE_REQUEST, request };
 
-	mh_suspects_add_crash(set, feature, request, server,
-			      (lost_ms - 500) * MS, false, lost_ms * MS);
+	mh_suspects_add_crash(
+		set, feature,
+		&(struct mh_crash){ .server = server,
+				    .request = request,
+				    .placed_ns = (lost_ms - 500) * MS,
+				    .lost_ns = lost_ms * MS },
+		false);
 }
 
 static bool is_refused(struct mh_suspects *set, uint64_t request)
--- a/tests/test_suspect_sharing.c
+++ b/tests/test_suspect_sharing.c
@@ -462,9 +462,13 @@
 	for (i = 0; i < 2; i++) {
 		assert_false(
 			mh_suspects_refuses(set, features, 9000 * MS, &by));
-		mh_suspects_add_crash(set, part, 1 + i, 100 + i,
-				      (9500 + 1000 * i) * MS, false,
-				      (9600 + 1000 * i) * MS);
+		mh_suspects_add_crash(
+			set, part,
+			&(struct mh_crash){ .server = 100 + i,
+					    .request = 1 + i,
+					    .placed_ns = (9500 + 1000 * i) * MS,
+					    .lost_ns = (9600 + 1000 * i) * MS },
+			false);
 	}
 	assert_true(mh_suspects_refuses(set, features, 12000 * MS, &by));
 	mh_suspects_free(set);
@@ -517,6 +521,121 @@
 	free_cluster(c);
 }
 
+#define SOUND 50
+
+/* Two dispatchers place a request each at the same server. */
+static void place_both(struct cluster *c, uint64_t *bad_id, uint64_t *sound_id)
+{
+	const char *server;
+
+	*bad_id = request_equal(c->d[0], BAD);
+	assert_true(c->d[0]->results[*bad_id].placed);
+	server = c->d[0]->results[*bad_id].server;
+	do {
+		*sound_id = request_equal(c->d[1], SOUND);
+		assert_true(c->d[1]->results[*sound_id].placed);
+		if (!is_at(c->d[1], *sound_id, server))
+			end(c->d[1], *sound_id, MH_SLOT_CANCELLED);
+	} while (!is_at(c->d[1], *sound_id, server));
+	advance_cluster(c, 10);
+}
+
+/* Guards against a sound request that becomes a suspect as it was lost with one on
+ * trial that another dispatcher had placed at the same server, whichever of them is
+ * told of first. */
+static void test_the_blame_of_a_trial_is_told(void **state)
+{
+	uint64_t bad_id, sound_id;
+	struct cluster *c;
+	uint32_t first;
+
+	(void)state;
+	for (first = 0; first < 2; first++) {
+		c = new_cluster();
+		crash_through(c, c->d[0]);
+		place_both(c, &bad_id, &sound_id);
+		if (first)
+			end(c->d[1], sound_id, MH_SLOT_LOST);
+		end(c->d[0], bad_id, MH_SLOT_LOST);
+		if (!first)
+			end(c->d[1], sound_id, MH_SLOT_LOST);
+		assert_true(runs_freely(c->d[0], SOUND));
+		assert_true(runs_freely(c->d[1], SOUND));
+		crash_through(c, c->d[1]);
+		assert_true(refuses_bad(c->d[0]));
+		assert_true(refuses_bad(c->d[1]));
+		free_cluster(c);
+	}
+}
+
+static void observe(void *data, const struct mh_suspect *suspect)
+{
+	mh_dispatch_add_observed(((struct fixture *)data)->d, suspect);
+}
+
+/* Guards against an entry that tells its next dispatcher of a crash which the former
+ * one has seen to be that of a suspect on trial. */
+static void test_the_blame_outlives_a_change_of_the_dispatcher(void **state)
+{
+	struct mh_suspects *seen = mh_suspects_new(NULL, NULL);
+	struct mh_feature sound = { MH_FEATURE_REQUEST, SOUND };
+	struct cluster *c = new_cluster(), *other = new_cluster();
+	struct mh_suspect blamed;
+	uint64_t bad_id;
+
+	(void)state;
+	crash_through(c, c->d[0]);
+	advance_cluster(other, 1000);
+	bad_id = request_equal(c->d[0], BAD);
+	end(c->d[0], bad_id, MH_SLOT_LOST);
+	mh_suspects_add_crash(
+		seen, sound,
+		&(struct mh_crash){
+			.server = c->d[0]->last_suspect.crashes[1].server,
+			.request = SOUND,
+			.placed_ns = c->d[0]->now_ns - 100 * MS,
+			.lost_ns = c->d[0]->now_ns },
+		false);
+	blamed = c->d[0]->last_suspect;
+	/* The blame comes last, as a peer told of the crash without it before. */
+	mh_suspects_each_since(seen, 0, observe, c->d[1]);
+	mh_suspects_each_since(seen, 0, observe, other->d[1]);
+	blamed.crashes[1].is_blamed = false;
+	mh_dispatch_merge_suspect(other->d[1]->d, &blamed);
+	assert_false(runs_freely(other->d[1], SOUND));
+	blamed.crashes[1].is_blamed = true;
+	mh_dispatch_merge_suspect(other->d[1]->d, &blamed);
+	assert_true(runs_freely(other->d[1], SOUND));
+	assert_true(runs_freely(c->d[1], SOUND));
+	assert_false(runs_freely(c->d[1], BAD));
+	mh_suspects_free(seen);
+	free_cluster(c);
+	free_cluster(other);
+}
+
+/* The other side: of two on trial each may be the cause. */
+static void test_trials_share_the_blame(void **state)
+{
+	struct cluster *c = new_cluster();
+	uint64_t bad_id, sound_id;
+
+	(void)state;
+	crash_through(c, c->d[0]);
+	sound_id = request_equal(c->d[1], SOUND);
+	end(c->d[1], sound_id, MH_SLOT_LOST);
+	advance_cluster(c, 1000);
+	place_both(c, &bad_id, &sound_id);
+	end(c->d[0], bad_id, MH_SLOT_LOST);
+	end(c->d[1], sound_id, MH_SLOT_LOST);
+	advance_cluster(c, 1000);
+	sound_id = request_equal(c->d[1], SOUND);
+	end(c->d[1], sound_id, MH_SLOT_LOST);
+	sound_id = request_equal(c->d[0], SOUND);
+	assert_int_equal(c->d[0]->results[sound_id].error,
+			 MH_ERR_CRASHES_SERVERS);
+	free_cluster(c);
+}
+
 static const struct mh_feature bad = { MH_FEATURE_REQUEST, BAD };
 
 static void merge_into(void *data, const struct mh_suspect *suspect)
@@ -532,9 +651,19 @@
 	struct mh_suspects *b = mh_suspects_new(NULL, NULL);
 	uint32_t n;
 
-	mh_suspects_add_crash(a, bad, BAD, 1, 9000 * MS, false, 9010 * MS);
-	mh_suspects_add_crash(b, bad, BAD, 1, second_placed_ms * MS, false,
-			      second_lost_ms * MS);
+	mh_suspects_add_crash(a, bad,
+			      &(struct mh_crash){ .server = 1,
+						  .request = BAD,
+						  .placed_ns = 9000 * MS,
+						  .lost_ns = 9010 * MS },
+			      false);
+	mh_suspects_add_crash(
+		b, bad,
+		&(struct mh_crash){ .server = 1,
+				    .request = BAD,
+				    .placed_ns = second_placed_ms * MS,
+				    .lost_ns = second_lost_ms * MS },
+		false);
 	mh_suspects_each(a, merge_into, b);
 	mh_suspects_each(b, merge_into, a);
 	n = mh_suspects_crashes(a, bad, 10000 * MS);
@@ -568,9 +697,12 @@
 	(void)state;
 	crashes[0].age_ms = crashes[1].age_ms = 100;
 	crashes[0].run_ms = 41;
+	crashes[0].is_blamed = true;
 	msg.n_crash = 2;
 	msg.crash = list;
 	mh_suspect_read(&msg, 10000 * MS, &suspect);
+	assert_true(suspect.crashes[0].is_blamed);
+	assert_false(suspect.crashes[1].is_blamed);
 	assert_int_equal(suspect.n_crashes, 2);
 	assert_int_equal(suspect.crashes[0].lost_ns, 9900 * MS);
 	assert_int_equal(suspect.crashes[0].placed_ns, 9860 * MS);
@@ -633,6 +765,10 @@
 		cmocka_unit_test(test_trials_of_a_refused_part_end),
 		cmocka_unit_test(test_cleared_request_is_cleared_everywhere),
 		cmocka_unit_test(test_relayed_crash_counts_once),
+		cmocka_unit_test(test_the_blame_of_a_trial_is_told),
+		cmocka_unit_test(
+			test_the_blame_outlives_a_change_of_the_dispatcher),
+		cmocka_unit_test(test_trials_share_the_blame),
 		cmocka_unit_test(
 			test_server_that_is_back_at_once_crashes_twice),
 		cmocka_unit_test(test_begin_of_a_lost_run_is_read),
