Names and comments after a reading of the whole change

struct lost_run in dispatch_crash.c stood beside struct mh_lost_run, which is another thing. No change of what the programs do.

--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -344,7 +344,7 @@
 
 /**
  * mh_dispatch_entry_recorded() - another dispatcher heard of an entry
- * @d: dispatcher, which has lost the entry unless it is linked
+ * @d: dispatcher, for which the entry counts as lost unless it is linked
  * @host: its host
  * @heard_ns: monotonic time at which it was last heard of
  */
--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -107,7 +107,8 @@
 	return bits;
 }
 
-struct lost_run {
+/* A run that was lost with its server, and what it counts against. */
+struct loss {
 	const struct mh_features *features;
 	uint64_t counted; /* features that it counts against, as bits */
 	bool is_blamed;
@@ -117,7 +118,7 @@
 
 /* Return: whether it counts against any feature. */
 static bool count_crash(struct mh_dispatch *d, const struct server *s,
-			const struct lost_run *run, uint64_t now_ns)
+			const struct loss *run, uint64_t now_ns)
 {
 	const struct mh_features *features = run->features;
 	struct mh_crash lost = {
@@ -163,7 +164,7 @@
 static enum mh_lost_verdict judge(struct mh_dispatch *d, struct request *req,
 				  uint64_t now_ns)
 {
-	struct lost_run run = {
+	struct loss run = {
 		.features = req->features,
 		.placed_ns = req->placed_ns,
 		.was_responding = req->answering,
@@ -206,7 +207,7 @@
 static void count_ended_run(struct mh_dispatch *d, const struct server *s,
 			    const struct ended_run *ended, uint64_t now_ns)
 {
-	const struct lost_run run = {
+	const struct loss run = {
 		.features = ended->features,
 		.counted = UINT64_MAX,
 		.placed_ns = ended->placed_ns,
--- a/core/suspects.h
+++ b/core/suspects.h
@@ -120,7 +120,7 @@
  * mh_suspects_add_crash() - count a server that a run was lost with
  * @set: set
  * @feature: feature of the run's request
- * @lost: what is known of it, but for @id and @on_trial; @lost_ns is the time
+ * @lost: the crash, whose @id and @on_trial are set here; @lost_ns is the time
  * @was_responding: its response had begun: most such servers live, and other
  *                  processes are told only after the time to find out, unless
  *                  they were told of the crash with another part
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -70,8 +70,8 @@
 	}
 }
 
-/* The dispatcher in use is back and has read the store. It forgot the requests as its
- * link broke, or has started anew. */
+/* The dispatcher in use is back and has read the store. It dropped the requests when
+ * the link broke, or has started anew. */
 static void resume(struct mh_slot_client *sc)
 {
 	mh_suspect_relay_tell_observed(&sc->suspects, sc->current);
--- a/proxy/slot_client_impl.h
+++ b/proxy/slot_client_impl.h
@@ -1,5 +1,5 @@
 /*
- * The entry's side of the dispatchers, shared by its source files only.
+ * Internals of the slot client, shared by its source files only.
  */
 #ifndef MH_SLOT_CLIENT_IMPL_H
 #define MH_SLOT_CLIENT_IMPL_H
