--- a/tests/test_notices.sh
+++ b/tests/test_notices.sh
@@ -305,21 +305,24 @@
 }
 
 t_leaving_server() {
-	local load
+	local load server
 	load_all leave 4 &
 	load=$!
 	sleep 1
-	platform 'leaving?id=s2&on=1'
+	server=$(busiest leave)
+	echo $server >"$DIR/leaving"
+	platform "leaving?id=s$server&on=1"
 	wait $load
-	arrivals_after_leaving leave s2 | tail -n 3
-	arrivals | grep -q ' s2 leave-.* leaving' &&
-		[ -z "$(arrivals_after_leaving leave s2)" ] &&
+	arrivals_after_leaving leave s$server | tail -n 3
+	arrivals | grep -q " s$server leave-.* leaving" &&
+		[ -z "$(arrivals_after_leaving leave s$server)" ] &&
 		[ -z "$(grep -v '^200 ' "$DIR/leave.status")" ]
 }
 
 # It holds with the store down, without a dispatcher, and over a reload.
 t_leaving_server_stays_so() {
-	local n
+	local n server
+	server=$(cat "$DIR/leaving")
 	platform 'down?ms=5000'
 	for n in 1 2; do
 		kill_hard dispatcher$n
@@ -334,17 +337,19 @@
 	done
 	load_all stay 3
 	sleep 2
-	arrivals | grep ' s2 stay-' | tail -n 3
-	! arrivals | grep -q ' s2 stay-'
+	arrivals | grep " s$server stay-" | tail -n 3
+	! arrivals | grep -q " s$server stay-"
 }
 
 # It ends with the next start of the server.
 t_leaving_server_restarts() {
-	platform 'leaving?id=s2&on=0'
-	platform 'server?id=s2&state=draining'
-	platform "server?id=s2&state=ready&born=$(date +%s%3N)"
+	local server
+	server=$(cat "$DIR/leaving")
+	platform "leaving?id=s$server&on=0"
+	platform "server?id=s$server&state=draining"
+	platform "server?id=s$server&state=ready&born=$(date +%s%3N)"
 	sleep 1.5
-	all_use_server 2
+	all_use_server $server
 }
 
 # Malformed values change nothing.
