Dispatcher: requests wait for a faster server if they end earlier there

A free slot of a slow server was taken at once, also by requests whose responses then missed their deadline. The greatest length that clients state is a constant of the kind of request; X-Mangohead-Length-Hint, which tells the length, was not read.

Ruled out: the expected length in the refusal of what can't end by its deadline (refuses the urgent requests, which are the longest); waiting only where a deadline would be missed (failures fell, nothing else).

Change: core/server_pace.c learns the speed of servers from the events of responses and decides whether a request ends earlier if it waits; requests that wait are set aside and stay first in their tier. Setting [policy] length_aware_placement, off by default.

--- a/config/settings.c
+++ b/config/settings.c
@@ -137,6 +137,11 @@
 	      .max = 3600, .def_u32 = 30),
 };
 
+static const struct mh_field policy_fields[] = {
+	FIELD(mh_policy_settings, length_aware_placement,
+	      "length_aware_placement", MH_FIELD_BOOL, .def_u32 = false),
+};
+
 #define P(m, name, ty, ...) FIELD(mh_proxy_settings, m, name, ty, __VA_ARGS__)
 
 static const struct mh_field proxy_root[] = {
@@ -165,6 +170,8 @@
 	{ "platform", proxy_platform, LEN(proxy_platform), 0 },
 	{ "bounds", bounds_fields, LEN(bounds_fields),
 	  offsetof(struct mh_proxy_settings, bounds) },
+	{ "policy", policy_fields, LEN(policy_fields),
+	  offsetof(struct mh_proxy_settings, policy) },
 	{ "link", link_fields, LEN(link_fields),
 	  offsetof(struct mh_proxy_settings, link) },
 };
@@ -193,6 +200,8 @@
 	{ "platform", dispatcher_platform, LEN(dispatcher_platform), 0 },
 	{ "bounds", bounds_fields, LEN(bounds_fields),
 	  offsetof(struct mh_dispatcher_settings, bounds) },
+	{ "policy", policy_fields, LEN(policy_fields),
+	  offsetof(struct mh_dispatcher_settings, policy) },
 	{ "link", link_fields, LEN(link_fields),
 	  offsetof(struct mh_dispatcher_settings, link) },
 };
@@ -275,12 +284,15 @@
 	return doc;
 }
 
+/* Of a program's settings file. */
+#define MAX_SECTIONS 15
+
 static void read_sections(const json_t *doc, const struct mh_field *root,
 			  size_t n_root, const struct section *sections,
 			  size_t n_sections, void *dst,
 			  struct mh_config_report *rep)
 {
-	const char *names[8] = { 0 };
+	const char *names[MAX_SECTIONS + 1] = { 0 };
 	size_t i;
 
 	for (i = 0; i < n_sections; i++)
--- a/config/settings.h
+++ b/config/settings.h
@@ -112,6 +112,15 @@
 	double grace_s;
 };
 
+/**
+ * struct mh_policy_settings - section [policy], how requests are placed
+ * @length_aware_placement: use the expected length of responses and the speed of
+ *                          servers
+ */
+struct mh_policy_settings {
+	bool length_aware_placement;
+};
+
 /**
  * struct mh_proxy_settings - settings of mangohead-proxy
  * @host: name of this host
@@ -123,6 +132,7 @@
  * @store: "ip:port" of the platform's store
  * @seeds: addresses at which to look for dispatchers before the store is read
  * @bounds: section [bounds]
+ * @policy: section [policy]
  * @link: section [link]
  */
 struct mh_proxy_settings {
@@ -135,6 +145,7 @@
 	char *store;
 	struct mh_strings seeds;
 	struct mh_bounds_settings bounds;
+	struct mh_policy_settings policy;
 	struct mh_link_settings link;
 };
 
@@ -148,6 +159,7 @@
  * @log_format: "text" or "json"
  * @store: "ip:port" of the platform's store
  * @bounds: section [bounds]
+ * @policy: section [policy]
  * @link: section [link]
  */
 struct mh_dispatcher_settings {
@@ -159,6 +171,7 @@
 	char *status;
 	char *store;
 	struct mh_bounds_settings bounds;
+	struct mh_policy_settings policy;
 	struct mh_link_settings link;
 };
 
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -1,6 +1,5 @@
 #include "core/dispatch.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
@@ -19,8 +18,8 @@
  * time for which a slot is held. */
 #define INITIAL_PLAIN_MS 20.0
 #define INITIAL_HOLD_MS 300.0
-/* Bytes for one server in server_stats. */
-#define SERVER_STATS_BYTES 32
+/* Requests that are set aside in one pass over a pool. */
+#define MAX_SET_ASIDE 32
 
 uint8_t mh_dispatch_tier(const struct mh_client_account *account,
 			 const struct mh_route *route)
@@ -196,6 +195,7 @@
 static void reset_server(struct mh_dispatch *d, struct server *s)
 {
 	s->latency_ratio = 1;
+	s->pace = (struct mh_server_pace){ 0 };
 	s->failure_rate = s->pool->failure_rate;
 	s->backoff_until_ns = 0;
 	s->backoff_ms = 0;
@@ -316,6 +316,8 @@
 	req->units = slot_req->units;
 	req->prompt_tokens = slot_req->prompt_tokens;
 	req->output_tokens = slot_req->output_tokens;
+	if (d->conf.length_aware)
+		req->expected_tokens = slot_req->expected_tokens;
 	req->target_ns = slot_req->target_ns;
 	req->start_by_ns = slot_req->start_by_ns;
 	req->deadline_ns = slot_req->deadline_ns;
@@ -465,6 +467,15 @@
 		mh_dispatch_free_server(d, s->pool, s);
 }
 
+void mh_dispatch_streamed(struct mh_dispatch *d, uint32_t owner, uint64_t id,
+			  uint32_t events)
+{
+	struct request *req = find_request(d, owner, id);
+
+	if (req)
+		req->events = events;
+}
+
 void mh_dispatch_done(struct mh_dispatch *d, uint32_t owner, uint64_t id,
 		      enum mh_slot_outcome outcome, uint32_t total_ms)
 {
@@ -545,42 +556,70 @@
 	d->ops->grant(d->data, (uint32_t)req->key.owner, req->key.id, &s->info);
 }
 
+/* Requests that wait for a faster server while slower ones have free slots. */
+struct set_aside {
+	struct request *requests[MAX_SET_ASIDE];
+	uint32_t n;
+};
+
+static bool set_aside(struct mh_dispatch *d, struct request *req,
+		      const struct server *free, struct set_aside *aside,
+		      uint64_t now_ns)
+{
+	if (aside->n == MAX_SET_ASIDE ||
+	    !mh_dispatch_awaits_faster(d, req, free, aside->n, now_ns))
+		return false;
+	mh_dispatch_leave_queue(d, req);
+	aside->requests[aside->n++] = req;
+	return true;
+}
+
+/* Return: whether less urgent requests may be placed. */
+static bool place_tier(struct mh_dispatch *d, struct pool *p,
+		       struct queue *queue, struct set_aside *aside,
+		       uint64_t now_ns)
+{
+	move_late_to_back(queue, now_ns);
+	for (;;) {
+		struct request *req = mh_heap_min(&queue->timely);
+		struct server *s;
+
+		if (!req)
+			req = mh_heap_min(&queue->late);
+		if (!req)
+			return true;
+		if (req->deadline_ns <= now_ns || req->start_by_ns <= now_ns) {
+			mh_dispatch_refuse_late(d, req, MH_RETRY_AFTER_MIN_MS);
+			continue;
+		}
+		if (mh_dispatch_refuse_crashing(d, req))
+			continue;
+		s = mh_dispatch_pick(d, p, req, now_ns);
+		if (s && set_aside(d, req, s, aside, now_ns))
+			continue;
+		if (s) {
+			place(d, req, s, now_ns);
+		} else if (mh_dispatch_is_suspect(d, req, now_ns)) {
+			mh_dispatch_park(d, req);
+		} else if (!mh_dispatch_hold_back(d, req, now_ns)) {
+			mh_dispatch_note_limited(d, req, now_ns);
+			return false;
+		}
+	}
+}
+
 static void place_waiting(struct mh_dispatch *d, struct pool *p,
 			  uint64_t now_ns)
 {
+	struct set_aside aside = { 0 };
 	int t;
 
 	for (t = 0; t < MH_TIERS; t++) {
-		struct queue *queue = &p->queues[t];
-
-		move_late_to_back(queue, now_ns);
-		for (;;) {
-			struct request *req = mh_heap_min(&queue->timely);
-			struct server *s;
-
-			if (!req)
-				req = mh_heap_min(&queue->late);
-			if (!req)
-				break;
-			if (req->deadline_ns <= now_ns ||
-			    req->start_by_ns <= now_ns) {
-				mh_dispatch_refuse_late(d, req,
-							MH_RETRY_AFTER_MIN_MS);
-				continue;
-			}
-			if (mh_dispatch_refuse_crashing(d, req))
-				continue;
-			s = mh_dispatch_pick(d, p, req, now_ns);
-			if (s)
-				place(d, req, s, now_ns);
-			else if (mh_dispatch_is_suspect(d, req, now_ns))
-				mh_dispatch_park(d, req);
-			else if (!mh_dispatch_hold_back(d, req, now_ns)) {
-				mh_dispatch_note_limited(d, req, now_ns);
-				return;
-			}
-		}
+		if (!place_tier(d, p, &p->queues[t], &aside, now_ns))
+			break;
 	}
+	while (aside.n)
+		mh_dispatch_enter_queue(aside.requests[--aside.n]);
 }
 
 static void update_stats(struct mh_dispatch *d, uint64_t now_ns)
@@ -648,35 +687,3 @@
 	d->review = false;
 	return any || d->parked ? d->next_review_ns : UINT64_MAX;
 }
-
-void mh_dispatch_view(const struct mh_dispatch *d, const char *service,
-		      struct mh_dispatch_view *view)
-{
-	struct server *s, *tmp;
-	struct request *req;
-	struct pool *p;
-	size_t at = 0;
-	int t;
-
-	memset(view, 0, sizeof(*view));
-	HASH_FIND_STR(d->pools, service, p);
-	if (!p)
-		return;
-	HASH_ITER(hh, p->servers, s, tmp) {
-		if (!mh_dispatch_server_takes_work(s))
-			continue;
-		view->servers++;
-		view->limited += s->limit.max_millihz != MH_NO_LIMIT;
-		view->places += mh_dispatch_server_slots(d, s);
-		if (at + SERVER_STATS_BYTES < sizeof(view->server_stats))
-			at += (size_t)snprintf(
-				view->server_stats + at, SERVER_STATS_BYTES,
-				"%s%.6s:%.2f:%u", at ? "," : "", s->info.id,
-				s->latency_ratio, s->held);
-	}
-	view->held = p->held;
-	for (t = 0; t < MH_TIERS; t++)
-		view->waiting[t] = p->queues[t].timely.n + p->queues[t].late.n;
-	DL_FOREACH(d->parked, req)
-		view->waiting[req->tier] += req->pool == p;
-}
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -42,6 +42,8 @@
  * @prompt_tokens: size of the prompt, 0 for a request without one
  * @output_tokens: greatest size of the response, 0 for a request without a
  *                 prompt
+ * @expected_tokens: length of the response as the client expects it, 0 if it
+ *                   states none
  * @target_ns: monotonic time by which the response should begin
  * @start_by_ns: monotonic time by which the response has to begin, because the
  *               client gives up then
@@ -66,6 +68,7 @@
 	uint32_t units;
 	uint32_t prompt_tokens;
 	uint32_t output_tokens;
+	uint32_t expected_tokens;
 	uint64_t target_ns;
 	uint64_t start_by_ns;
 	uint64_t deadline_ns;
@@ -235,6 +238,7 @@
  * @quota_window_ms: length of the window over which quotas hold
  * @quota_excess: share of its quota by which an account may exceed it
  * @quota_slack: units by which an account may exceed its quota in addition
+ * @length_aware: place requests by the expected length of their responses
  */
 struct mh_dispatch_conf {
 	double retry_ratio;
@@ -243,6 +247,7 @@
 	uint32_t quota_window_ms;
 	double quota_excess;
 	double quota_slack;
+	bool length_aware;
 };
 
 /* Entries report the retries at a service to dispatchers as usage of an account
@@ -618,6 +623,17 @@
 void mh_dispatch_first_byte(struct mh_dispatch *d, uint32_t owner, uint64_t id,
 			    uint32_t first_ms);
 
+/**
+ * mh_dispatch_streamed() - record the length of a response, before its slot is
+ *                          released
+ * @d: dispatcher
+ * @owner: entry
+ * @id: request
+ * @events: events of the stream that the server sent
+ */
+void mh_dispatch_streamed(struct mh_dispatch *d, uint32_t owner, uint64_t id,
+			  uint32_t events);
+
 /**
  * mh_dispatch_done() - release the slot of a request, or stop waiting for one
  * @d: dispatcher
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -11,6 +11,7 @@
 #include "core/heap.h"
 #include "core/open_runs.h"
 #include "core/send_window.h"
+#include "core/server_pace.h"
 #include "core/sliding_window.h"
 #include "core/suspects.h"
 
@@ -35,6 +36,7 @@
 	uint32_t units;
 	uint32_t prompt_tokens;
 	uint32_t output_tokens;
+	uint32_t expected_tokens;
 	uint64_t target_ns; /* latest start that meets the target */
 	uint64_t start_by_ns;
 	uint64_t deadline_ns;
@@ -44,9 +46,11 @@
 	bool late;
 	bool answering; /* its first byte was received */
 	uint64_t answered_ns;
-	bool is_open;	 /* its run may crash its server yet */
-	bool is_counted; /* as an open run */
-	uint64_t trials; /* features on trial in its run, bits by number */
+	uint32_t first_ms; /* from sending it to the first byte */
+	uint32_t events;   /* of the response, once it has ended */
+	bool is_open;	   /* its run may crash its server yet */
+	bool is_counted;   /* as an open run */
+	uint64_t trials;   /* features on trial in its run, bits by number */
 	bool survived_briefly; /* its server lived on for SETTLE_NS, at least */
 	bool parked;
 	uint64_t limited_ns; /* since when limits alone keep it waiting, or 0 */
@@ -103,6 +107,7 @@
 	struct request *requests;
 	/* Mean time of its runs relative to the expected one, 1 is normal. */
 	double latency_ratio;
+	struct mh_server_pace pace;
 	/* Share of failed runs, exponential moving average over runs. */
 	double failure_rate;
 	uint64_t last_answer_ns;   /* when it last answered any request */
@@ -153,6 +158,7 @@
 	double plain_ms;
 	double first_byte_ratio;
 	double total_time_ratio;
+	struct mh_pool_pace pace;
 	UT_hash_handle hh;
 };
 
@@ -225,6 +231,7 @@
 /* Servers: dispatch_server.c */
 struct server *mh_dispatch_pick(struct mh_dispatch *d, struct pool *p,
 				const struct request *req, uint64_t now_ns);
+bool mh_dispatch_is_silent(const struct server *s, uint64_t now_ns);
 uint32_t mh_dispatch_free_slots(const struct mh_dispatch *d, struct server *s,
 				uint64_t now_ns);
 uint32_t mh_dispatch_limit_wait_ms(const struct mh_dispatch *d,
@@ -330,6 +337,13 @@
 bool mh_dispatch_is_charged_retry(const struct mh_slot_request *slot_req);
 bool mh_dispatch_reserve_retry(struct mh_dispatch *d, struct pool *p);
 
+/* Speed of servers: dispatch_pace.c */
+double mh_dispatch_record_pace(const struct request *req, uint32_t total_ms);
+bool mh_dispatch_awaits_faster(const struct mh_dispatch *d,
+			       const struct request *req,
+			       const struct server *free, uint32_t n_ahead,
+			       uint64_t now_ns);
+
 /* Limits of servers: dispatch_limit.c */
 void mh_dispatch_begin_limit(struct mh_dispatch *d, struct server *s);
 void mh_dispatch_note_limited(const struct mh_dispatch *d, struct request *req,
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -109,7 +109,7 @@
 	return s->takes_work && !s->is_leaving;
 }
 
-static bool is_silent(const struct server *s, uint64_t now_ns)
+bool mh_dispatch_is_silent(const struct server *s, uint64_t now_ns)
 {
 	const struct request *req = s->requests;
 
@@ -130,7 +130,7 @@
 	uint32_t places = mh_dispatch_server_slots(d, s);
 
 	if (!mh_dispatch_server_takes_work(s) || now_ns < s->backoff_until_ns ||
-	    is_silent(s, now_ns))
+	    mh_dispatch_is_silent(s, now_ns))
 		return 0;
 	/* A half-open server gets one trial request at a time; requests that it
 	 * already responds to don't count. */
@@ -279,7 +279,7 @@
 	uint32_t n = 0, i;
 
 	HASH_ITER(hh, p->servers, s, tmp) {
-		bool silent = is_silent(s, now_ns);
+		bool silent = mh_dispatch_is_silent(s, now_ns);
 
 		DL_FOREACH(s->requests, req) {
 			struct server *other;
@@ -344,6 +344,7 @@
 		return;
 	req->answering = true;
 	req->answered_ns = now_ns;
+	req->first_ms = first_ms;
 	s->unanswered--;
 	s->lost_in_a_row = 0;
 	s->last_answer_ns = now_ns;
@@ -397,7 +398,8 @@
 	return false;
 }
 
-static void record_success(struct request *req, uint32_t total_ms)
+static void record_success(const struct mh_dispatch *d, struct request *req,
+			   uint32_t total_ms)
 {
 	struct server *s = req->server;
 	struct pool *p = s->pool;
@@ -410,8 +412,11 @@
 		double ratio = ms / nominal_engine_ms(req, req->output_tokens);
 
 		update_mean(&p->total_time_ratio, ratio, POOL_GAIN);
-		update_latency_ratio(s, ratio / p->total_time_ratio,
-				     LATENCY_GAIN);
+		ratio /= p->total_time_ratio;
+		if (d->conf.length_aware)
+			ratio = mh_dispatch_record_pace(req, total_ms);
+		if (ratio > 0)
+			update_latency_ratio(s, ratio, LATENCY_GAIN);
 	} else {
 		update_mean(&p->plain_ms, ms, POOL_GAIN);
 		update_latency_ratio(s, ms / p->plain_ms, LATENCY_GAIN / 2);
@@ -445,7 +450,7 @@
 	case MH_SLOT_UNPROVEN:
 		s->last_answer_ns = now_ns;
 		mh_dispatch_record_alive(d, s, now_ns);
-		record_success(req, total_ms);
+		record_success(d, req, total_ms);
 		update_mean(&s->failure_rate, 0, FAILURE_GAIN);
 		break;
 	case MH_SLOT_FAILED:
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -367,6 +367,7 @@
 
 	if (msg->outcome < MH_SLOT_OUTCOMES)
 		outcome = (enum mh_slot_outcome)msg->outcome;
+	mh_dispatch_streamed(app->dispatch, link, msg->id, msg->events);
 	mh_dispatch_done(app->dispatch, link, msg->id, outcome, msg->total_ms);
 }
 
@@ -480,8 +481,9 @@
 		return;
 	}
 	app->settings.bounds = updated.bounds;
+	app->settings.policy = updated.policy;
 	mh_process_set_log_format(&app->process, updated.log_format);
-	conf = mh_bounds_to_dispatch_conf(&updated.bounds);
+	conf = mh_bounds_to_dispatch_conf(&updated.bounds, &updated.policy);
 	mh_dispatch_set_conf(app->dispatch, &conf);
 	mh_event(app->process.log, MH_EV_PROCESS,
 		 "event=reloaded restart_needed=%d",
@@ -585,8 +587,8 @@
 
 static bool start(struct mh_dispatcher_app *app)
 {
-	struct mh_dispatch_conf conf =
-		mh_bounds_to_dispatch_conf(&app->settings.bounds);
+	struct mh_dispatch_conf conf = mh_bounds_to_dispatch_conf(
+		&app->settings.bounds, &app->settings.policy);
 	struct mh_link_conf link_conf = {
 		.host = app->settings.host,
 		.zone = app->settings.zone,
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -3237,7 +3237,7 @@
   (ProtobufCMessageInit) mh__side_config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__place_ask__field_descriptors[18] =
+static const ProtobufCFieldDescriptor mh__place_ask__field_descriptors[19] =
 {
   {
     "id",
@@ -3455,6 +3455,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "expected_tokens",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__PlaceAsk, expected_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__place_ask__field_indices_by_name[] = {
   2,   /* field[2] = account */
@@ -3462,6 +3474,7 @@
   7,   /* field[7] = aim_in_ms */
   11,   /* field[11] = avoid */
   8,   /* field[8] = deadline_in_ms */
+  18,   /* field[18] = expected_tokens */
   9,   /* field[9] = fingerprint */
   0,   /* field[0] = id */
   16,   /* field[16] = is_moved */
@@ -3476,10 +3489,11 @@
   3,   /* field[3] = tier */
   4,   /* field[4] = units */
 };
-static const ProtobufCIntRange mh__place_ask__number_ranges[1 + 1] =
+static const ProtobufCIntRange mh__place_ask__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 20, 18 },
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor mh__place_ask__descriptor =
 {
@@ -3489,10 +3503,10 @@
   "Mh__PlaceAsk",
   "mh",
   sizeof(Mh__PlaceAsk),
-  18,
+  19,
   mh__place_ask__field_descriptors,
   mh__place_ask__field_indices_by_name,
-  1,  mh__place_ask__number_ranges,
+  2,  mh__place_ask__number_ranges,
   (ProtobufCMessageInit) mh__place_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3726,7 +3740,7 @@
   (ProtobufCMessageInit) mh__place_first__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__place_done__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mh__place_done__field_descriptors[4] =
 {
   {
     "id",
@@ -3764,16 +3778,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "events",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__PlaceDone, events),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__place_done__field_indices_by_name[] = {
+  3,   /* field[3] = events */
   0,   /* field[0] = id */
   1,   /* field[1] = outcome */
   2,   /* field[2] = total_ms */
 };
-static const ProtobufCIntRange mh__place_done__number_ranges[1 + 1] =
+static const ProtobufCIntRange mh__place_done__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 10, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor mh__place_done__descriptor =
 {
@@ -3783,10 +3811,10 @@
   "Mh__PlaceDone",
   "mh",
   sizeof(Mh__PlaceDone),
-  3,
+  4,
   mh__place_done__field_descriptors,
   mh__place_done__field_indices_by_name,
-  1,  mh__place_done__number_ranges,
+  2,  mh__place_done__number_ranges,
   (ProtobufCMessageInit) mh__place_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -442,10 +442,14 @@
    */
   size_t n_part;
   uint64_t *part;
+  /*
+   * of the response, as the client expects
+   */
+  uint32_t expected_tokens;
 };
 #define MH__PLACE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__place_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Mh__PlaceGiven
@@ -503,10 +507,14 @@
   uint64_t id;
   uint32_t outcome;
   uint32_t total_ms;
+  /*
+   * of the stream that the server sent
+   */
+  uint32_t events;
 };
 #define MH__PLACE_DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__place_done__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -90,7 +90,8 @@
 		x->quota_charged = false;
 	mh_slot_client_release(
 		x->set->env.slot_client, x->id, outcome,
-		x->sent_ns ? mh_exchange_elapsed_ms(x, x->sent_ns) : 0);
+		x->sent_ns ? mh_exchange_elapsed_ms(x, x->sent_ns) : 0,
+		x->judge.events.events);
 }
 
 static void send_error(struct exchange *x, enum mh_error error,
@@ -218,6 +219,7 @@
 		.units = x->quota_charged ? 0 : quota_units(x),
 		.prompt_tokens = x->wire.prompt_tokens,
 		.output_tokens = x->wire.output_tokens,
+		.expected_tokens = x->wire.expected_tokens,
 		.target_ns = x->arrived_ns + target_latency_ms * MH_NS_PER_MS,
 		.start_by_ns = x->deadline_ns,
 		.deadline_ns = x->deadline_ns,
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -92,7 +92,7 @@
 		else if (old->up)
 			mh_slot_frames_send_release(sc->links, old->link,
 						    req->id,
-						    MH_SLOT_HANDED_OVER, 0);
+						    MH_SLOT_HANDED_OVER, 0, 0);
 	}
 	mh_count(sc->counters, MH_C_DISPATCHER_CHANGES);
 	mh_event(sc->log, MH_EV_DEPENDENCY,
@@ -208,7 +208,7 @@
 	 * switched to another dispatcher. */
 	if (!req || c != sc->current)
 		mh_slot_frames_send_release(sc->links, c->link, msg->id,
-					    MH_SLOT_UNUSED, 0);
+					    MH_SLOT_UNUSED, 0, 0);
 }
 
 static void refuse_request(struct mh_slot_client *sc, uint64_t id,
@@ -515,15 +515,18 @@
  * over, so that how the run ended is not lost as well. */
 static void release_local_slot(struct mh_slot_client *sc,
 			       const struct mh_request *req,
-			       enum mh_slot_outcome outcome, uint32_t total_ms)
+			       enum mh_slot_outcome outcome, uint32_t total_ms,
+			       uint32_t events)
 {
 	if (req->server)
 		request_local_slot(sc, req);
+	mh_dispatch_streamed(sc->local, 0, req->id, events);
 	mh_dispatch_done(sc->local, 0, req->id, outcome, total_ms);
 }
 
 void mh_slot_client_release(struct mh_slot_client *sc, uint64_t id,
-			    enum mh_slot_outcome outcome, uint32_t total_ms)
+			    enum mh_slot_outcome outcome, uint32_t total_ms,
+			    uint32_t events)
 {
 	struct mh_request *req = mh_request_find(sc->requests, id);
 
@@ -531,9 +534,9 @@
 		return;
 	if (sc->current && sc->current->up)
 		mh_slot_frames_send_release(sc->links, sc->current->link, id,
-					    outcome, total_ms);
+					    outcome, total_ms, events);
 	else
-		release_local_slot(sc, req, outcome, total_ms);
+		release_local_slot(sc, req, outcome, total_ms, events);
 	mh_request_observe_end(req, sc->suspects.observed, outcome, now_of(sc));
 	mh_request_free(&sc->requests, req);
 }
--- a/proxy/slot_client.h
+++ b/proxy/slot_client.h
@@ -190,9 +190,11 @@
  * @id: request
  * @outcome: how it ended
  * @total_ms: time since the request was sent, 0 if it was not
+ * @events: of the stream that the server sent
  */
 void mh_slot_client_release(struct mh_slot_client *sc, uint64_t id,
-			    enum mh_slot_outcome outcome, uint32_t total_ms);
+			    enum mh_slot_outcome outcome, uint32_t total_ms,
+			    uint32_t events);
 
 /**
  * mh_slot_client_server_probed() - report that a server accepts connections
--- a/proxy/slot_frames.c
+++ b/proxy/slot_frames.c
@@ -26,6 +26,7 @@
 	msg.units = slot_req->units;
 	msg.prompt_tokens = slot_req->prompt_tokens;
 	msg.output_tokens = slot_req->output_tokens;
+	msg.expected_tokens = slot_req->expected_tokens;
 	msg.aim_in_ms = ms_until(slot_req->target_ns, now_ns);
 	msg.deadline_in_ms = left_ms > 0 ? (uint32_t)left_ms : 0;
 	msg.start_in_ms = ms_until(slot_req->start_by_ns, now_ns);
@@ -48,7 +49,7 @@
 
 void mh_slot_frames_send_release(struct mh_links *links, uint32_t link,
 				 uint64_t id, enum mh_slot_outcome outcome,
-				 uint32_t total_ms)
+				 uint32_t total_ms, uint32_t events)
 {
 	Mh__PlaceDone msg = MH__PLACE_DONE__INIT;
 	Mh__Frame frame = MH__FRAME__INIT;
@@ -56,6 +57,7 @@
 	msg.id = id;
 	msg.outcome = outcome;
 	msg.total_ms = total_ms;
+	msg.events = events;
 	frame.body_case = MH__FRAME__BODY_PLACE_DONE;
 	frame.place_done = &msg;
 	mh_links_send(links, link, &frame);
--- a/proxy/slot_frames.h
+++ b/proxy/slot_frames.h
@@ -28,10 +28,11 @@
  * @id: request
  * @outcome: how it ended
  * @total_ms: time since the request was sent, 0 if it was not
+ * @events: of the stream that the server sent
  */
 void mh_slot_frames_send_release(struct mh_links *links, uint32_t link,
 				 uint64_t id, enum mh_slot_outcome outcome,
-				 uint32_t total_ms);
+				 uint32_t total_ms, uint32_t events);
 
 /**
  * mh_slot_frames_send_probed() - report that a server accepts connections
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -292,6 +292,7 @@
 		"POST /p/2f?x=1 HTTP/1.1\r\nHost: h.example\r\n"
 		"X-Mangohead-Request-Id: 9c41\r\nX-Mangohead-Model: m\r\n"
 		"X-Mangohead-Token-Usage: 1460,80\r\n"
+		"X-Mangohead-Length-Hint: 55\r\n"
 		"X-Mangohead-Deadline-Ms: 8000\r\nApi-Key: secret\r\n"
 		"X-Mangohead-Tenant: forged\r\nX-Mangohead-Hold: 1\r\n"
 		"X-Mangohead-Pin-Ms: 9\r\nX-Mangohead-Kv-Backup: 1.1.1.1:1\r\n"
@@ -305,6 +306,7 @@
 		"POST /p/2f?x=1 HTTP/1.1\r\nHost: h.example\r\n"
 		"X-Mangohead-Request-Id: 9c41\r\nX-Mangohead-Model: m\r\n"
 		"X-Mangohead-Token-Usage: 1460,80\r\n"
+		"X-Mangohead-Length-Hint: 55\r\n"
 		"Last-Event-Id: 12\r\nX-Other: kept\r\n"
 		"X-Mangohead-Deadline-Ms: 7000\r\n"
 		"X-Mangohead-Expect-Instance: i-1\r\n"
@@ -326,6 +328,7 @@
 	assert_int_equal(req.deadline_ms, 8000);
 	assert_int_equal(req.prompt_tokens, 1460);
 	assert_int_equal(req.output_tokens, 80);
+	assert_int_equal(req.expected_tokens, 55);
 	assert_true(mh_http_text_is(req.key, "secret"));
 	assert_true(mh_wire_write_request(&out, &m.reader.head, &add));
 	assert_int_equal(out.len, sizeof(expected) - 1);
