--- a/Makefile
+++ b/Makefile
@@ -236,7 +236,15 @@
 	$(BUILD)/bin/bench
 	$(BUILD)/bin/bench --step-ms=30
 
-.PHONY: bench
+# Compares policies under the load of docs/design/README.md, without a network.
+$(BUILD)/bin/load_model: $(BUILD)/tests/load_model.o \
+			 $(BUILD)/tests/dispatch_load.o $(BUILD)/libmangohead.a
+	$(LINK) -lm
+
+load-model: $(BUILD)/bin/load_model
+	$(BUILD)/bin/load_model
+
+.PHONY: bench load-model
 
 $(BUILD)/bin/capacity: $(BUILD)/tests/capacity.o $(BUILD)/libmangohead.a
 	$(LINK) -lm
