Dispatcher: client accounts of a tier share the slots by weight (ready)

Cause: while requests of a tier wait, an account at eight times its usual rate, below its quota, makes the requests of all others late or refused. Change: [policy] account_shares (off by default): weighted fair queueing by slot time between the accounts of a tier, in rounds of 100 ms of all slots, within which the target decides; the review plans in the same order, so that what is beyond a share is refused first.

--- a/config/bounds.h
+++ b/config/bounds.h
@@ -1,5 +1,5 @@
 /*
- * Converts section [bounds] of a settings file for the dispatch core.
+ * Converts sections [bounds] and [policy] of a settings file for the dispatch core.
  */
 #ifndef MH_BOUNDS_H
 #define MH_BOUNDS_H
@@ -10,10 +10,12 @@
 /**
  * mh_bounds_to_dispatch_conf() - convert to the dispatch core's configuration
  * @bounds: section [bounds]
+ * @policy: section [policy]
  *
  * Return: configuration, with windows in ms.
  */
 struct mh_dispatch_conf
-mh_bounds_to_dispatch_conf(const struct mh_bounds_settings *bounds);
+mh_bounds_to_dispatch_conf(const struct mh_bounds_settings *bounds,
+			   const struct mh_policy_settings *policy);
 
 #endif
--- a/config/settings.c
+++ b/config/settings.c
@@ -137,6 +137,11 @@
 	      .max = 3600, .def_u32 = 30),
 };
 
+static const struct mh_field policy_fields[] = {
+	FIELD(mh_policy_settings, account_shares, "account_shares",
+	      MH_FIELD_BOOL),
+};
+
 #define P(m, name, ty, ...) FIELD(mh_proxy_settings, m, name, ty, __VA_ARGS__)
 
 static const struct mh_field proxy_root[] = {
@@ -165,6 +170,8 @@
 	{ "platform", proxy_platform, LEN(proxy_platform), 0 },
 	{ "bounds", bounds_fields, LEN(bounds_fields),
 	  offsetof(struct mh_proxy_settings, bounds) },
+	{ "policy", policy_fields, LEN(policy_fields),
+	  offsetof(struct mh_proxy_settings, policy) },
 	{ "link", link_fields, LEN(link_fields),
 	  offsetof(struct mh_proxy_settings, link) },
 };
@@ -193,6 +200,8 @@
 	{ "platform", dispatcher_platform, LEN(dispatcher_platform), 0 },
 	{ "bounds", bounds_fields, LEN(bounds_fields),
 	  offsetof(struct mh_dispatcher_settings, bounds) },
+	{ "policy", policy_fields, LEN(policy_fields),
+	  offsetof(struct mh_dispatcher_settings, policy) },
 	{ "link", link_fields, LEN(link_fields),
 	  offsetof(struct mh_dispatcher_settings, link) },
 };
--- a/config/settings.h
+++ b/config/settings.h
@@ -112,6 +112,14 @@
 	double grace_s;
 };
 
+/**
+ * struct mh_policy_settings - section [policy], which requests are served first
+ * @account_shares: client accounts of a tier share the servers by weight
+ */
+struct mh_policy_settings {
+	bool account_shares;
+};
+
 /**
  * struct mh_proxy_settings - settings of mangohead-proxy
  * @host: name of this host
@@ -123,6 +131,7 @@
  * @store: "ip:port" of the platform's store
  * @seeds: addresses at which to look for dispatchers before the store is read
  * @bounds: section [bounds]
+ * @policy: section [policy]
  * @link: section [link]
  */
 struct mh_proxy_settings {
@@ -135,6 +144,7 @@
 	char *store;
 	struct mh_strings seeds;
 	struct mh_bounds_settings bounds;
+	struct mh_policy_settings policy;
 	struct mh_link_settings link;
 };
 
@@ -148,6 +158,7 @@
  * @log_format: "text" or "json"
  * @store: "ip:port" of the platform's store
  * @bounds: section [bounds]
+ * @policy: section [policy]
  * @link: section [link]
  */
 struct mh_dispatcher_settings {
@@ -159,6 +170,7 @@
 	char *status;
 	char *store;
 	struct mh_bounds_settings bounds;
+	struct mh_policy_settings policy;
 	struct mh_link_settings link;
 };
 
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -82,6 +82,7 @@
 	for (t = 0; t < MH_TIERS; t++) {
 		mh_heap_release(&p->queues[t].timely);
 		mh_heap_release(&p->queues[t].late);
+		mh_account_shares_free(p->queues[t].shares);
 	}
 	HASH_DEL(d->pools, p);
 	free(p->name);
@@ -141,6 +142,7 @@
 		mh_heap_init(&p->queues[t].late, deadline_first, at);
 		p->queues[t].hold_ms = INITIAL_HOLD_MS;
 	}
+	mh_dispatch_update_shares(d, p);
 	HASH_ADD_KEYPTR(hh, d->pools, p->name, strlen(p->name), p);
 	return p;
 }
@@ -148,7 +150,11 @@
 void mh_dispatch_set_conf(struct mh_dispatch *d,
 			  const struct mh_dispatch_conf *conf)
 {
+	struct pool *p, *tmp;
+
 	d->conf = *conf;
+	HASH_ITER(hh, d->pools, p, tmp)
+		mh_dispatch_update_shares(d, p);
 }
 
 void mh_dispatch_set_service(struct mh_dispatch *d,
@@ -393,7 +399,7 @@
 	req->target_ns -= (uint64_t)(mh_dispatch_expected_first_ms(p, req) *
 				     MH_NS_PER_MS);
 	req->late = req->target_ns <= req->requested_ns;
-	mh_dispatch_enter_queue(req);
+	mh_dispatch_enter_queue(d, req);
 	d->review = true;
 }
 
@@ -428,22 +434,25 @@
 	mh_dispatch_record_alive(d, req->server, mh_dispatch_now_ns(d));
 }
 
-void mh_dispatch_enter_queue(struct request *req)
+void mh_dispatch_enter_queue(const struct mh_dispatch *d, struct request *req)
 {
 	struct queue *queue = &req->pool->queues[req->tier];
 
 	if (!mh_heap_add(req->late ? &queue->late : &queue->timely, req))
 		abort();
+	mh_dispatch_share_add(d, queue, req);
 }
 
 void mh_dispatch_leave_queue(struct mh_dispatch *d, struct request *req)
 {
 	struct queue *queue = &req->pool->queues[req->tier];
 
-	if (req->parked)
+	if (req->parked) {
 		mh_dispatch_unpark(d, req);
-	else
-		mh_heap_remove(req->late ? &queue->late : &queue->timely, req);
+		return;
+	}
+	mh_dispatch_share_remove(queue, req);
+	mh_heap_remove(req->late ? &queue->late : &queue->timely, req);
 }
 
 bool mh_slot_is_uncharged(enum mh_slot_outcome outcome)
@@ -478,9 +487,11 @@
 		mh_dispatch_record_outcome(d, req, outcome, total_ms,
 					   mh_dispatch_now_ns(d));
 		mh_dispatch_end_run(d, req, outcome, mh_dispatch_now_ns(d));
-		if (is_unsent(outcome))
+		if (is_unsent(outcome)) {
 			mh_send_window_take_back(&s->sends, req->placed_ns,
 						 mh_dispatch_now_ns(d));
+			mh_dispatch_share_refund(req);
+		}
 		mh_dispatch_release_slot(req);
 		/* Requests held back by pauses are due again. */
 		if (mh_dispatch_now_ns(d) < s->pool->pauses_end_ns)
@@ -516,22 +527,24 @@
 }
 
 /* Moves requests that can no longer meet their target behind those that can. */
-static void move_late_to_back(struct queue *queue, uint64_t now_ns)
+static void move_late_to_back(const struct mh_dispatch *d, struct queue *queue,
+			      uint64_t now_ns)
 {
 	struct request *req;
 
 	while ((req = mh_heap_min(&queue->timely)) &&
 	       req->target_ns <= now_ns) {
+		mh_dispatch_share_remove(queue, req);
 		mh_heap_remove(&queue->timely, req);
 		req->late = true;
-		if (!mh_heap_add(&queue->late, req))
-			abort();
+		mh_dispatch_enter_queue(d, req);
 	}
 }
 
 static void place(struct mh_dispatch *d, struct request *req, struct server *s,
 		  uint64_t now_ns)
 {
+	mh_dispatch_share_charge(req);
 	mh_dispatch_leave_queue(d, req);
 	mh_dispatch_report_limited(d, req, now_ns);
 	req->placed_ns = now_ns;
@@ -553,13 +566,11 @@
 	for (t = 0; t < MH_TIERS; t++) {
 		struct queue *queue = &p->queues[t];
 
-		move_late_to_back(queue, now_ns);
+		move_late_to_back(d, queue, now_ns);
 		for (;;) {
-			struct request *req = mh_heap_min(&queue->timely);
+			struct request *req = mh_dispatch_next(d, p, queue);
 			struct server *s;
 
-			if (!req)
-				req = mh_heap_min(&queue->late);
 			if (!req)
 				break;
 			if (req->deadline_ns <= now_ns ||
@@ -675,6 +686,7 @@
 				s->latency_ratio, s->held);
 	}
 	view->held = p->held;
+	view->accounts = mh_dispatch_waiting_accounts(p);
 	for (t = 0; t < MH_TIERS; t++)
 		view->waiting[t] = p->queues[t].timely.n + p->queues[t].late.n;
 	DL_FOREACH(d->parked, req)
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -228,13 +228,15 @@
 };
 
 /**
- * struct mh_dispatch_conf - retry budget and tolerance of quotas
+ * struct mh_dispatch_conf - retry budget, tolerance of quotas, policy
  * @retry_ratio: retries allowed for each first try, over all entries
  * @retry_extra: retries allowed in a window regardless of the first tries
  * @retry_window_ms: length of the retry budget's window
  * @quota_window_ms: length of the window over which quotas hold
  * @quota_excess: share of its quota by which an account may exceed it
  * @quota_slack: units by which an account may exceed its quota in addition
+ * @account_shares: waiting requests of a tier are served by weighted shares of
+ *                  their accounts
  */
 struct mh_dispatch_conf {
 	double retry_ratio;
@@ -243,6 +245,7 @@
 	uint32_t quota_window_ms;
 	double quota_excess;
 	double quota_slack;
+	bool account_shares;
 };
 
 /* Entries report the retries at a service to dispatchers as usage of an account
@@ -651,6 +654,8 @@
  * @limited: those of them that have a limit
  * @places: number of their slots
  * @held: slots in use
+ * @accounts: client accounts with waiting requests, of the tier with the most;
+ *            0 without shares of accounts
  * @waiting: requests that wait, by tier
  * @server_stats: "id:latency ratio:slots in use" of the servers that fit in,
  *                separated by commas; ids are cut to 6 bytes
@@ -660,6 +665,7 @@
 	uint32_t limited;
 	uint32_t places;
 	uint32_t held;
+	uint32_t accounts;
 	uint32_t waiting[MH_TIERS];
 	char server_stats[320];
 };
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -6,6 +6,7 @@
 
 #include <uthash.h>
 
+#include "core/account_share.h"
 #include "core/check_alloc.h"
 #include "core/dispatch.h"
 #include "core/heap.h"
@@ -56,6 +57,8 @@
 	uint32_t n_avoid;
 	uint64_t avoid[MH_AVOID_MAX]; /* hashes of server ids */
 	uint32_t heap_index;
+	uint32_t share_index; /* in its account's heap */
+	double share_vtime;   /* charged to its account */
 	/* List of the server's requests, or of the parked ones. */
 	struct request *prev, *next;
 	UT_hash_handle hh;
@@ -136,6 +139,7 @@
 	double arrivals_per_s;
 	uint32_t arrived; /* since arrivals_per_s was updated */
 	double hold_ms;	  /* mean time for which requests hold their slots */
+	struct mh_account_shares *shares; /* NULL without the setting */
 };
 
 struct pool {
@@ -261,6 +265,7 @@
 			    const struct mh_slot_request *slot_req,
 			    bool *over_quota, struct mh_slot_refusal *why);
 void mh_dispatch_return_units(struct mh_dispatch *d, const struct request *req);
+double mh_dispatch_quota_rate(const struct mh_dispatch *d, const char *account);
 void mh_dispatch_free_quotas(struct mh_dispatch *d);
 
 /* Requests that may crash servers: dispatch_crash.c */
@@ -337,6 +342,23 @@
 void mh_dispatch_report_limited(struct mh_dispatch *d,
 				const struct request *req, uint64_t now_ns);
 
+/* Shares of accounts: dispatch_shares.c. Without the setting these do nothing. */
+void mh_dispatch_update_shares(const struct mh_dispatch *d, struct pool *p);
+void mh_dispatch_share_add(const struct mh_dispatch *d,
+			   const struct queue *queue, struct request *req);
+void mh_dispatch_share_remove(const struct queue *queue, struct request *req);
+void mh_dispatch_share_charge(struct request *req);
+void mh_dispatch_share_refund(const struct request *req);
+uint32_t mh_dispatch_waiting_accounts(const struct pool *p);
+/* Request of the queue that is served next, NULL without any. */
+struct request *mh_dispatch_next(const struct mh_dispatch *d,
+				 const struct pool *p,
+				 const struct queue *queue);
+/* Puts the requests of a queue's heap, sorted by target or deadline, in the order
+ * in which they are served. */
+void mh_dispatch_order_by_share(const struct mh_dispatch *d,
+				const struct mh_heap *heap, void **v);
+
 /* Refusals: dispatch_review.c */
 bool mh_dispatch_is_too_late(const struct request *req, double wait_ms,
 			     uint64_t now_ns);
@@ -346,7 +368,7 @@
 			     double wait_ms);
 void mh_dispatch_review(struct mh_dispatch *d, struct pool *p, uint64_t now_ns);
 
-void mh_dispatch_enter_queue(struct request *req);
+void mh_dispatch_enter_queue(const struct mh_dispatch *d, struct request *req);
 void mh_dispatch_leave_queue(struct mh_dispatch *d, struct request *req);
 void mh_dispatch_free_request(struct mh_dispatch *d, struct request *req);
 struct pool *mh_dispatch_pool(struct mh_dispatch *d, const char *name);
--- a/core/dispatch_quota.c
+++ b/core/dispatch_quota.c
@@ -117,6 +117,14 @@
 	d->grantor_id = grantor;
 }
 
+double mh_dispatch_quota_rate(const struct mh_dispatch *d, const char *account)
+{
+	const struct quota *q;
+
+	HASH_FIND_STR(d->quotas, account, q);
+	return q ? q->rate_per_s : 0;
+}
+
 struct mh_usage mh_dispatch_new_usage(const struct mh_dispatch *d)
 {
 	struct mh_usage usage;
--- a/core/dispatch_review.c
+++ b/core/dispatch_review.c
@@ -184,6 +184,7 @@
 	v = mh_check_alloc(malloc(n * sizeof(*v)));
 	memcpy(v, heap->v, n * sizeof(*v));
 	qsort(v, n, sizeof(*v), order);
+	mh_dispatch_order_by_share(d, heap, v);
 	for (i = 0; i < n; i++) {
 		struct request *req = v[i];
 		double wait_ms = places > 0 ? begin_ms + ahead_ms / places :
--- a/core/dispatch_trial.c
+++ b/core/dispatch_trial.c
@@ -247,7 +247,7 @@
 		struct request *req = d->parked;
 
 		mh_dispatch_unpark(d, req);
-		mh_dispatch_enter_queue(req);
+		mh_dispatch_enter_queue(d, req);
 	}
 }
 
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -481,7 +481,7 @@
 	}
 	app->settings.bounds = updated.bounds;
 	mh_process_set_log_format(&app->process, updated.log_format);
-	conf = mh_bounds_to_dispatch_conf(&updated.bounds);
+	conf = mh_bounds_to_dispatch_conf(&updated.bounds, &updated.policy);
 	mh_dispatch_set_conf(app->dispatch, &conf);
 	mh_event(app->process.log, MH_EV_PROCESS,
 		 "event=reloaded restart_needed=%d",
@@ -585,8 +585,8 @@
 
 static bool start(struct mh_dispatcher_app *app)
 {
-	struct mh_dispatch_conf conf =
-		mh_bounds_to_dispatch_conf(&app->settings.bounds);
+	struct mh_dispatch_conf conf = mh_bounds_to_dispatch_conf(
+		&app->settings.bounds, &app->settings.policy);
 	struct mh_link_conf link_conf = {
 		.host = app->settings.host,
 		.zone = app->settings.zone,
--- a/proxy/app.c
+++ b/proxy/app.c
@@ -195,7 +195,7 @@
 	mh_slot_client_set_seeds(app->slot_client, updated.seeds.v,
 				 updated.seeds.n);
 	mh_process_set_log_format(&app->process, updated.log_format);
-	conf = mh_bounds_to_dispatch_conf(&updated.bounds);
+	conf = mh_bounds_to_dispatch_conf(&updated.bounds, &updated.policy);
 	mh_slot_client_set_conf(app->slot_client, &conf);
 	mh_event(app->process.log, MH_EV_PROCESS,
 		 "event=reloaded restart_needed=%d",
@@ -328,7 +328,8 @@
 		.host = app->settings.host,
 		.zone = app->settings.zone,
 		.key = app->settings.link.key,
-		.dispatch = mh_bounds_to_dispatch_conf(&app->settings.bounds),
+		.dispatch = mh_bounds_to_dispatch_conf(&app->settings.bounds,
+						       &app->settings.policy),
 		.seeds = app->settings.seeds.v,
 		.n_seeds = app->settings.seeds.n,
 	};
--- a/tests/load_model.c
+++ b/tests/load_model.c
@@ -30,10 +30,12 @@
 
 struct policy {
 	const char *name;
+	bool account_shares;
 };
 
 static const struct policy policies[] = {
-	{ "today" },
+	{ .name = "today" },
+	{ .name = "shares", .account_shares = true },
 };
 
 #define N_POLICIES (sizeof(policies) / sizeof(policies[0]))
@@ -387,7 +389,7 @@
 	uint32_t n = load->n_arrivals, i;
 	char account[16];
 
-	(void)policy;
+	conf.account_shares = policy->account_shares;
 	memset(m, 0, sizeof(*m));
 	m->load = load;
 	m->clock = (struct mh_clock){ model_mono, model_wall, m };
