--- a/Makefile
+++ b/Makefile
@@ -121,7 +121,8 @@
 	      test_system_start test_link_dial test_parts \
 	      test_suspect_merge test_part_suspects test_wire_parts test_parts_alone \
 	      test_send_window test_limits test_usage_relay test_observed_crashes \
-	      test_store_era test_lost_entries test_client test_backend_bytes test_server_pace
+	      test_store_era test_lost_entries test_client test_backend_bytes test_server_pace \
+	      test_account_share
 # Those that fail for a fault that KNOWN-RED.txt lists.
 RED_TESTS =
 
@@ -236,7 +237,15 @@
 	$(BUILD)/bin/bench
 	$(BUILD)/bin/bench --step-ms=30
 
-.PHONY: bench
+# Compares policies under the load of docs/design/README.md, without a network.
+$(BUILD)/bin/load_model: $(BUILD)/tests/load_model.o \
+			 $(BUILD)/tests/dispatch_load.o $(BUILD)/libmangohead.a
+	$(LINK) -lm
+
+load-model: $(BUILD)/bin/load_model
+	$(BUILD)/bin/load_model
+
+.PHONY: bench load-model
 
 $(BUILD)/bin/capacity: $(BUILD)/tests/capacity.o $(BUILD)/libmangohead.a
 	$(LINK) -lm
--- a/config/bounds.c
+++ b/config/bounds.c
@@ -14,5 +14,6 @@
 		.quota_excess = bounds->quota_excess,
 		.quota_slack = bounds->quota_slack,
 		.length_aware = policy->length_aware_placement,
+		.account_shares = policy->account_shares,
 	};
 }
--- a/config/settings.h
+++ b/config/settings.h
@@ -113,11 +113,14 @@
 };
 
 /**
- * struct mh_policy_settings - section [policy], how requests are placed
+ * struct mh_policy_settings - section [policy], which requests are placed first, and
+ *                             where
+ * @account_shares: client accounts of a tier share the servers by weight
  * @length_aware_placement: use the expected length of responses and the speed of
  *                          servers
  */
 struct mh_policy_settings {
+	bool account_shares;
 	bool length_aware_placement;
 };
 
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -18,8 +18,6 @@
  * time for which a slot is held. */
 #define INITIAL_PLAIN_MS 20.0
 #define INITIAL_HOLD_MS 300.0
-/* Requests that are set aside in one pass over a pool. */
-#define MAX_SET_ASIDE 32
 
 uint8_t mh_dispatch_tier(const struct mh_client_account *account,
 			 const struct mh_route *route)
@@ -81,6 +79,7 @@
 	for (t = 0; t < MH_TIERS; t++) {
 		mh_heap_release(&p->queues[t].timely);
 		mh_heap_release(&p->queues[t].late);
+		mh_account_shares_free(p->queues[t].shares);
 	}
 	HASH_DEL(d->pools, p);
 	free(p->name);
@@ -140,6 +139,7 @@
 		mh_heap_init(&p->queues[t].late, deadline_first, at);
 		p->queues[t].hold_ms = INITIAL_HOLD_MS;
 	}
+	mh_dispatch_update_shares(d, p);
 	HASH_ADD_KEYPTR(hh, d->pools, p->name, strlen(p->name), p);
 	return p;
 }
@@ -147,7 +147,11 @@
 void mh_dispatch_set_conf(struct mh_dispatch *d,
 			  const struct mh_dispatch_conf *conf)
 {
+	struct pool *p, *tmp;
+
 	d->conf = *conf;
+	HASH_ITER(hh, d->pools, p, tmp)
+		mh_dispatch_update_shares(d, p);
 }
 
 void mh_dispatch_set_service(struct mh_dispatch *d,
@@ -395,7 +399,7 @@
 	req->target_ns -= (uint64_t)(mh_dispatch_expected_first_ms(p, req) *
 				     MH_NS_PER_MS);
 	req->late = req->target_ns <= req->requested_ns;
-	mh_dispatch_enter_queue(req);
+	mh_dispatch_enter_queue(d, req);
 	d->review = true;
 }
 
@@ -430,22 +434,25 @@
 	mh_dispatch_record_alive(d, req->server, mh_dispatch_now_ns(d));
 }
 
-void mh_dispatch_enter_queue(struct request *req)
+void mh_dispatch_enter_queue(const struct mh_dispatch *d, struct request *req)
 {
 	struct queue *queue = &req->pool->queues[req->tier];
 
 	if (!mh_heap_add(req->late ? &queue->late : &queue->timely, req))
 		abort();
+	mh_dispatch_share_add(d, queue, req);
 }
 
 void mh_dispatch_leave_queue(struct mh_dispatch *d, struct request *req)
 {
 	struct queue *queue = &req->pool->queues[req->tier];
 
-	if (req->parked)
+	if (req->parked) {
 		mh_dispatch_unpark(d, req);
-	else
-		mh_heap_remove(req->late ? &queue->late : &queue->timely, req);
+		return;
+	}
+	mh_dispatch_share_remove(queue, req);
+	mh_heap_remove(req->late ? &queue->late : &queue->timely, req);
 }
 
 bool mh_slot_is_uncharged(enum mh_slot_outcome outcome)
@@ -489,9 +496,11 @@
 		mh_dispatch_record_outcome(d, req, outcome, total_ms,
 					   mh_dispatch_now_ns(d));
 		mh_dispatch_end_run(d, req, outcome, mh_dispatch_now_ns(d));
-		if (is_unsent(outcome))
+		if (is_unsent(outcome)) {
 			mh_send_window_take_back(&s->sends, req->placed_ns,
 						 mh_dispatch_now_ns(d));
+			mh_dispatch_share_refund(req);
+		}
 		mh_dispatch_release_slot(req);
 		/* Requests held back by pauses are due again. */
 		if (mh_dispatch_now_ns(d) < s->pool->pauses_end_ns)
@@ -526,102 +535,6 @@
 	}
 }
 
-/* Moves requests that can no longer meet their target behind those that can. */
-static void move_late_to_back(struct queue *queue, uint64_t now_ns)
-{
-	struct request *req;
-
-	while ((req = mh_heap_min(&queue->timely)) &&
-	       req->target_ns <= now_ns) {
-		mh_heap_remove(&queue->timely, req);
-		req->late = true;
-		if (!mh_heap_add(&queue->late, req))
-			abort();
-	}
-}
-
-static void place(struct mh_dispatch *d, struct request *req, struct server *s,
-		  uint64_t now_ns)
-{
-	mh_dispatch_leave_queue(d, req);
-	mh_dispatch_report_limited(d, req, now_ns);
-	req->placed_ns = now_ns;
-	if (req->has_waiting_retry)
-		mh_retry_window_sent(&req->pool->retry_window, now_ns);
-	req->has_waiting_retry = false;
-	mh_send_window_add(&s->sends, 1, 0, now_ns);
-	mh_dispatch_begin_trials(d, req, now_ns);
-	mh_dispatch_open_run(d, req);
-	mh_dispatch_take_slot(s, req);
-	d->ops->grant(d->data, (uint32_t)req->key.owner, req->key.id, &s->info);
-}
-
-/* Requests that wait for a faster server while slower ones have free slots. */
-struct set_aside {
-	struct request *requests[MAX_SET_ASIDE];
-	uint32_t n;
-};
-
-static bool set_aside(struct mh_dispatch *d, struct request *req,
-		      const struct server *free, struct set_aside *aside,
-		      uint64_t now_ns)
-{
-	if (aside->n == MAX_SET_ASIDE ||
-	    !mh_dispatch_awaits_faster(d, req, free, aside->n, now_ns))
-		return false;
-	mh_dispatch_leave_queue(d, req);
-	aside->requests[aside->n++] = req;
-	return true;
-}
-
-/* Return: whether less urgent requests may be placed. */
-static bool place_tier(struct mh_dispatch *d, struct pool *p,
-		       struct queue *queue, struct set_aside *aside,
-		       uint64_t now_ns)
-{
-	move_late_to_back(queue, now_ns);
-	for (;;) {
-		struct request *req = mh_heap_min(&queue->timely);
-		struct server *s;
-
-		if (!req)
-			req = mh_heap_min(&queue->late);
-		if (!req)
-			return true;
-		if (req->deadline_ns <= now_ns || req->start_by_ns <= now_ns) {
-			mh_dispatch_refuse_late(d, req, MH_RETRY_AFTER_MIN_MS);
-			continue;
-		}
-		if (mh_dispatch_refuse_crashing(d, req))
-			continue;
-		s = mh_dispatch_pick(d, p, req, now_ns);
-		if (s && set_aside(d, req, s, aside, now_ns))
-			continue;
-		if (s) {
-			place(d, req, s, now_ns);
-		} else if (mh_dispatch_is_suspect(d, req, now_ns)) {
-			mh_dispatch_park(d, req);
-		} else if (!mh_dispatch_hold_back(d, req, now_ns)) {
-			mh_dispatch_note_limited(d, req, now_ns);
-			return false;
-		}
-	}
-}
-
-static void place_waiting(struct mh_dispatch *d, struct pool *p,
-			  uint64_t now_ns)
-{
-	struct set_aside aside = { 0 };
-	int t;
-
-	for (t = 0; t < MH_TIERS; t++) {
-		if (!place_tier(d, p, &p->queues[t], &aside, now_ns))
-			break;
-	}
-	while (aside.n)
-		mh_dispatch_enter_queue(aside.requests[--aside.n]);
-}
-
 static void update_stats(struct mh_dispatch *d, uint64_t now_ns)
 {
 	double span_s = (double)(now_ns - d->rates_updated_ns) /
@@ -675,7 +588,7 @@
 		any = any || p->held;
 		if (!has_waiting(p))
 			continue;
-		place_waiting(d, p, now_ns);
+		mh_dispatch_place_waiting(d, p, now_ns);
 		if (due && d->parked)
 			mh_dispatch_review_parked(d, p, now_ns);
 		if (due && has_waiting(p))
--- a/core/dispatch_view.c
+++ b/core/dispatch_view.c
@@ -34,6 +34,7 @@
 				s->latency_ratio, s->held);
 	}
 	view->held = p->held;
+	view->accounts = mh_dispatch_waiting_accounts(p);
 	for (t = 0; t < MH_TIERS; t++)
 		view->waiting[t] = p->queues[t].timely.n + p->queues[t].late.n;
 	DL_FOREACH(d->parked, req)
