--- a/config/bounds.c
+++ b/config/bounds.c
@@ -13,6 +13,7 @@
 			(uint32_t)(bounds->quota_window_s * MH_MS_PER_S),
 		.quota_excess = bounds->quota_excess,
 		.quota_slack = bounds->quota_slack,
+		.latest_start_percentile = policy->latest_start_percentile,
 		.length_aware = policy->length_aware_placement,
 		.account_shares = policy->account_shares,
 	};
--- a/config/settings.c
+++ b/config/settings.c
@@ -140,6 +140,8 @@
 static const struct mh_field policy_fields[] = {
 	FIELD(mh_policy_settings, length_aware_placement,
 	      "length_aware_placement", MH_FIELD_BOOL, .def_u32 = false),
+	FIELD(mh_policy_settings, latest_start_percentile,
+	      "latest_start_percentile", MH_FIELD_REAL, .max = 99),
 	FIELD(mh_policy_settings, account_shares, "account_shares",
 	      MH_FIELD_BOOL),
 };
--- a/config/settings.h
+++ b/config/settings.h
@@ -118,10 +118,13 @@
  * @account_shares: client accounts of a tier share the servers by weight
  * @length_aware_placement: use the expected length of responses and the speed of
  *                          servers
+ * @latest_start_percentile: of the times to the first byte, 0: their mean; decides
+ *                           when a waiting request is late
  */
 struct mh_policy_settings {
 	bool account_shares;
 	bool length_aware_placement;
+	double latest_start_percentile;
 };
 
 /**
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -130,6 +130,8 @@
 	p->name = mh_check_alloc(strdup(name));
 	p->plain_ms = INITIAL_PLAIN_MS;
 	p->first_byte_ratio = 1;
+	p->high_plain_ms.value = INITIAL_PLAIN_MS;
+	p->high_first_byte_ratio.value = 1;
 	p->total_time_ratio = 1;
 	mh_retry_window_init(&p->retry_window, d->conf.retry_window_ms);
 	for (t = 0; t < MH_TIERS; t++) {
@@ -396,7 +398,7 @@
 		req->tier = MH_TIERS - 1;
 	p->queues[req->tier].arrived++;
 	/* From here on target_ns is the latest start that meets the target. */
-	req->target_ns -= (uint64_t)(mh_dispatch_expected_first_ms(p, req) *
+	req->target_ns -= (uint64_t)(mh_dispatch_latest_start_ms(d, p, req) *
 				     MH_NS_PER_MS);
 	req->late = req->target_ns <= req->requested_ns;
 	mh_dispatch_enter_queue(d, req);
@@ -427,7 +429,7 @@
 
 	if (!req || !req->server)
 		return;
-	mh_dispatch_record_first_byte(req, first_ms, mh_dispatch_now_ns(d));
+	mh_dispatch_record_first_byte(d, req, first_ms, mh_dispatch_now_ns(d));
 	mh_dispatch_run_responds(d, req, mh_dispatch_now_ns(d));
 	mh_dispatch_record_response(d, req, mh_dispatch_now_ns(d));
 	mh_dispatch_resolve_unproven(d, req, mh_dispatch_now_ns(d));
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -238,6 +238,9 @@
  * @quota_window_ms: length of the window over which quotas hold
  * @quota_excess: share of its quota by which an account may exceed it
  * @quota_slack: units by which an account may exceed its quota in addition
+ * @latest_start_percentile: a request counts as late once it would miss its target
+ *                           with this percentile of the times to the first byte;
+ *                           0: with the mean
  * @length_aware: place requests by the expected length of their responses
  * @account_shares: waiting requests of a tier are served by weighted shares of
  *                  their accounts
@@ -249,6 +252,7 @@
 	uint32_t quota_window_ms;
 	double quota_excess;
 	double quota_slack;
+	double latest_start_percentile;
 	bool length_aware;
 	bool account_shares;
 };
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -11,6 +11,7 @@
 #include "core/dispatch.h"
 #include "core/heap.h"
 #include "core/open_runs.h"
+#include "core/quantile.h"
 #include "core/send_window.h"
 #include "core/server_pace.h"
 #include "core/sliding_window.h"
@@ -161,6 +162,9 @@
 	 * relative to the nominal engine. */
 	double plain_ms;
 	double first_byte_ratio;
+	/* Upper quantiles of the same, for the latest start. */
+	struct mh_quantile high_plain_ms;
+	struct mh_quantile high_first_byte_ratio;
 	double total_time_ratio;
 	struct mh_pool_pace pace;
 	UT_hash_handle hh;
@@ -249,8 +253,12 @@
 				uint64_t now_ns);
 uint64_t mh_dispatch_hash(const char *id);
 uint64_t mh_dispatch_mix(uint64_t n);
-void mh_dispatch_record_first_byte(struct request *req, uint32_t first_ms,
+void mh_dispatch_record_first_byte(const struct mh_dispatch *d,
+				   struct request *req, uint32_t first_ms,
 				   uint64_t now_ns);
+double mh_dispatch_latest_start_ms(const struct mh_dispatch *d,
+				   const struct pool *p,
+				   const struct request *req);
 double mh_dispatch_expected_first_ms(const struct pool *p,
 				     const struct request *req);
 double mh_dispatch_expected_ms(const struct pool *p, const struct request *req);
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -81,6 +81,20 @@
 	return nominal_engine_ms(req, 0) * p->first_byte_ratio;
 }
 
+double mh_dispatch_latest_start_ms(const struct mh_dispatch *d,
+				   const struct pool *p,
+				   const struct request *req)
+{
+	double ms = mh_dispatch_expected_first_ms(p, req), high_ms;
+
+	if (d->conf.latest_start_percentile <= 0)
+		return ms;
+	high_ms = p->is_engine ? nominal_engine_ms(req, 0) *
+					 p->high_first_byte_ratio.value :
+				 p->high_plain_ms.value;
+	return high_ms > ms ? high_ms : ms;
+}
+
 uint32_t mh_dispatch_server_slots(const struct mh_dispatch *d,
 				  const struct server *s)
 {
@@ -335,7 +349,8 @@
 	update_mean(&s->latency_ratio, ratio, gain);
 }
 
-void mh_dispatch_record_first_byte(struct request *req, uint32_t first_ms,
+void mh_dispatch_record_first_byte(const struct mh_dispatch *d,
+				   struct request *req, uint32_t first_ms,
 				   uint64_t now_ns)
 {
 	struct server *s = req->server;
@@ -352,6 +367,8 @@
 		double ratio = first_ms / nominal_engine_ms(req, 0);
 
 		update_mean(&s->pool->first_byte_ratio, ratio, POOL_GAIN);
+		mh_quantile_add(&s->pool->high_first_byte_ratio,
+				d->conf.latest_start_percentile / 100, ratio);
 		update_latency_ratio(s, ratio / s->pool->first_byte_ratio,
 				     LATENCY_GAIN / 2);
 	}
@@ -419,6 +436,8 @@
 			update_latency_ratio(s, ratio, LATENCY_GAIN);
 	} else {
 		update_mean(&p->plain_ms, ms, POOL_GAIN);
+		mh_quantile_add(&p->high_plain_ms,
+				d->conf.latest_start_percentile / 100, ms);
 		update_latency_ratio(s, ms / p->plain_ms, LATENCY_GAIN / 2);
 	}
 	update_mean(&p->queues[req->tier].hold_ms, ms, POOL_GAIN);
