Tests: crowds of hostile clients at all listening addresses

A small client program opens many connections of one kind: bodies that stop a byte short, in pieces or chunks, over the limit; short fields, extensions and trailers; pipelined requests; slow, silent and not reading clients; on links, bytes that are no frames and frames that never end. The script checks that the process lives, its peak of memory and its descriptors, against 64 MB and 256 descriptors that the settings state, and that an ordinary request is answered. Sections that a program does not know are left out, so that older programs show their fault. Crowds: 48 connections, or 300 that say nothing.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,8 @@
 
 PROGRAMS = mangohead-entry mangohead-side mangohead-proxy \
 	   mangohead-dispatcher mangoctl
-STANDINS = standin-engine standin-service standin-platform loadgen
+STANDINS = standin-engine standin-service standin-platform loadgen \
+	   hostile-clients
 BINARIES = $(addprefix $(BUILD)/bin/,$(PROGRAMS) $(STANDINS))
 
 all: $(BINARIES)
@@ -76,6 +77,11 @@
 		      $(BUILD)/libmangohead.a
 	$(LINK)
 
+$(BUILD)/bin/hostile-clients: $(BUILD)/tests/standins/hostile-clients.o \
+			      $(BUILD)/tests/standins/standin.o \
+			      $(BUILD)/libmangohead.a
+	$(LINK)
+
 $(BUILD)/bin/soak: $(call objs,$(filter-out %/clock.c,$(wildcard tests/soak/*.c))) \
 		   $(BUILD)/libmangohead.a
 	$(LINK)
