--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -123,7 +123,8 @@
 		fprintf(out,
 			"host = \"front-%u\"\nzone = \"z\"\n[listen]\n"
 			"callers = \"127.0.0.1:%u\"\n"
-			"status = \"127.0.0.1:%u\"\n",
+			"status = \"127.0.0.1:%u\"\n"
+			"[clients]\nmax_buffered_mib = 2\n",
 			process, proxy_port(params, process),
 			proxy_port(params, process) + 1);
 	else
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -515,12 +515,13 @@
 	plan_make(&plan, &params);
 	plan_print(&plan, &params, stdout);
 	if (fleet_start(&params) && clients_start(&calls, &params) &&
-	    crashes_start(&params)) {
+	    crashes_start(&params) && hostile_start(&params)) {
 		started = true;
 		printf("begun at %llu\n", (unsigned long long)soak_now_ms());
 		run_plan();
 		clients_stop(&calls, &params);
 		crashes_stop();
+		hostile_stop();
 		check_recovery();
 		violations += fleet_unexpected_exits();
 		violations += checks_run(&calls, &plan, &params, stdout);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -253,6 +253,11 @@
 /* Return: number of violated guarantees; each is printed. */
 uint32_t crashes_check(FILE *out);
 
+/* ---- hostile.c: crowds of clients that send bodies and stop ---- */
+
+bool hostile_start(const struct params *params);
+void hostile_stop(void);
+
 /* ---- checks.c ---- */
 
 /* Return: number of violated guarantees; each is printed. */
