Dispatcher: clients that come back when told go first (ready)

Cause: a rejection uses up the client's only retry. Change: [policy] returning_first (off by default). The review rejects only what all slots could not serve behind what waits now; told times follow each other; rejected requests are remembered by fingerprint (4,096 at most), keep the target of their first attempt when they return, and go before other late ones if they come at the time that was told.

--- a/config/bounds.c
+++ b/config/bounds.c
@@ -14,5 +14,6 @@
 		.quota_excess = bounds->quota_excess,
 		.quota_slack = bounds->quota_slack,
 		.account_shares = policy->account_shares,
+		.returning_first = policy->returning_first,
 	};
 }
--- a/config/settings.c
+++ b/config/settings.c
@@ -140,6 +140,8 @@
 static const struct mh_field policy_fields[] = {
 	FIELD(mh_policy_settings, account_shares, "account_shares",
 	      MH_FIELD_BOOL),
+	FIELD(mh_policy_settings, returning_first, "returning_first",
+	      MH_FIELD_BOOL),
 };
 
 #define P(m, name, ty, ...) FIELD(mh_proxy_settings, m, name, ty, __VA_ARGS__)
--- a/config/settings.h
+++ b/config/settings.h
@@ -115,9 +115,11 @@
 /**
  * struct mh_policy_settings - section [policy], which requests are served first
  * @account_shares: client accounts of a tier share the servers by weight
+ * @returning_first: requests of clients that come back go before new ones
  */
 struct mh_policy_settings {
 	bool account_shares;
+	bool returning_first;
 };
 
 /**
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -1,6 +1,5 @@
 #include "core/dispatch.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
@@ -11,6 +10,8 @@
 /* Interval of the reviews, which refuse requests that can't be served in time
  * and move those whose servers don't respond. */
 #define REVIEW_NS (20 * MH_NS_PER_MS)
+/* Least time between two reviews with a policy by which more requests wait. */
+#define REVIEW_GAP_NS (5 * MH_NS_PER_MS)
 /* Period over which arrivals are counted and after which the means of servers
  * decay, and weight of the newest period in the arrival rate. */
 #define RATE_PERIOD_NS (200 * MH_NS_PER_MS)
@@ -19,8 +20,6 @@
  * time for which a slot is held. */
 #define INITIAL_PLAIN_MS 20.0
 #define INITIAL_HOLD_MS 300.0
-/* Bytes for one server in server_stats. */
-#define SERVER_STATS_BYTES 32
 
 uint8_t mh_dispatch_tier(const struct mh_client_account *account,
 			 const struct mh_route *route)
@@ -53,6 +52,7 @@
 	d->rates_updated_ns = d->began_ns;
 	d->suspects = mh_suspects_new(mh_dispatch_on_suspect, d);
 	d->open_runs = mh_open_runs_new();
+	d->returning = mh_returning_new();
 	d->limits = mh_server_notices_new(clock);
 	d->linked = mh_entry_set_new();
 	d->lost = mh_entry_set_new();
@@ -103,6 +103,7 @@
 	mh_dispatch_free_quotas(d);
 	mh_suspects_free(d->suspects);
 	mh_open_runs_free(d->open_runs);
+	mh_returning_free(d->returning);
 	mh_server_notices_free(d->limits);
 	mh_entry_set_free(d->linked);
 	mh_entry_set_free(d->lost);
@@ -117,8 +118,7 @@
 
 static bool deadline_first(const void *a, const void *b)
 {
-	return ((const struct request *)a)->deadline_ns <
-	       ((const struct request *)b)->deadline_ns;
+	return mh_dispatch_goes_first(a, b);
 }
 
 struct pool *mh_dispatch_pool(struct mh_dispatch *d, const char *name)
@@ -398,6 +398,7 @@
 	/* From here on target_ns is the latest start that meets the target. */
 	req->target_ns -= (uint64_t)(mh_dispatch_expected_first_ms(p, req) *
 				     MH_NS_PER_MS);
+	mh_dispatch_note_return(d, req);
 	req->late = req->target_ns <= req->requested_ns;
 	mh_dispatch_enter_queue(d, req);
 	d->review = true;
@@ -630,10 +631,24 @@
 	return false;
 }
 
+/* With more requests waiting, a review for each arrival takes too much processor
+ * time. */
+static bool is_review_due(const struct mh_dispatch *d, uint64_t now_ns)
+{
+	bool has_gap = d->conf.account_shares || d->conf.returning_first;
+
+	if (now_ns >= d->next_review_ns)
+		return true;
+	return d->review &&
+	       (!has_gap ||
+		now_ns >= d->next_review_ns - REVIEW_NS + REVIEW_GAP_NS);
+}
+
 uint64_t mh_dispatch_tick(struct mh_dispatch *d)
 {
 	uint64_t now_ns = mh_dispatch_now_ns(d);
-	bool due = d->review || now_ns >= d->next_review_ns;
+	bool due = is_review_due(d, now_ns);
+	bool is_put_off = d->review && !due;
 	bool any = mh_suspects_share(d->suspects, now_ns);
 	struct pool *p, *tmp;
 
@@ -656,39 +671,8 @@
 	}
 	if (due)
 		d->next_review_ns = now_ns + REVIEW_NS;
-	d->review = false;
+	d->review = is_put_off;
+	if (is_put_off)
+		return d->next_review_ns - REVIEW_NS + REVIEW_GAP_NS;
 	return any || d->parked ? d->next_review_ns : UINT64_MAX;
 }
-
-void mh_dispatch_view(const struct mh_dispatch *d, const char *service,
-		      struct mh_dispatch_view *view)
-{
-	struct server *s, *tmp;
-	struct request *req;
-	struct pool *p;
-	size_t at = 0;
-	int t;
-
-	memset(view, 0, sizeof(*view));
-	HASH_FIND_STR(d->pools, service, p);
-	if (!p)
-		return;
-	HASH_ITER(hh, p->servers, s, tmp) {
-		if (!mh_dispatch_server_takes_work(s))
-			continue;
-		view->servers++;
-		view->limited += s->limit.max_millihz != MH_NO_LIMIT;
-		view->places += mh_dispatch_server_slots(d, s);
-		if (at + SERVER_STATS_BYTES < sizeof(view->server_stats))
-			at += (size_t)snprintf(
-				view->server_stats + at, SERVER_STATS_BYTES,
-				"%s%.6s:%.2f:%u", at ? "," : "", s->info.id,
-				s->latency_ratio, s->held);
-	}
-	view->held = p->held;
-	view->accounts = mh_dispatch_waiting_accounts(p);
-	for (t = 0; t < MH_TIERS; t++)
-		view->waiting[t] = p->queues[t].timely.n + p->queues[t].late.n;
-	DL_FOREACH(d->parked, req)
-		view->waiting[req->tier] += req->pool == p;
-}
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -237,6 +237,8 @@
  * @quota_slack: units by which an account may exceed its quota in addition
  * @account_shares: waiting requests of a tier are served by weighted shares of
  *                  their accounts
+ * @returning_first: requests of clients that come back at the time that they were
+ *                   told go before new ones, and fewer are rejected
  */
 struct mh_dispatch_conf {
 	double retry_ratio;
@@ -246,6 +248,7 @@
 	double quota_excess;
 	double quota_slack;
 	bool account_shares;
+	bool returning_first;
 };
 
 /* Entries report the retries at a service to dispatchers as usage of an account
@@ -656,6 +659,7 @@
  * @held: slots in use
  * @accounts: client accounts with waiting requests, of the tier with the most;
  *            0 without shares of accounts
+ * @returning: rejected requests of all services that are expected back
  * @waiting: requests that wait, by tier
  * @server_stats: "id:latency ratio:slots in use" of the servers that fit in,
  *                separated by commas; ids are cut to 6 bytes
@@ -666,6 +670,7 @@
 	uint32_t places;
 	uint32_t held;
 	uint32_t accounts;
+	uint32_t returning;
 	uint32_t waiting[MH_TIERS];
 	char server_stats[320];
 };
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -11,6 +11,7 @@
 #include "core/dispatch.h"
 #include "core/heap.h"
 #include "core/open_runs.h"
+#include "core/returning.h"
 #include "core/send_window.h"
 #include "core/sliding_window.h"
 #include "core/suspects.h"
@@ -51,6 +52,8 @@
 	bool survived_briefly; /* its server lived on for SETTLE_NS, at least */
 	bool parked;
 	uint64_t limited_ns; /* since when limits alone keep it waiting, or 0 */
+	bool has_returned;   /* it was rejected before */
+	bool is_returning;   /* and came back at the time that it was told */
 	bool is_repeatable;
 	bool has_waiting_retry; /* counted as such in the retry window */
 	bool over_quota;	/* served from spare slots only */
@@ -211,6 +214,7 @@
 	struct quota *quotas;
 	struct mh_suspects *suspects;
 	struct mh_open_runs *open_runs;
+	struct mh_returning *returning;
 	/* Limits that hold, also of servers that are not registered yet, or not
 	 * at the moment. */
 	struct mh_server_notices *limits;
@@ -342,6 +346,16 @@
 void mh_dispatch_report_limited(struct mh_dispatch *d,
 				const struct request *req, uint64_t now_ns);
 
+/* Clients that come back: dispatch_returning.c */
+void mh_dispatch_note_return(struct mh_dispatch *d, struct request *req);
+/* Remembers a request that is rejected, and spreads those of a queue.
+ * Return: Retry-After for an expected wait. */
+uint32_t mh_dispatch_schedule_return(struct mh_dispatch *d,
+				     const struct request *req,
+				     uint32_t wait_ms);
+/* Order of late requests: those that came back when told, then by deadline. */
+bool mh_dispatch_goes_first(const struct request *a, const struct request *b);
+
 /* Shares of accounts: dispatch_shares.c. Without the setting these do nothing. */
 void mh_dispatch_update_shares(const struct mh_dispatch *d, struct pool *p);
 void mh_dispatch_share_add(const struct mh_dispatch *d,
--- a/core/dispatch_review.c
+++ b/core/dispatch_review.c
@@ -53,6 +53,8 @@
 	/* Jitter, so that requests refused together don't return together. */
 	ms = (uint32_t)wait_ms;
 	ms += (uint32_t)(mh_rng_next(&d->rng) % (ms / 2 + 1));
+	if (d->conf.returning_first)
+		ms = mh_dispatch_schedule_return(d, req, (uint32_t)wait_ms);
 	if (req->over_quota)
 		why.error = MH_ERR_ACCOUNT_LIMIT;
 	else if (are_all_limited(req->pool))
@@ -149,8 +151,7 @@
 	const struct request *x = *(struct request *const *)a;
 	const struct request *y = *(struct request *const *)b;
 
-	return (x->deadline_ns > y->deadline_ns) -
-	       (x->deadline_ns < y->deadline_ns);
+	return mh_dispatch_goes_first(y, x) - mh_dispatch_goes_first(x, y);
 }
 
 static bool is_past(uint64_t now_ns, double in_ms, uint64_t limit_ns)
@@ -202,14 +203,20 @@
 void mh_dispatch_review(struct mh_dispatch *d, struct pool *p, uint64_t now_ns)
 {
 	struct capacity c = capacity(d, p, now_ns);
-	double left = c.places, ahead_ms = 0;
+	double left = c.places, ahead_ms = 0, least = c.places;
 	int t;
 
+	/* A rejection uses up the client's only retry. So where retries are
+	 * remembered, requests are rejected only if they can't be served even
+	 * without further urgent ones: bursts end before most deadlines. */
+	if (!d->conf.returning_first)
+		least *= MIN_CAPACITY_FRACTION;
+
 	for (t = 0; t < MH_TIERS; t++) {
 		struct queue *queue = &p->queues[t];
 
-		if (left < MIN_CAPACITY_FRACTION * c.places)
-			left = MIN_CAPACITY_FRACTION * c.places;
+		if (left < least)
+			left = least;
 		ahead_ms = review_heap(d, &queue->timely, by_target, ahead_ms,
 				       left, c.wait_ms, now_ns);
 		ahead_ms = review_heap(d, &queue->late, by_deadline, ahead_ms,
--- a/core/dispatch_shares.c
+++ b/core/dispatch_shares.c
@@ -16,8 +16,7 @@
 
 static bool deadline_first(const void *a, const void *b)
 {
-	return ((const struct request *)a)->deadline_ns <
-	       ((const struct request *)b)->deadline_ns;
+	return mh_dispatch_goes_first(a, b);
 }
 
 static const struct mh_account_share_order share_order = {
--- a/dispatcher/pool_log.c
+++ b/dispatcher/pool_log.c
@@ -16,7 +16,7 @@
 				       "%s%u", t ? "," : "", v.waiting[t]);
 	mh_event(log, MH_EV_POOL,
 		 "event=pool service=%s servers=%u limited=%u places=%u "
-		 "held=%u waiting=%s accounts=%u pace=%s",
+		 "held=%u waiting=%s accounts=%u returning=%u pace=%s",
 		 service, v.servers, v.limited, v.places, v.held, waiting,
-		 v.accounts, v.server_stats);
+		 v.accounts, v.returning, v.server_stats);
 }
