--- a/config/bounds.c
+++ b/config/bounds.c
@@ -16,5 +16,6 @@
 		.latest_start_percentile = policy->latest_start_percentile,
 		.length_aware = policy->length_aware_placement,
 		.account_shares = policy->account_shares,
+		.returning_first = policy->returning_first,
 	};
 }
--- a/config/settings.c
+++ b/config/settings.c
@@ -173,6 +173,8 @@
 	      "latest_start_percentile", MH_FIELD_REAL, .max = 99),
 	FIELD(mh_policy_settings, account_shares, "account_shares",
 	      MH_FIELD_BOOL),
+	FIELD(mh_policy_settings, returning_first, "returning_first",
+	      MH_FIELD_BOOL),
 };
 
 #define P(m, name, ty, ...) FIELD(mh_proxy_settings, m, name, ty, __VA_ARGS__)
--- a/config/settings.h
+++ b/config/settings.h
@@ -142,6 +142,7 @@
  * struct mh_policy_settings - section [policy], which requests are placed first, and
  *                             where
  * @account_shares: client accounts of a tier share the servers by weight
+ * @returning_first: requests of clients that come back go before new ones
  * @length_aware_placement: use the expected length of responses and the speed of
  *                          servers
  * @latest_start_percentile: of the times to the first byte, 0: their mean; decides
@@ -149,6 +150,7 @@
  */
 struct mh_policy_settings {
 	bool account_shares;
+	bool returning_first;
 	bool length_aware_placement;
 	double latest_start_percentile;
 };
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -244,6 +244,8 @@
  * @length_aware: place requests by the expected length of their responses
  * @account_shares: waiting requests of a tier are served by weighted shares of
  *                  their accounts
+ * @returning_first: requests of clients that come back at the time that they were
+ *                   told go before new ones, and fewer are rejected
  */
 struct mh_dispatch_conf {
 	double retry_ratio;
@@ -255,6 +257,7 @@
 	double latest_start_percentile;
 	bool length_aware;
 	bool account_shares;
+	bool returning_first;
 };
 
 /* Entries report the retries at a service to dispatchers as usage of an account
@@ -676,6 +679,7 @@
  * @held: slots in use
  * @accounts: client accounts with waiting requests, of the tier with the most;
  *            0 without shares of accounts
+ * @returning: rejected requests of all services that are expected back
  * @waiting: requests that wait, by tier
  * @server_stats: "id:latency ratio:slots in use" of the servers that fit in,
  *                separated by commas; ids are cut to 6 bytes
@@ -686,6 +690,7 @@
 	uint32_t places;
 	uint32_t held;
 	uint32_t accounts;
+	uint32_t returning;
 	uint32_t waiting[MH_TIERS];
 	char server_stats[320];
 };
--- a/core/dispatch_view.c
+++ b/core/dispatch_view.c
@@ -35,6 +35,7 @@
 	}
 	view->held = p->held;
 	view->accounts = mh_dispatch_waiting_accounts(p);
+	view->returning = mh_returning_count(d->returning);
 	for (t = 0; t < MH_TIERS; t++)
 		view->waiting[t] = p->queues[t].timely.n + p->queues[t].late.n;
 	DL_FOREACH(d->parked, req)
