Unread responses of entries, slow readers, and a lack of descriptors

- The time-out of writes looked at the proxy's own buffer, which a slow client does not empty before a good part of the socket's buffer is free.
It now asks the socket what the client has taken.
- Without descriptors, accept() failed and the listener woke the loop again at once; it pauses now, at clients' addresses and on link ports.

--- a/Makefile
+++ b/Makefile
@@ -139,6 +139,7 @@
 $(BUILD)/bin/test_usage_relay: $(BUILD)/proxy/usage_forward.o
 $(BUILD)/bin/test_client $(BUILD)/bin/test_client_limits: \
 $(BUILD)/proxy/client.o $(BUILD)/proxy/client_limits.o
+$(BUILD)/bin/test_http_clients: $(BUILD)/entry/unread.o
 $(BUILD)/bin/test_backend_bytes: $(BUILD)/side/backend.o
 
 $(addprefix $(BUILD)/bin/,$(SMALL_TESTS)): \
--- a/entry/app.h
+++ b/entry/app.h
@@ -13,6 +13,7 @@
 #include "config/machine.h"
 #include "config/settings.h"
 #include "core/entry.h"
+#include "entry/unread.h"
 #include "net/link.h"
 #include "net/loop.h"
 #include "net/signals.h"
@@ -60,6 +61,7 @@
  * @settings: settings
  * @machine: what the process may use
  * @clients: connections of the client API, and what they hold
+ * @unread: responses that clients have not read
  * @operators: connections of the administration API, and what they hold
  * @loop: event loop of the core's thread
  * @timers: timers of that thread
@@ -96,6 +98,7 @@
 	struct mh_machine machine;
 	struct mh_http_clients *clients;
 	struct mh_http_clients *operators;
+	struct mh_unread_pool unread;
 	struct mh_loop *loop;
 	struct mh_timers timers;
 	struct mh_entry *core;
--- a/entry/http.c
+++ b/entry/http.c
@@ -18,8 +18,8 @@
 #include "net/http_clients.h"
 #include "net/http_server.h"
 
-/* A client that leaves more of its response unread is too slow and cut off. */
-#define MAX_UNREAD_BYTES (32u << 20)
+/* Part of the clients' budget that unread responses may use. */
+#define UNREAD_PART 2
 #define CONNECTION_TIMEOUT_S 120
 #define READER_BLOCK_BYTES 16384
 #define NS_PER_US 1000
@@ -56,10 +56,7 @@
 	uint32_t status;
 	char *content_type;
 	char *server;
-	uint8_t *out;
-	size_t out_start;
-	size_t out_len;
-	size_t out_cap;
+	struct mh_unread out;
 	bool complete;
 	bool failed;
 	struct mh_refusal refusal;
@@ -73,7 +70,7 @@
 	free(hc->body.p);
 	free(hc->content_type);
 	free(hc->server);
-	free(hc->out);
+	mh_unread_release(&hc->out, &hc->app->unread);
 	free(hc);
 }
 
@@ -97,27 +94,6 @@
 	MHD_resume_connection(hc->conn);
 }
 
-/* With the lock held. */
-static bool append_out(struct http_call *hc, const uint8_t *bytes, size_t len)
-{
-	if (hc->out_start && hc->out_start == hc->out_len) {
-		hc->out_start = 0;
-		hc->out_len = 0;
-	}
-	if (hc->out_len + len > hc->out_cap) {
-		size_t cap = (hc->out_len + len) * 2;
-		uint8_t *p = realloc(hc->out, cap);
-
-		if (!p)
-			return false;
-		hc->out = p;
-		hc->out_cap = cap;
-	}
-	memcpy(hc->out + hc->out_len, bytes, len);
-	hc->out_len += len;
-	return true;
-}
-
 static void add_finished_request(struct http_call *hc, enum mh_error error)
 {
 	struct mh_entry_app *app = hc->app;
@@ -201,8 +177,8 @@
 
 	(void)data;
 	pthread_mutex_lock(&hc->lock);
-	overrun = hc->out_len - hc->out_start + len > MAX_UNREAD_BYTES ||
-		  !append_out(hc, bytes, len);
+	overrun = !mh_unread_has_room(&hc->out, &hc->app->unread, len) ||
+		  !mh_unread_add(&hc->out, &hc->app->unread, bytes, len);
 	if (overrun)
 		/* Bytes are missing, so the response can't be completed. */
 		hc->failed = true;
@@ -226,6 +202,12 @@
 	unref(hc);
 }
 
+static void append_out(struct http_call *hc, const char *text)
+{
+	mh_unread_add(&hc->out, &hc->app->unread, (const uint8_t *)text,
+		      strlen(text));
+}
+
 /* With the lock held. Tells the client why its stream ends early. */
 static void append_error_event(struct http_call *hc)
 {
@@ -235,9 +217,9 @@
 
 	if (!text)
 		return;
-	append_out(hc, (const uint8_t *)"event: error\ndata: ", 19);
-	append_out(hc, (const uint8_t *)text, strlen(text));
-	append_out(hc, (const uint8_t *)"\n\n", 2);
+	append_out(hc, "event: error\ndata: ");
+	append_out(hc, text);
+	append_out(hc, "\n\n");
 	free(text);
 }
 
@@ -526,11 +508,11 @@
 
 	(void)pos;
 	pthread_mutex_lock(&hc->lock);
-	n = hc->out_len - hc->out_start;
+	n = hc->out.len - hc->out.start;
 	if (n) {
 		n = n < max ? n : max;
-		memcpy(buf, hc->out + hc->out_start, n);
-		hc->out_start += n;
+		memcpy(buf, hc->out.p + hc->out.start, n);
+		hc->out.start += n;
 		result = (ssize_t)n;
 	} else if (hc->complete) {
 		result = MHD_CONTENT_READER_END_OF_STREAM;
@@ -579,7 +561,7 @@
 	if (!complete)
 		return MHD_YES;
 	return queue_response(
-		hc, MHD_create_response_from_buffer(hc->out_len, hc->out,
+		hc, MHD_create_response_from_buffer(hc->out.len, hc->out.p,
 						    MHD_RESPMEM_PERSISTENT));
 }
 
@@ -662,6 +644,7 @@
 
 	if (conf.max_connections > app->settings.max_connections)
 		conf.max_connections = app->settings.max_connections;
+	app->unread.max = conf.max_bytes / UNREAD_PART;
 	app->clients = mh_http_clients_new(&conf, app->settings.max_body_bytes,
 					   mh_entry_counters(app->core));
 	if (!app->clients || !mh_http_sockaddr(app->settings.callers, &sa))
--- a/net/link.c
+++ b/net/link.c
@@ -379,8 +379,14 @@
 		mh_count(set->counters, MH_C_LINKS_EVICTED);
 		close_link(set->unproven);
 	}
-	if (fd < 0)
+	if (fd < 0) {
+		/* Without descriptors the listener would wake the loop again
+		 * and again. The next scan ends the pause. */
+		set->accept_paused = errno != EAGAIN;
+		if (set->accept_paused)
+			mh_loop_change(set->loop, &set->listener, 0);
 		return;
+	}
 	l = new_link(set, fd);
 	if (!l || mh_loop_add(set->loop, &l->watch, EPOLLIN)) {
 		close(fd);
@@ -555,6 +561,10 @@
 		if (l->state != LINK_CLOSED && is_timed_out(l, now_ns))
 			close_link(l);
 	}
+	if (set->accept_paused) {
+		set->accept_paused = false;
+		mh_loop_change(set->loop, &set->listener, EPOLLIN);
+	}
 	DL_FOREACH(set->dialled, d) {
 		if (!d->link && now_ns >= d->retry_ns)
 			connect_to(set, d);
--- a/net/link_impl.h
+++ b/net/link_impl.h
@@ -62,6 +62,7 @@
 	struct link
 		*unproven; /* accepted and in their handshake, oldest first */
 	uint32_t n_unproven;
+	bool accept_paused;
 	uint64_t next_scan_ns;
 	uint64_t receive_timeout_ns;
 	struct dialled *dialled;
--- a/net/status.c
+++ b/net/status.c
@@ -10,7 +10,7 @@
 
 /* A small stack is enough for /ready and /metrics. */
 #define STACK_BYTES (128u << 10)
-#define CONNECTION_TIMEOUT_S 10
+#define CONNECTION_TIMEOUT_S 30
 /* Memory of a connection, for its head. */
 #define CONNECTION_BYTES (8u << 10)
 
--- a/proxy/client.c
+++ b/proxy/client.c
@@ -4,7 +4,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <linux/sockios.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utlist.h>
@@ -390,10 +392,20 @@
 			 "event=no_linger errno=%d", errno);
 }
 
+/* The socket reports that it is writable only once a good part of its buffer is free,
+ * which takes a slow client long. */
+static int count_unacked(const struct mh_client *cl)
+{
+	int n = 0;
+
+	return ioctl(cl->watch.fd, SIOCOUTQ, &n) ? 0 : n;
+}
+
 /* A response that the client does not read ends after the same time as a connection
  * on which it sends nothing. */
 static void set_write_timer(struct mh_client *cl)
 {
+	cl->unacked = count_unacked(cl);
 	mh_client_set_timer(cl, cl->set->limits.idle_timeout_ms * MH_NS_PER_MS);
 }
 
@@ -464,6 +476,9 @@
 
 	if (cl->state == CLIENT_READING && !mh_http_reader_idle(&cl->reader))
 		reject(cl, MH_ERR_NOT_READ);
+	else if (cl->state == CLIENT_ENDING && !cl->unread &&
+		 count_unacked(cl) < cl->unacked)
+		set_write_timer(cl);
 	else
 		close_client(cl);
 }
@@ -505,11 +520,14 @@
 	(void)events;
 	for (i = 0; i < MAX_ACCEPTS_PER_EVENT; i++) {
 		fd = mh_socket_accept(set->listener.fd);
-		if (fd < 0 && (errno == EMFILE || errno == ENFILE) &&
-		    mh_clients_make_room(set))
-			continue;
-		if (fd < 0)
+		if (fd < 0 && errno != EMFILE && errno != ENFILE)
 			break;
+		if (fd < 0) {
+			if (mh_clients_make_room(set))
+				continue;
+			mh_clients_pause_accepting(set);
+			break;
+		}
 		if (mh_client_budget_is_full(&set->budget) &&
 		    !mh_clients_make_room(set))
 			mh_clients_turn_away(set, fd);
@@ -544,6 +562,7 @@
 	set->limits.idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS;
 	mh_client_budget_init(&set->budget, &env->budget, env->clock);
 	set_request_bytes(set);
+	mh_timer_init(&set->accept_timer, mh_clients_accept_again, set);
 	set->listener.ready = on_accept;
 	set->listener.data = set;
 	set->listener.fd = mh_socket_listen(address, LISTEN_BACKLOG);
@@ -563,6 +582,7 @@
 {
 	if (set->listener.fd < 0)
 		return;
+	mh_timer_clear(set->env.timers, &set->accept_timer);
 	mh_loop_remove(set->env.loop, &set->listener);
 	close(set->listener.fd);
 	set->listener.fd = -1;
--- a/proxy/client_impl.h
+++ b/proxy/client_impl.h
@@ -29,6 +29,7 @@
 	struct mh_buffer body;
 	size_t body_bytes; /* received, also those that are not kept */
 	struct mh_buffer out;
+	int unacked; /* bytes that the client had not taken at the last look */
 	struct mh_timer timer;
 	struct mh_timer next_timer; /* reads the next pipelined request */
 	void *data;
@@ -39,6 +40,7 @@
 	struct mh_client_env env;
 	struct mh_client_budget budget;
 	struct mh_watch listener;
+	struct mh_timer accept_timer; /* accepts again */
 	struct mh_limits limits;
 	bool keep_alive_disabled;
 	uint32_t n_open;
@@ -59,5 +61,7 @@
 void mh_client_linger(struct mh_client *cl);
 bool mh_clients_make_room(struct mh_clients *set);
 void mh_clients_turn_away(struct mh_clients *set, int fd);
+void mh_clients_pause_accepting(struct mh_clients *set);
+void mh_clients_accept_again(void *data);
 
 #endif
--- a/proxy/client_limits.c
+++ b/proxy/client_limits.c
@@ -4,6 +4,7 @@
  */
 #include <errno.h>
 #include <stddef.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -15,6 +16,8 @@
 /* Retry-After of requests that were evicted: a stalled request is evicted after
  * half of that time. */
 #define RETRY_AFTER_MS 1000
+/* Without descriptors the listener would wake the loop again and again. */
+#define ACCEPT_PAUSE_NS (100 * MH_NS_PER_MS)
 /* What a connection needs besides: its request in the exchange and the slot client,
  * and what the allocator adds. */
 #define CONNECTION_BYTES 4096
@@ -141,6 +144,22 @@
 	return true;
 }
 
+void mh_clients_accept_again(void *data)
+{
+	struct mh_clients *set = data;
+
+	mh_loop_change(set->env.loop, &set->listener, EPOLLIN);
+}
+
+void mh_clients_pause_accepting(struct mh_clients *set)
+{
+	mh_event(set->env.log, MH_EV_FAILED,
+		 "event=no_descriptors connections=%u", set->n_open);
+	mh_loop_change(set->env.loop, &set->listener, 0);
+	mh_timer_set(set->env.timers, &set->accept_timer,
+		     mh_clock_mono_ns(set->env.clock) + ACCEPT_PAUSE_NS);
+}
+
 void mh_clients_turn_away(struct mh_clients *set, int fd)
 {
 	struct mh_buffer out = { 0 };
--- a/tests/test_client_limits.c
+++ b/tests/test_client_limits.c
@@ -12,6 +12,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -24,6 +25,9 @@
 #define RECEIVED_BYTES (64 * KIB)
 #define LIMIT_MS 5000
 #define TICK_NS (2 * MH_NS_PER_MS)
+/* So slow that the socket is not writable again for longer than the time-out. */
+#define SLOW_READ_NS (50 * MH_NS_PER_MS)
+#define SLOW_READ_BYTES (32 * KIB)
 
 struct fixture {
 	struct mh_loop *loop;
@@ -48,6 +52,11 @@
 	size_t last_body;
 	bool holds;	 /* requests are not answered */
 	size_t response; /* bytes of the body of each response */
+	int slow;	 /* client that reads slowly, 0: none */
+	uint64_t next_read_ns;
+	struct rlimit limit;	/* of descriptors, restored at that time */
+	uint64_t limit_ends_ns; /* 0: not lowered */
+	uint32_t ticks;		/* until then */
 };
 
 static enum mh_error on_head(void *data, const struct mh_http_head *head)
@@ -188,8 +197,16 @@
 {
 	struct fixture *fx = data;
 	uint64_t now_ns = mh_clock_mono_ns(&mh_system_clock), held;
+	char bytes[SLOW_READ_BYTES];
 	ssize_t n;
 
+	if (fx->limit_ends_ns) {
+		fx->ticks++;
+		if (now_ns >= fx->limit_ends_ns) {
+			fx->limit_ends_ns = 0;
+			setrlimit(RLIMIT_NOFILE, &fx->limit);
+		}
+	}
 	mh_timers_run(&fx->timers, now_ns);
 	held = mh_clients_budget(fx->clients)->bytes;
 	if (held > fx->max_bytes)
@@ -199,6 +216,10 @@
 	if (n > 0)
 		fx->n_received += (size_t)n;
 	fx->closed = !n;
+	if (fx->slow && now_ns >= fx->next_read_ns) {
+		fx->next_read_ns = now_ns + SLOW_READ_NS;
+		(void)!recv(fx->slow, bytes, sizeof(bytes), MSG_DONTWAIT);
+	}
 	fx->received[fx->n_received] = '\0';
 	if (now_ns > fx->end_ns || (fx->is_done && fx->is_done(fx)))
 		mh_loop_stop(fx->loop);
@@ -397,6 +418,52 @@
 	stop(&fx);
 }
 
+/* Guards against a slow client that is taken for one that does not read: the socket
+ * becomes writable only once a good part of its buffer is free. */
+static void test_a_slow_reader_is_not_cut_off(void **state)
+{
+	struct fixture fx;
+	int fd, bytes = 64 * KIB, null = open("/dev/null", O_RDONLY);
+
+	(void)state;
+	start(&fx, 64 * 1024 * KIB, 16);
+	fx.response = 32 * 1024 * KIB;
+	fd = open_client(&fx);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+	send_head(fd, "/large", 0);
+	fx.slow = fd;
+	run(&fx, null, 1500, NULL);
+	assert_int_equal(fx.handled, 1);
+	assert_int_equal(mh_clients_count(fx.clients), 1);
+	close(null);
+	stop(&fx);
+}
+
+/* Guards against a listener that keeps the loop busy while there is no descriptor
+ * for its connections, and against one that never accepts again. */
+static void test_no_descriptor_does_not_keep_the_loop_busy(void **state)
+{
+	struct rlimit low;
+	struct fixture fx;
+	int fd;
+
+	(void)state;
+	start(&fx, 4096 * KIB, 100);
+	fd = open_client(&fx);
+	send_head(fd, "/a", 0);
+	assert_int_equal(getrlimit(RLIMIT_NOFILE, &fx.limit), 0);
+	low = fx.limit;
+	low.rlim_cur = (rlim_t)fd + 1;
+	assert_int_equal(setrlimit(RLIMIT_NOFILE, &low), 0);
+	fx.limit_ends_ns =
+		mh_clock_mono_ns(&mh_system_clock) + 300 * MH_NS_PER_MS;
+	run(&fx, fd, LIMIT_MS, has_ok);
+	assert_int_equal(fx.handled, 1);
+	/* One each TICK_NS, with room for other events. */
+	assert_in_range(fx.ticks, 1, 400);
+	stop(&fx);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -408,6 +475,9 @@
 		cmocka_unit_test(test_pipelined_bytes_are_bounded),
 		cmocka_unit_test(test_connections_are_bounded),
 		cmocka_unit_test(test_an_unread_response_ends),
+		cmocka_unit_test(test_a_slow_reader_is_not_cut_off),
+		cmocka_unit_test(
+			test_no_descriptor_does_not_keep_the_loop_busy),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_http_clients.c
+++ b/tests/test_http_clients.c
@@ -15,6 +15,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "entry/unread.h"
 #include "net/http_clients.h"
 #include "net/http_server.h"
 #include "net/status.h"
@@ -206,12 +207,62 @@
 	free(body);
 }
 
+/* Guards against unread responses that are bounded one by one only, and against
+ * small ones that are cut off for the large ones of others. */
+static void test_unread_responses_are_bounded_together(void **state)
+{
+	static uint8_t block[64 * KIB];
+	struct mh_unread_pool pool = { .max = 4096 * KIB };
+	struct mh_unread large[16] = { 0 }, small = { 0 };
+	int i, j;
+
+	(void)state;
+	for (j = 0; j < 32; j++) {
+		for (i = 0; i < 16; i++) {
+			if (mh_unread_has_room(&large[i], &pool, sizeof(block)))
+				assert_true(mh_unread_add(&large[i], &pool,
+							  block,
+							  sizeof(block)));
+		}
+	}
+	/* Memory grows by doubling. */
+	assert_in_range(pool.bytes, pool.max / 2, 4 * pool.max);
+	assert_true(mh_unread_has_room(&small, &pool, sizeof(block)));
+	assert_false(mh_unread_has_room(&large[0], &pool, sizeof(block)));
+	for (i = 0; i < 16; i++)
+		mh_unread_release(&large[i], &pool);
+	assert_int_equal(pool.bytes, 0);
+	assert_true(mh_unread_has_room(&large[0], &pool, 1024 * KIB));
+}
+
+/* Guards against bytes that are lost or doubled where read ones make room. */
+static void test_unread_bytes_stay_in_order(void **state)
+{
+	struct mh_unread_pool pool = { .max = 4096 * KIB };
+	struct mh_unread u = { 0 };
+	uint8_t sent = 0, read = 0, bytes[100];
+	uint32_t i, k;
+
+	(void)state;
+	for (i = 0; i < 1000; i++) {
+		for (k = 0; k < sizeof(bytes); k++)
+			bytes[k] = sent++;
+		assert_true(mh_unread_add(&u, &pool, bytes, sizeof(bytes)));
+		for (k = 0; k < 90 + i % 20 && u.start < u.len; k++)
+			assert_int_equal(u.p[u.start++], read++);
+	}
+	assert_in_range(pool.bytes, 1, 64 * KIB);
+	mh_unread_release(&u, &pool);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_silent_connections_leave_the_status_reachable),
 		cmocka_unit_test(test_bodies_stay_in_the_budget),
+		cmocka_unit_test(test_unread_responses_are_bounded_together),
+		cmocka_unit_test(test_unread_bytes_stay_in_order),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
