--- a/config/bounds.c
+++ b/config/bounds.c
@@ -1,7 +1,8 @@
 #include "config/bounds.h"
 
 struct mh_dispatch_conf
-mh_bounds_to_dispatch_conf(const struct mh_bounds_settings *bounds)
+mh_bounds_to_dispatch_conf(const struct mh_bounds_settings *bounds,
+			   const struct mh_hedging_settings *hedging)
 {
 	return (struct mh_dispatch_conf){
 		.retry_ratio = bounds->retry_ratio,
@@ -12,5 +13,7 @@
 			(uint32_t)(bounds->quota_window_s * MH_MS_PER_S),
 		.quota_excess = bounds->quota_excess,
 		.quota_slack = bounds->quota_slack,
+		.hedge_share = hedging->max_share,
+		.hedge_extra = hedging->max_extra,
 	};
 }
--- a/config/bounds.h
+++ b/config/bounds.h
@@ -10,10 +10,12 @@
 /**
  * mh_bounds_to_dispatch_conf() - convert to the dispatch core's configuration
  * @bounds: section [bounds]
+ * @hedging: section [hedging]
  *
  * Return: configuration, with windows in ms.
  */
 struct mh_dispatch_conf
-mh_bounds_to_dispatch_conf(const struct mh_bounds_settings *bounds);
+mh_bounds_to_dispatch_conf(const struct mh_bounds_settings *bounds,
+			   const struct mh_hedging_settings *hedging);
 
 #endif
--- a/config/settings.c
+++ b/config/settings.c
@@ -137,6 +137,13 @@
 	      .max = 3600, .def_u32 = 30),
 };
 
+static const struct mh_field hedging_fields[] = {
+	FIELD(mh_hedging_settings, max_share, "max_share", MH_FIELD_REAL,
+	      .max = 1, .def_u32 = 0),
+	FIELD(mh_hedging_settings, max_extra, "max_extra", MH_FIELD_REAL,
+	      .max = 100000, .def_u32 = 0),
+};
+
 #define P(m, name, ty, ...) FIELD(mh_proxy_settings, m, name, ty, __VA_ARGS__)
 
 static const struct mh_field proxy_root[] = {
@@ -165,6 +172,8 @@
 	{ "platform", proxy_platform, LEN(proxy_platform), 0 },
 	{ "bounds", bounds_fields, LEN(bounds_fields),
 	  offsetof(struct mh_proxy_settings, bounds) },
+	{ "hedging", hedging_fields, LEN(hedging_fields),
+	  offsetof(struct mh_proxy_settings, hedging) },
 	{ "link", link_fields, LEN(link_fields),
 	  offsetof(struct mh_proxy_settings, link) },
 };
@@ -193,6 +202,8 @@
 	{ "platform", dispatcher_platform, LEN(dispatcher_platform), 0 },
 	{ "bounds", bounds_fields, LEN(bounds_fields),
 	  offsetof(struct mh_dispatcher_settings, bounds) },
+	{ "hedging", hedging_fields, LEN(hedging_fields),
+	  offsetof(struct mh_dispatcher_settings, hedging) },
 	{ "link", link_fields, LEN(link_fields),
 	  offsetof(struct mh_dispatcher_settings, link) },
 };
--- a/config/settings.h
+++ b/config/settings.h
@@ -112,6 +112,17 @@
 	double grace_s;
 };
 
+/**
+ * struct mh_hedging_settings - section [hedging], limits over all entries
+ * @max_share: hedged requests allowed for each request of a service
+ * @max_extra: those allowed in a window of the retry budget regardless of the
+ *             requests; with both 0 there are none
+ */
+struct mh_hedging_settings {
+	double max_share;
+	double max_extra;
+};
+
 /**
  * struct mh_proxy_settings - settings of mangohead-proxy
  * @host: name of this host
@@ -123,6 +134,7 @@
  * @store: "ip:port" of the platform's store
  * @seeds: addresses at which to look for dispatchers before the store is read
  * @bounds: section [bounds]
+ * @hedging: section [hedging]
  * @link: section [link]
  */
 struct mh_proxy_settings {
@@ -135,6 +147,7 @@
 	char *store;
 	struct mh_strings seeds;
 	struct mh_bounds_settings bounds;
+	struct mh_hedging_settings hedging;
 	struct mh_link_settings link;
 };
 
@@ -148,6 +161,7 @@
  * @log_format: "text" or "json"
  * @store: "ip:port" of the platform's store
  * @bounds: section [bounds]
+ * @hedging: section [hedging]
  * @link: section [link]
  */
 struct mh_dispatcher_settings {
@@ -159,6 +173,7 @@
 	char *status;
 	char *store;
 	struct mh_bounds_settings bounds;
+	struct mh_hedging_settings hedging;
 	struct mh_link_settings link;
 };
 
--- a/core/counter_names.h
+++ b/core/counter_names.h
@@ -50,6 +50,12 @@
 	  "connections to backend servers that were opened")                   \
 	X(SENT, sent, "requests sent to backend servers")                      \
 	X(SENT_AGAIN, sent_again, "requests sent to a further server")         \
+	X(HEDGES, hedges,                                                      \
+	  "second slots granted for requests whose response was late")         \
+	X(HEDGED, hedged, "hedged requests sent to a second server")           \
+	X(HEDGES_WON, hedges_won,                                              \
+	  "hedged requests whose response was passed on")                      \
+	X(HEDGES_DECLINED, hedges_declined, "second slots that were not used") \
 	X(REJECTED, rejected, "requests that a backend server did not run")    \
 	X(CUT, answers_cut, "answers that broke off midway")                   \
 	X(UNPROVEN, answers_unproven,                                          \
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -84,6 +84,7 @@
 		mh_heap_release(&p->queues[t].late);
 	}
 	HASH_DEL(d->pools, p);
+	mh_hedges_free(p->hedges);
 	free(p->name);
 	free(p);
 }
@@ -287,8 +288,8 @@
 		mh_dispatch_update_server(d, &s);
 }
 
-static struct request *find_request(struct mh_dispatch *d, uint32_t owner,
-				    uint64_t id)
+struct request *mh_dispatch_find_request(struct mh_dispatch *d, uint32_t owner,
+					 uint64_t id)
 {
 	struct request_key key;
 	struct request *req;
@@ -321,6 +322,9 @@
 	req->deadline_ns = slot_req->deadline_ns;
 	req->features = features;
 	req->requested_ns = mh_dispatch_now_ns(d);
+	req->kind = slot_req->kind;
+	req->is_first_try = !slot_req->is_repeat && !slot_req->n_avoid;
+	req->attempt_units = slot_req->units;
 	req->is_repeatable = slot_req->is_repeatable;
 	req->heap_index = MH_HEAP_NONE;
 	req->n_avoid = slot_req->n_avoid;
@@ -370,7 +374,7 @@
 	bool over_quota = false;
 	struct request *req;
 
-	if (find_request(d, slot_req->owner, slot_req->id))
+	if (mh_dispatch_find_request(d, slot_req->owner, slot_req->id))
 		return;
 	features = features_of(slot_req);
 	if (!admit(d, slot_req, features, &over_quota, &why)) {
@@ -379,9 +383,11 @@
 		return;
 	}
 	/* One with a server to avoid asked before. */
-	if (!slot_req->is_repeat && !slot_req->n_avoid)
+	if (!slot_req->is_repeat && !slot_req->n_avoid) {
 		mh_retry_window_add_first_try(&p->retry_window,
 					      mh_dispatch_now_ns(d));
+		mh_dispatch_count_hedgeable(d, p);
+	}
 	req = add_request(d, slot_req, features);
 	req->has_waiting_retry = mh_dispatch_is_charged_retry(slot_req);
 	req->over_quota = over_quota;
@@ -404,7 +410,7 @@
 	struct server *s = mh_dispatch_find_server(d, server);
 	struct request *req;
 
-	if (!s || find_request(d, slot_req->owner, slot_req->id))
+	if (!s || mh_dispatch_find_request(d, slot_req->owner, slot_req->id))
 		return;
 	req = add_request(d, slot_req, features_of(slot_req));
 	req->placed_ns = mh_dispatch_now_ns(d) - age_ms * MH_NS_PER_MS;
@@ -412,15 +418,17 @@
 	req->units = 0;
 	mh_dispatch_take_slot(s, req);
 	mh_dispatch_open_run(d, req);
+	mh_dispatch_adopt_hedge(d, req);
 }
 
 void mh_dispatch_first_byte(struct mh_dispatch *d, uint32_t owner, uint64_t id,
 			    uint32_t first_ms)
 {
-	struct request *req = find_request(d, owner, id);
+	struct request *req = mh_dispatch_find_request(d, owner, id);
 
 	if (!req || !req->server)
 		return;
+	mh_dispatch_observe_first_byte(d, req, first_ms);
 	mh_dispatch_record_first_byte(req, first_ms, mh_dispatch_now_ns(d));
 	mh_dispatch_run_responds(d, req, mh_dispatch_now_ns(d));
 	mh_dispatch_record_response(d, req, mh_dispatch_now_ns(d));
@@ -453,7 +461,7 @@
 }
 
 /* Whether the server got nothing of a request that had its slot. */
-static bool is_unsent(enum mh_slot_outcome outcome)
+bool mh_dispatch_is_unsent(enum mh_slot_outcome outcome)
 {
 	return outcome == MH_SLOT_UNUSED || outcome == MH_SLOT_UNREACHABLE ||
 	       outcome == MH_SLOT_HELD_BACK;
@@ -468,7 +476,7 @@
 void mh_dispatch_done(struct mh_dispatch *d, uint32_t owner, uint64_t id,
 		      enum mh_slot_outcome outcome, uint32_t total_ms)
 {
-	struct request *req = find_request(d, owner, id);
+	struct request *req = mh_dispatch_find_request(d, owner, id);
 	struct server *s;
 
 	if (!req)
@@ -478,7 +486,8 @@
 		mh_dispatch_record_outcome(d, req, outcome, total_ms,
 					   mh_dispatch_now_ns(d));
 		mh_dispatch_end_run(d, req, outcome, mh_dispatch_now_ns(d));
-		if (is_unsent(outcome))
+		mh_dispatch_end_hedge(d, req, outcome);
+		if (mh_dispatch_is_unsent(outcome))
 			mh_send_window_take_back(&s->sends, req->placed_ns,
 						 mh_dispatch_now_ns(d));
 		mh_dispatch_release_slot(req);
@@ -608,7 +617,7 @@
 	mh_suspects_expire(d->suspects, now_ns);
 }
 
-static bool has_waiting(const struct pool *p)
+bool mh_dispatch_has_waiting(const struct pool *p)
 {
 	int t;
 
@@ -634,17 +643,19 @@
 		if (due && p->held)
 			mh_dispatch_move_overdue(d, p, now_ns);
 		any = any || p->held;
-		if (!has_waiting(p))
+		if (!mh_dispatch_has_waiting(p))
 			continue;
 		place_waiting(d, p, now_ns);
 		if (due && d->parked)
 			mh_dispatch_review_parked(d, p, now_ns);
-		if (due && has_waiting(p))
+		if (due && mh_dispatch_has_waiting(p))
 			mh_dispatch_review(d, p, now_ns);
-		any = any || has_waiting(p);
+		any = any || mh_dispatch_has_waiting(p);
 	}
-	if (due)
+	if (due) {
+		mh_dispatch_hedge_late(d, now_ns);
 		d->next_review_ns = now_ns + REVIEW_NS;
+	}
 	d->review = false;
 	return any || d->parked ? d->next_review_ns : UINT64_MAX;
 }
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -47,6 +47,7 @@
  *               client gives up then
  * @deadline_ns: monotonic time after which the response is of no use
  * @fingerprint: equal for equal requests of the same client
+ * @kind: equal for requests of the same route
  * @n_parts: number of elements in @parts
  * @parts: identifiers of the parts of its prompt that other requests may share,
  *         at most MH_PARTS_MAX
@@ -70,6 +71,7 @@
 	uint64_t start_by_ns;
 	uint64_t deadline_ns;
 	uint64_t fingerprint;
+	uint64_t kind;
 	uint32_t n_parts;
 	const uint64_t *parts;
 	bool is_repeat;
@@ -214,6 +216,9 @@
  * @suspect: other dispatchers should learn of this
  * @limited: the limits of servers alone kept a request that is granted a slot now
  *           waiting for this time; may be NULL
+ * @hedge: the request got a second slot: send it to this server as well, under
+ *         the number mh_hedge_id(), by which the second slot is released; may be
+ *         NULL, without which no request gets one
  */
 struct mh_dispatch_ops {
 	void (*grant)(void *data, uint32_t owner, uint64_t id,
@@ -225,16 +230,22 @@
 	void (*suspect)(void *data, const struct mh_suspect *suspect);
 	void (*limited)(void *data, uint32_t owner, uint64_t id,
 			uint32_t wait_ms);
+	void (*hedge)(void *data, uint32_t owner, uint64_t id,
+		      const struct mh_backend_server *server);
 };
 
 /**
- * struct mh_dispatch_conf - retry budget and tolerance of quotas
+ * struct mh_dispatch_conf - retry budget, tolerance of quotas, hedged requests
  * @retry_ratio: retries allowed for each first try, over all entries
  * @retry_extra: retries allowed in a window regardless of the first tries
  * @retry_window_ms: length of the retry budget's window
  * @quota_window_ms: length of the window over which quotas hold
  * @quota_excess: share of its quota by which an account may exceed it
  * @quota_slack: units by which an account may exceed its quota in addition
+ * @hedge_share: hedged requests allowed for each request of a service, over all
+ *               entries and in the retry budget's window
+ * @hedge_extra: those allowed regardless of the requests; with both 0 there are
+ *               none
  */
 struct mh_dispatch_conf {
 	double retry_ratio;
@@ -243,6 +254,8 @@
 	uint32_t quota_window_ms;
 	double quota_excess;
 	double quota_slack;
+	double hedge_share;
+	double hedge_extra;
 };
 
 /* Entries report the retries at a service to dispatchers as usage of an account
@@ -254,6 +267,9 @@
  * identifier behind the prefix. */
 #define MH_SENDS_USAGE_PREFIX "\x02"
 
+/* The same for hedged requests at a service, which count as retries as well. */
+#define MH_HEDGE_USAGE_PREFIX "\x03"
+
 struct mh_dispatch;
 
 /**
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -9,6 +9,7 @@
 #include "core/check_alloc.h"
 #include "core/dispatch.h"
 #include "core/heap.h"
+#include "core/hedge.h"
 #include "core/open_runs.h"
 #include "core/send_window.h"
 #include "core/sliding_window.h"
@@ -50,6 +51,10 @@
 	bool survived_briefly; /* its server lived on for SETTLE_NS, at least */
 	bool parked;
 	uint64_t limited_ns; /* since when limits alone keep it waiting, or 0 */
+	uint64_t kind;
+	bool is_first_try;
+	bool is_hedged;		/* it has or had a second slot */
+	uint32_t attempt_units; /* that an attempt costs its account */
 	bool is_repeatable;
 	bool has_waiting_retry; /* counted as such in the retry window */
 	bool over_quota;	/* served from spare slots only */
@@ -145,6 +150,7 @@
 	struct server *servers;
 	struct queue queues[MH_TIERS];
 	struct mh_retry_window retry_window;
+	struct mh_hedges *hedges; /* NULL while there are none */
 	uint32_t held;
 	uint64_t pauses_end_ns; /* from then on no pause has an effect */
 	double failure_rate;
@@ -231,6 +237,10 @@
 				   struct server *s, uint64_t now_ns);
 void mh_dispatch_move_overdue(struct mh_dispatch *d, struct pool *p,
 			      uint64_t now_ns);
+struct server *mh_dispatch_pick_hedge(struct mh_dispatch *d, struct pool *p,
+				      const struct request *hedge,
+				      uint64_t now_ns);
+void mh_dispatch_record_beaten(struct request *req, double ratio);
 void mh_dispatch_take_slot(struct server *s, struct request *req);
 void mh_dispatch_release_slot(struct request *req);
 void mh_dispatch_record_outcome(struct mh_dispatch *d, struct request *req,
@@ -329,6 +339,20 @@
 bool mh_dispatch_take_retry(struct mh_dispatch *d, struct pool *p);
 bool mh_dispatch_is_charged_retry(const struct mh_slot_request *slot_req);
 bool mh_dispatch_reserve_retry(struct mh_dispatch *d, struct pool *p);
+double mh_dispatch_granted_extra(const struct mh_dispatch *d, double extra,
+				 uint64_t now_ns);
+
+/* Hedged requests: dispatch_hedge.c */
+void mh_dispatch_hedge_late(struct mh_dispatch *d, uint64_t now_ns);
+void mh_dispatch_count_hedgeable(const struct mh_dispatch *d, struct pool *p);
+void mh_dispatch_observe_first_byte(const struct mh_dispatch *d,
+				    const struct request *req,
+				    uint32_t first_ms);
+void mh_dispatch_add_reported_hedges(struct mh_dispatch *d, const char *service,
+				     uint64_t n);
+void mh_dispatch_adopt_hedge(struct mh_dispatch *d, struct request *req);
+void mh_dispatch_end_hedge(struct mh_dispatch *d, struct request *req,
+			   enum mh_slot_outcome outcome);
 
 /* Limits of servers: dispatch_limit.c */
 void mh_dispatch_begin_limit(struct mh_dispatch *d, struct server *s);
@@ -346,6 +370,10 @@
 			     double wait_ms);
 void mh_dispatch_review(struct mh_dispatch *d, struct pool *p, uint64_t now_ns);
 
+struct request *mh_dispatch_find_request(struct mh_dispatch *d, uint32_t owner,
+					 uint64_t id);
+bool mh_dispatch_has_waiting(const struct pool *p);
+bool mh_dispatch_is_unsent(enum mh_slot_outcome outcome);
 void mh_dispatch_enter_queue(struct request *req);
 void mh_dispatch_leave_queue(struct mh_dispatch *d, struct request *req);
 void mh_dispatch_free_request(struct mh_dispatch *d, struct request *req);
--- a/core/dispatch_quota.c
+++ b/core/dispatch_quota.c
@@ -157,6 +157,11 @@
 			units, mh_dispatch_now_ns(d));
 		return;
 	}
+	prefix = strlen(MH_HEDGE_USAGE_PREFIX);
+	if (!strncmp(account, MH_HEDGE_USAGE_PREFIX, prefix)) {
+		mh_dispatch_add_reported_hedges(d, account + prefix, units);
+		return;
+	}
 	prefix = strlen(MH_SENDS_USAGE_PREFIX);
 	if (!strncmp(account, MH_SENDS_USAGE_PREFIX, prefix)) {
 		s = mh_dispatch_find_server(d, account + prefix);
--- a/core/dispatch_retry.c
+++ b/core/dispatch_retry.c
@@ -11,21 +11,25 @@
  * processes were killed. An entry's share of them grows over a window once its
  * dispatcher is lost, which leaves it to the entry as slowly.
  */
-static double extra_retries(const struct mh_dispatch *d, uint64_t now_ns)
+double mh_dispatch_granted_extra(const struct mh_dispatch *d, double extra,
+				 uint64_t now_ns)
 {
 	uint64_t window_ns = d->conf.retry_window_ms * MH_NS_PER_MS;
-	double extra;
 
 	if (now_ns < d->began_ns + window_ns)
 		return 0;
-	extra = d->conf.retry_extra * mh_dispatch_granted_part(d, now_ns) /
-		d->n_sharing;
+	extra *= mh_dispatch_granted_part(d, now_ns) / d->n_sharing;
 	if (now_ns < d->share_began_ns + window_ns)
 		extra *= (double)(now_ns - d->share_began_ns) /
 			 (double)window_ns;
 	return extra;
 }
 
+static double extra_retries(const struct mh_dispatch *d, uint64_t now_ns)
+{
+	return mh_dispatch_granted_extra(d, d->conf.retry_extra, now_ns);
+}
+
 bool mh_dispatch_take_retry(struct mh_dispatch *d, struct pool *p)
 {
 	uint64_t now_ns = mh_dispatch_now_ns(d);
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -258,6 +258,23 @@
 	return best ? best : fallback;
 }
 
+/* Only a server that is expected to respond at the usual speed: a hedged request
+ * at a slow or failing one gains nothing. */
+struct server *mh_dispatch_pick_hedge(struct mh_dispatch *d, struct pool *p,
+				      const struct request *hedge,
+				      uint64_t now_ns)
+{
+	struct server *s = mh_dispatch_pick(d, p, hedge, now_ns);
+
+	if (!s || avoids(hedge, s))
+		return NULL;
+	if (s->is_doubtful || s->half_open || is_recheck_due(s, now_ns) ||
+	    s->latency_ratio > SLOW_LATENCY_RATIO ||
+	    s->failure_rate > p->failure_rate + GREY_MARGIN)
+		return NULL;
+	return s;
+}
+
 /* A request is overdue after the time-out if its server is silent, and after
  * twice the time-out if the server, which may only be slow, responds to others.
  */
@@ -356,6 +373,13 @@
 	}
 }
 
+/* A slow server would pass for one of normal speed if all that it is slow for is
+ * cancelled before it responds. */
+void mh_dispatch_record_beaten(struct request *req, double ratio)
+{
+	update_latency_ratio(req->server, ratio, LATENCY_GAIN / 2);
+}
+
 static void back_off(struct server *s, uint64_t now_ns)
 {
 	if (now_ns < s->backoff_until_ns)
--- a/core/usage_relay.c
+++ b/core/usage_relay.c
@@ -74,7 +74,9 @@
 			  const char *account)
 {
 	if (!strncmp(account, MH_RETRY_USAGE_PREFIX,
-		     strlen(MH_RETRY_USAGE_PREFIX)))
+		     strlen(MH_RETRY_USAGE_PREFIX)) ||
+	    !strncmp(account, MH_HEDGE_USAGE_PREFIX,
+		     strlen(MH_HEDGE_USAGE_PREFIX)))
 		return relay->retry_window_ms;
 	if (!strncmp(account, MH_SENDS_USAGE_PREFIX,
 		     strlen(MH_SENDS_USAGE_PREFIX)))
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -11,6 +11,7 @@
 #include "dispatcher/notices.h"
 #include "dispatcher/pool_log.h"
 #include "dispatcher/slot_frames.h"
+#include "dispatcher/slot_log.h"
 #include "net/crash_log.h"
 #include "net/dispatcher_frames.h"
 #include "net/link.h"
@@ -41,8 +42,6 @@
 #define LINK_TIMEOUT_MS 1500
 #define MAX_FRAME_BYTES (8u << 20)
 #define MAX_QUEUE_BYTES (16u << 20)
-/* A 64-bit number in hexadecimal, with the end of the string. */
-#define HEX_BYTES 17
 /* After SIGTERM: time for entries to switch to another dispatcher. */
 #define SHUTDOWN_GRACE_NS (600 * MH_NS_PER_MS)
 
@@ -86,22 +85,9 @@
 			const struct mh_slot_refusal *why)
 {
 	struct mh_dispatcher_app *app = data;
-	char fingerprint[HEX_BYTES] = "";
 
-	if (why->feature.id)
-		snprintf(fingerprint, sizeof(fingerprint), "%016llx",
-			 (unsigned long long)why->feature.id);
 	mh_count(&app->process.counters, MH_C_REFUSED);
-	mh_event(app->process.log, MH_EV_REFUSED,
-		 "event=no_place entry=%s request=%llu error=%s wait_ms=%u "
-		 "spent=%llu limit=%llu retry_after_ms=%u feature=%s "
-		 "fingerprint=%s",
-		 entry_host(app, owner), (unsigned long long)id,
-		 mh_error_info(why->error)->name, why->wait_ms,
-		 (unsigned long long)why->spent, (unsigned long long)why->limit,
-		 why->retry_after_ms,
-		 why->feature.id ? mh_feature_kind_name(why->feature.kind) : "",
-		 fingerprint);
+	mh_slot_log_refusal(app->process.log, entry_host(app, owner), id, why);
 	mh_slot_frames_send_refusal(app->links, owner, id, why);
 }
 
@@ -152,9 +138,19 @@
 		 entry_host(app, owner), (unsigned long long)id, wait_ms);
 }
 
+static void hedge_request(void *data, uint32_t owner, uint64_t id,
+			  const struct mh_backend_server *server)
+{
+	struct mh_dispatcher_app *app = data;
+
+	mh_count(&app->process.counters, MH_C_HEDGES);
+	mh_slot_log_hedge(app->process.log, entry_host(app, owner), id, server);
+	mh_slot_frames_send_hedge(app->links, owner, id, server);
+}
+
 static const struct mh_dispatch_ops dispatch_ops = {
-	grant_slot,   refuse_slot, move_request,
-	log_lost_run, on_suspect,  on_limited,
+	grant_slot, refuse_slot, move_request,	log_lost_run,
+	on_suspect, on_limited,	 hedge_request,
 };
 
 static void on_server(void *data, const struct mh_registration *reg)
@@ -480,8 +476,9 @@
 		return;
 	}
 	app->settings.bounds = updated.bounds;
+	app->settings.hedging = updated.hedging;
 	mh_process_set_log_format(&app->process, updated.log_format);
-	conf = mh_bounds_to_dispatch_conf(&updated.bounds);
+	conf = mh_bounds_to_dispatch_conf(&updated.bounds, &updated.hedging);
 	mh_dispatch_set_conf(app->dispatch, &conf);
 	mh_event(app->process.log, MH_EV_PROCESS,
 		 "event=reloaded restart_needed=%d",
@@ -585,8 +582,8 @@
 
 static bool start(struct mh_dispatcher_app *app)
 {
-	struct mh_dispatch_conf conf =
-		mh_bounds_to_dispatch_conf(&app->settings.bounds);
+	struct mh_dispatch_conf conf = mh_bounds_to_dispatch_conf(
+		&app->settings.bounds, &app->settings.hedging);
 	struct mh_link_conf link_conf = {
 		.host = app->settings.host,
 		.zone = app->settings.zone,
--- a/dispatcher/slot_frames.c
+++ b/dispatcher/slot_frames.c
@@ -23,6 +23,7 @@
 		.start_by_ns = time_in(now_ns, msg->start_in_ms),
 		.deadline_ns = now_ns + msg->deadline_in_ms * MH_NS_PER_MS,
 		.fingerprint = msg->fingerprint,
+		.kind = msg->kind,
 		.n_parts =
 			(uint32_t)(msg->n_part < MH_PARTS_MAX ? msg->n_part :
 								MH_PARTS_MAX),
@@ -81,6 +82,22 @@
 	mh_links_send(links, link, &frame);
 }
 
+void mh_slot_frames_send_hedge(struct mh_links *links, uint32_t link,
+			       uint64_t id,
+			       const struct mh_backend_server *server)
+{
+	Mh__PlaceHedge msg = MH__PLACE_HEDGE__INIT;
+	Mh__Frame frame = MH__FRAME__INIT;
+
+	msg.id = id;
+	msg.server = (char *)server->id;
+	msg.address = (char *)server->address;
+	msg.born_ms = server->born_ms;
+	frame.body_case = MH__FRAME__BODY_PLACE_HEDGE;
+	frame.place_hedge = &msg;
+	mh_links_send(links, link, &frame);
+}
+
 void mh_slot_frames_send_heartbeat(struct mh_links *links, uint32_t link,
 				   const struct mh_dispatcher_state *state)
 {
--- a/dispatcher/slot_frames.h
+++ b/dispatcher/slot_frames.h
@@ -49,6 +49,17 @@
 void mh_slot_frames_send_move(struct mh_links *links, uint32_t link,
 			      uint64_t id);
 
+/**
+ * mh_slot_frames_send_hedge() - a request got a second slot
+ * @links: links
+ * @link: link to the entry
+ * @id: request
+ * @server: server of the second slot
+ */
+void mh_slot_frames_send_hedge(struct mh_links *links, uint32_t link,
+			       uint64_t id,
+			       const struct mh_backend_server *server);
+
 /**
  * struct mh_dispatcher_state - what entries are told of a dispatcher
  * @fit: it can reach the store
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -1087,6 +1087,51 @@
   assert(message->base.descriptor == &mh__place_move__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mh__place_hedge__init
+                     (Mh__PlaceHedge         *message)
+{
+  static const Mh__PlaceHedge init_value = MH__PLACE_HEDGE__INIT;
+  *message = init_value;
+}
+size_t mh__place_hedge__get_packed_size
+                     (const Mh__PlaceHedge *message)
+{
+  assert(message->base.descriptor == &mh__place_hedge__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__place_hedge__pack
+                     (const Mh__PlaceHedge *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__place_hedge__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__place_hedge__pack_to_buffer
+                     (const Mh__PlaceHedge *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__place_hedge__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__PlaceHedge *
+       mh__place_hedge__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__PlaceHedge *)
+     protobuf_c_message_unpack (&mh__place_hedge__descriptor,
+                                allocator, len, data);
+}
+void   mh__place_hedge__free_unpacked
+                     (Mh__PlaceHedge *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__place_hedge__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mh__place_first__init
                      (Mh__PlaceFirst         *message)
 {
@@ -3237,7 +3282,7 @@
   (ProtobufCMessageInit) mh__side_config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__place_ask__field_descriptors[18] =
+static const ProtobufCFieldDescriptor mh__place_ask__field_descriptors[19] =
 {
   {
     "id",
@@ -3455,6 +3500,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kind",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__PlaceAsk, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__place_ask__field_indices_by_name[] = {
   2,   /* field[2] = account */
@@ -3467,6 +3524,7 @@
   16,   /* field[16] = is_moved */
   10,   /* field[10] = is_repeat */
   15,   /* field[15] = is_repeatable */
+  18,   /* field[18] = kind */
   6,   /* field[6] = output_tokens */
   17,   /* field[17] = part */
   5,   /* field[5] = prompt_tokens */
@@ -3479,7 +3537,7 @@
 static const ProtobufCIntRange mh__place_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor mh__place_ask__descriptor =
 {
@@ -3489,7 +3547,7 @@
   "Mh__PlaceAsk",
   "mh",
   sizeof(Mh__PlaceAsk),
-  18,
+  19,
   mh__place_ask__field_descriptors,
   mh__place_ask__field_indices_by_name,
   1,  mh__place_ask__number_ranges,
@@ -3675,6 +3733,83 @@
   (ProtobufCMessageInit) mh__place_move__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mh__place_hedge__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__PlaceHedge, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__PlaceHedge, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__PlaceHedge, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__PlaceHedge, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__place_hedge__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  3,   /* field[3] = born_ms */
+  0,   /* field[0] = id */
+  1,   /* field[1] = server */
+};
+static const ProtobufCIntRange mh__place_hedge__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mh__place_hedge__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.PlaceHedge",
+  "PlaceHedge",
+  "Mh__PlaceHedge",
+  "mh",
+  sizeof(Mh__PlaceHedge),
+  4,
+  mh__place_hedge__field_descriptors,
+  mh__place_hedge__field_indices_by_name,
+  1,  mh__place_hedge__number_ranges,
+  (ProtobufCMessageInit) mh__place_hedge__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mh__place_first__field_descriptors[2] =
 {
   {
@@ -4701,7 +4836,7 @@
   (ProtobufCMessageInit) mh__standing__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__frame__field_descriptors[36] =
+static const ProtobufCFieldDescriptor mh__frame__field_descriptors[37] =
 {
   {
     "hello",
@@ -5135,6 +5270,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "place_hedge",
+    38,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, place_hedge),
+    &mh__place_hedge__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__frame__field_indices_by_name[] = {
   7,   /* field[7] = attach */
@@ -5160,6 +5307,7 @@
   24,   /* field[24] = place_done */
   23,   /* field[23] = place_first */
   21,   /* field[21] = place_given */
+  36,   /* field[36] = place_hedge */
   29,   /* field[29] = place_move */
   22,   /* field[22] = place_refused */
   1,   /* field[1] = proof */
@@ -5174,10 +5322,11 @@
   17,   /* field[17] = suspect */
   3,   /* field[3] = want */
 };
-static const ProtobufCIntRange mh__frame__number_ranges[1 + 1] =
+static const ProtobufCIntRange mh__frame__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 36 }
+  { 38, 36 },
+  { 0, 37 }
 };
 const ProtobufCMessageDescriptor mh__frame__descriptor =
 {
@@ -5187,10 +5336,10 @@
   "Mh__Frame",
   "mh",
   sizeof(Mh__Frame),
-  36,
+  37,
   mh__frame__field_descriptors,
   mh__frame__field_indices_by_name,
-  1,  mh__frame__number_ranges,
+  2,  mh__frame__number_ranges,
   (ProtobufCMessageInit) mh__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -39,6 +39,7 @@
 typedef struct Mh__PlaceGiven Mh__PlaceGiven;
 typedef struct Mh__PlaceRefused Mh__PlaceRefused;
 typedef struct Mh__PlaceMove Mh__PlaceMove;
+typedef struct Mh__PlaceHedge Mh__PlaceHedge;
 typedef struct Mh__PlaceFirst Mh__PlaceFirst;
 typedef struct Mh__PlaceDone Mh__PlaceDone;
 typedef struct Mh__Spent Mh__Spent;
@@ -442,10 +443,14 @@
    */
   size_t n_part;
   uint64_t *part;
+  /*
+   * equal for requests of the same route
+   */
+  uint64_t kind;
 };
 #define MH__PLACE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__place_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Mh__PlaceGiven
@@ -486,6 +491,27 @@
     , 0 }
 
 
+/*
+ * A second slot for a request that has one and whose response is late. Its number
+ * is that of the request with the highest bit set; it is released by that number,
+ * at once if the entry declines it.
+ */
+struct  Mh__PlaceHedge
+{
+  ProtobufCMessage base;
+  /*
+   * of the request
+   */
+  uint64_t id;
+  char *server;
+  char *address;
+  uint64_t born_ms;
+};
+#define MH__PLACE_HEDGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__place_hedge__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Mh__PlaceFirst
 {
   ProtobufCMessage base;
@@ -793,7 +819,8 @@
   MH__FRAME__BODY_SERVER_PROBED = 33,
   MH__FRAME__BODY_SERVER_NOTICE = 34,
   MH__FRAME__BODY_DISPATCHERS = 35,
-  MH__FRAME__BODY_OBSERVED_CRASH = 36
+  MH__FRAME__BODY_OBSERVED_CRASH = 36,
+  MH__FRAME__BODY_PLACE_HEDGE = 38
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MH__FRAME__BODY__CASE)
 } Mh__Frame__BodyCase;
 
@@ -842,6 +869,7 @@
      * it begins to use: the receiver's own crashes from then on.
      */
     Mh__CrashSuspect *observed_crash;
+    Mh__PlaceHedge *place_hedge;
   };
 };
 #define MH__FRAME__INIT \
@@ -1305,6 +1333,25 @@
 void   mh__place_move__free_unpacked
                      (Mh__PlaceMove *message,
                       ProtobufCAllocator *allocator);
+/* Mh__PlaceHedge methods */
+void   mh__place_hedge__init
+                     (Mh__PlaceHedge         *message);
+size_t mh__place_hedge__get_packed_size
+                     (const Mh__PlaceHedge   *message);
+size_t mh__place_hedge__pack
+                     (const Mh__PlaceHedge   *message,
+                      uint8_t             *out);
+size_t mh__place_hedge__pack_to_buffer
+                     (const Mh__PlaceHedge   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__PlaceHedge *
+       mh__place_hedge__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__place_hedge__free_unpacked
+                     (Mh__PlaceHedge *message,
+                      ProtobufCAllocator *allocator);
 /* Mh__PlaceFirst methods */
 void   mh__place_first__init
                      (Mh__PlaceFirst         *message);
@@ -1664,6 +1711,9 @@
 typedef void (*Mh__PlaceMove_Closure)
                  (const Mh__PlaceMove *message,
                   void *closure_data);
+typedef void (*Mh__PlaceHedge_Closure)
+                 (const Mh__PlaceHedge *message,
+                  void *closure_data);
 typedef void (*Mh__PlaceFirst_Closure)
                  (const Mh__PlaceFirst *message,
                   void *closure_data);
@@ -1739,6 +1789,7 @@
 extern const ProtobufCMessageDescriptor mh__place_given__descriptor;
 extern const ProtobufCMessageDescriptor mh__place_refused__descriptor;
 extern const ProtobufCMessageDescriptor mh__place_move__descriptor;
+extern const ProtobufCMessageDescriptor mh__place_hedge__descriptor;
 extern const ProtobufCMessageDescriptor mh__place_first__descriptor;
 extern const ProtobufCMessageDescriptor mh__place_done__descriptor;
 extern const ProtobufCMessageDescriptor mh__spent__descriptor;
--- a/proxy/app.c
+++ b/proxy/app.c
@@ -100,6 +100,14 @@
 	mh_exchange_move(app->exchanges, id);
 }
 
+static void on_hedge(void *data, uint64_t id,
+		     const struct mh_server_ref *server)
+{
+	struct mh_proxy_app *app = data;
+
+	mh_exchange_hedge(app->exchanges, id, server);
+}
+
 static void on_peer_document(void *data, uint64_t version, const uint8_t *bytes,
 			     size_t len)
 {
@@ -117,7 +125,7 @@
 }
 
 static const struct mh_slot_client_ops slot_client_ops = {
-	on_granted, on_refused, on_move, on_peer_document, on_suspect,
+	on_granted, on_refused, on_move, on_peer_document, on_suspect, on_hedge,
 };
 
 static void on_shared_suspect(void *data, const struct mh_suspect *suspect)
@@ -192,10 +200,11 @@
 		return;
 	}
 	app->settings.bounds = updated.bounds;
+	app->settings.hedging = updated.hedging;
 	mh_slot_client_set_seeds(app->slot_client, updated.seeds.v,
 				 updated.seeds.n);
 	mh_process_set_log_format(&app->process, updated.log_format);
-	conf = mh_bounds_to_dispatch_conf(&updated.bounds);
+	conf = mh_bounds_to_dispatch_conf(&updated.bounds, &updated.hedging);
 	mh_slot_client_set_conf(app->slot_client, &conf);
 	mh_event(app->process.log, MH_EV_PROCESS,
 		 "event=reloaded restart_needed=%d",
@@ -328,7 +337,8 @@
 		.host = app->settings.host,
 		.zone = app->settings.zone,
 		.key = app->settings.link.key,
-		.dispatch = mh_bounds_to_dispatch_conf(&app->settings.bounds),
+		.dispatch = mh_bounds_to_dispatch_conf(&app->settings.bounds,
+						       &app->settings.hedging),
 		.seeds = app->settings.seeds.v,
 		.n_seeds = app->settings.seeds.n,
 	};
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -17,8 +17,6 @@
 /* Slots that a notice forbids to use, after each of which the dispatcher is told
  * again. One of an older version does not understand it. */
 #define MAX_HELD_BACK_RETRIES 16
-/* A request with less time left is not sent. */
-#define MIN_REMAINING_MS 5
 /* For this long after the start the first configuration is expected, and a
  * request waits for it at most so long. */
 #define CONFIG_DUE_NS (1000 * MH_NS_PER_MS)
@@ -46,6 +44,8 @@
 		free(x->tried[i]);
 	free(x->server);
 	free(x->address);
+	free(x->hedge.server);
+	free(x->hedge.address);
 	mh_exchange_drop_partial_event(x);
 	mh_routes_unref(x->routes);
 	free(x);
@@ -86,10 +86,10 @@
 {
 	close_upstream(x);
 	mh_timer_clear(x->set->env.timers, &x->discard_timer);
-	if (mh_slot_is_uncharged(outcome))
-		x->quota_charged = false;
+	if (mh_slot_is_uncharged(outcome) && x->charged_slot == x->slot_id)
+		x->charged_slot = 0;
 	mh_slot_client_release(
-		x->set->env.slot_client, x->id, outcome,
+		x->set->env.slot_client, x->slot_id, outcome,
 		x->sent_ns ? mh_exchange_elapsed_ms(x, x->sent_ns) : 0);
 }
 
@@ -145,7 +145,7 @@
 	mh_client_abort(cl);
 }
 
-static uint32_t remaining_ms(const struct exchange *x)
+uint32_t mh_exchange_remaining_ms(const struct exchange *x)
 {
 	uint64_t now_ns = mh_exchange_now_ns(x);
 
@@ -183,6 +183,7 @@
 		return;
 	}
 	x->servers_reached++;
+	mh_exchange_drop_hedge(x, MH_SLOT_TIMED_OUT);
 	mh_exchange_release_slot(x, MH_SLOT_TIMED_OUT);
 	give_up(x, MH_ERR_TIMEOUT, 0);
 }
@@ -215,13 +216,14 @@
 		.service = x->service,
 		.account = x->account ? x->account->name : "",
 		.tier = mh_dispatch_tier(x->account, x->route),
-		.units = x->quota_charged ? 0 : quota_units(x),
+		.units = x->charged_slot ? 0 : quota_units(x),
 		.prompt_tokens = x->wire.prompt_tokens,
 		.output_tokens = x->wire.output_tokens,
 		.target_ns = x->arrived_ns + target_latency_ms * MH_NS_PER_MS,
 		.start_by_ns = x->deadline_ns,
 		.deadline_ns = x->deadline_ns,
 		.fingerprint = x->fingerprint,
+		.kind = XXH3_64bits(x->route->name, strlen(x->route->name)),
 		.n_parts = x->wire.n_parts,
 		.parts = x->wire.parts,
 		.is_repeat = x->servers_reached > 0,
@@ -239,11 +241,25 @@
 		slot_req.start_by_ns = slot_req.deadline_ns;
 	memcpy(slot_req.avoid, x->tried, sizeof(slot_req.avoid));
 	x->phase = PHASE_WAITING;
+	x->slot_id = x->id;
 	x->slot_requested_ns = mh_exchange_now_ns(x);
 	x->is_moved = false;
 	mh_slot_client_request(x->set->env.slot_client, &slot_req);
 }
 
+/* Takes over @server. */
+void mh_exchange_add_tried(struct exchange *x, char *server)
+{
+	if (x->n_tried < MH_AVOID_MAX) {
+		x->tried[x->n_tried++] = server;
+		return;
+	}
+	free(x->tried[0]);
+	memmove(x->tried, x->tried + 1,
+		(MH_AVOID_MAX - 1) * sizeof(x->tried[0]));
+	x->tried[MH_AVOID_MAX - 1] = server;
+}
+
 static void retry(struct exchange *x, const char *why)
 {
 	mh_count(x->set->env.counters, MH_C_SENT_AGAIN);
@@ -252,19 +268,13 @@
 		 "events=%u left_ms=%u fingerprint=%016llx "
 		 "http_minor=%u framing=%s bytes=%llu end=%s",
 		 (int)x->wire.id.len, x->wire.id.p, why, x->route->name,
-		 x->server, x->servers_reached, x->events, remaining_ms(x),
+		 x->server, x->servers_reached, x->events,
+		 mh_exchange_remaining_ms(x),
 		 (unsigned long long)x->fingerprint, x->head->minor,
 		 mh_framing_name(x->judge.framing),
 		 (unsigned long long)x->judge.bytes,
 		 mh_response_end_name(x->end));
-	if (x->n_tried < MH_AVOID_MAX) {
-		x->tried[x->n_tried++] = x->server;
-	} else {
-		free(x->tried[0]);
-		memmove(x->tried, x->tried + 1,
-			(MH_AVOID_MAX - 1) * sizeof(x->tried[0]));
-		x->tried[MH_AVOID_MAX - 1] = x->server;
-	}
+	mh_exchange_add_tried(x, x->server);
 	x->server = NULL;
 	x->sent_ns = 0;
 	request_slot(x);
@@ -273,15 +283,18 @@
 /* The server did not run the request: retry it on another one. */
 void mh_exchange_on_not_run(struct exchange *x, const char *why)
 {
+	if (mh_exchange_use_hedge(x))
+		return;
 	if (x->not_run_count++ < MAX_NOT_RUN_RETRIES &&
-	    remaining_ms(x) > MIN_REMAINING_MS)
+	    mh_exchange_remaining_ms(x) > MH_EXCHANGE_MIN_REMAINING_MS)
 		retry(x, why);
 	else
 		give_up(x, MH_ERR_UNREACHABLE, DEFAULT_RETRY_AFTER_MS);
 }
 
-static enum mh_send_verdict check_server(const struct mh_exchange_env *env,
-					 const struct mh_server_ref *server)
+enum mh_send_verdict
+mh_exchange_check_server(const struct mh_exchange_env *env,
+			 const struct mh_server_ref *server)
 {
 	enum mh_send_verdict verdict =
 		mh_server_notices_check(env->notices, server);
@@ -297,23 +310,26 @@
 void mh_exchange_on_held_back(struct exchange *x)
 {
 	struct mh_server_ref server = mh_exchange_server(x);
-	enum mh_send_verdict verdict = check_server(&x->set->env, &server);
+	enum mh_send_verdict verdict =
+		mh_exchange_check_server(&x->set->env, &server);
 
 	mh_count(x->set->env.counters, MH_C_HELD_BACK);
 	mh_event(mh_exchange_log(x), MH_EV_RETRIED,
 		 "event=held_back id=%.*s why=%s route=%s server=%s left_ms=%u",
 		 (int)x->wire.id.len, x->wire.id.p,
 		 mh_send_verdict_name(verdict), x->route->name, x->server,
-		 remaining_ms(x));
+		 mh_exchange_remaining_ms(x));
 	mh_notice_relay_repeat(mh_slot_client_notices(x->set->env.slot_client),
 			       &server);
 	if (verdict == MH_SEND_UNREGISTERED)
 		mh_slot_client_send_registration(x->set->env.slot_client,
 						 &server);
 	mh_exchange_release_slot(x, MH_SLOT_HELD_BACK);
+	if (mh_exchange_use_hedge(x))
+		return;
 	x->sent_ns = 0;
 	if (x->held_back_count++ < MAX_HELD_BACK_RETRIES &&
-	    remaining_ms(x) > MIN_REMAINING_MS)
+	    mh_exchange_remaining_ms(x) > MH_EXCHANGE_MIN_REMAINING_MS)
 		request_slot(x);
 	else
 		give_up(x, MH_ERR_SERVERS_PAUSED, DEFAULT_RETRY_AFTER_MS);
@@ -326,44 +342,59 @@
 	bool can_continue = !x->head_forwarded || mh_exchange_can_resume(x);
 
 	x->may_have_run = true;
+	if (mh_exchange_use_hedge(x))
+		return;
 	if (mh_exchange_is_repeatable(x) &&
 	    x->attempts < x->route->max_attempts &&
-	    remaining_ms(x) > MIN_REMAINING_MS && can_continue)
+	    mh_exchange_remaining_ms(x) > MH_EXCHANGE_MIN_REMAINING_MS &&
+	    can_continue)
 		retry(x, mh_error_info(error)->name);
 	else
 		give_up(x, error, 0);
 }
 
-static void send_request(struct exchange *x)
+/* Sends the request over a connection to a server.
+ * Return: NULL if there is none. */
+struct mh_upstream *mh_exchange_open(struct exchange *x,
+				     const struct mh_server_ref *server,
+				     const struct mh_upstream_ops *ops)
 {
-	struct mh_exchanges *set = x->set;
 	struct mh_wire_forward add = {
-		.server = x->server,
+		.server = server->id,
 		.account = x->account ? x->account->name : NULL,
-		.deadline_ms = remaining_ms(x),
+		.deadline_ms = mh_exchange_remaining_ms(x),
 		.body_len = x->body->len,
 		.last_event = x->last_event[0] ? x->last_event : NULL,
 	};
-	struct mh_server_ref server = mh_exchange_server(x);
 	struct mh_buffer buf = { 0 };
+	struct mh_upstream *u;
 
-	if (check_server(&set->env, &server) != MH_SEND_ALLOWED) {
-		mh_exchange_on_held_back(x);
-		return;
-	}
 	if (!mh_wire_write_request(&buf, x->head, &add) ||
 	    !mh_buffer_add(&buf, mh_buffer_front(x->body), x->body->len))
 		abort();
+	u = mh_upstream_send(x->set->env.upstreams, server, &buf,
+			     x->head->method.len == 4 &&
+				     !memcmp(x->head->method.p, "HEAD", 4),
+			     ops, x);
+	if (!u)
+		mh_buffer_release(&buf);
+	return u;
+}
+
+static void send_request(struct exchange *x)
+{
+	struct mh_exchanges *set = x->set;
+	struct mh_server_ref server = mh_exchange_server(x);
+
+	if (mh_exchange_check_server(&set->env, &server) != MH_SEND_ALLOWED) {
+		mh_exchange_on_held_back(x);
+		return;
+	}
 	x->phase = PHASE_SENT;
 	mh_exchange_init_response(x);
 	x->sent_ns = mh_exchange_now_ns(x);
-	x->upstream =
-		mh_upstream_send(set->env.upstreams, &server, &buf,
-				 x->head->method.len == 4 &&
-					 !memcmp(x->head->method.p, "HEAD", 4),
-				 &mh_exchange_upstream_ops, x);
+	x->upstream = mh_exchange_open(x, &server, &mh_exchange_upstream_ops);
 	if (!x->upstream) {
-		mh_buffer_release(&buf);
 		mh_exchange_release_slot(x, MH_SLOT_UNREACHABLE);
 		mh_exchange_on_not_run(x, "no_connection");
 		return;
@@ -373,12 +404,12 @@
 		 "event=sent id=%.*s request=%llu server=%s address=%s "
 		 "deadline_ms=%u waited_ms=%u servers=%u fingerprint=%016llx",
 		 (int)x->wire.id.len, x->wire.id.p, (unsigned long long)x->id,
-		 x->server, x->address, add.deadline_ms,
+		 x->server, x->address, mh_exchange_remaining_ms(x),
 		 mh_exchange_elapsed_ms(x, x->arrived_ns), x->servers_reached,
 		 (unsigned long long)x->fingerprint);
 }
 
-static struct exchange *find(struct mh_exchanges *set, uint64_t id)
+struct exchange *mh_exchange_find(const struct mh_exchanges *set, uint64_t id)
 {
 	struct exchange *x;
 
@@ -389,17 +420,17 @@
 void mh_exchange_granted(struct mh_exchanges *set, uint64_t id,
 			 const struct mh_server_ref *server)
 {
-	struct exchange *x = find(set, id);
+	struct exchange *x = mh_exchange_find(set, id);
 
 	if (!x || x->phase != PHASE_WAITING)
 		return;
-	if (remaining_ms(x) <= MIN_REMAINING_MS) {
+	if (mh_exchange_remaining_ms(x) <= MH_EXCHANGE_MIN_REMAINING_MS) {
 		mh_exchange_release_slot(x, MH_SLOT_UNUSED);
 		give_up(x, MH_ERR_OVERLOADED, DEFAULT_RETRY_AFTER_MS);
 		return;
 	}
 	mh_exchange_observe_slot_wait(x);
-	x->quota_charged = true;
+	x->charged_slot = x->slot_id;
 	free(x->server);
 	free(x->address);
 	x->server = mh_check_alloc(strdup(server->id));
@@ -411,7 +442,7 @@
 void mh_exchange_refused(struct mh_exchanges *set, uint64_t id,
 			 enum mh_error error, uint32_t retry_after_ms)
 {
-	struct exchange *x = find(set, id);
+	struct exchange *x = mh_exchange_find(set, id);
 
 	if (x)
 		give_up(x, error, retry_after_ms);
@@ -419,9 +450,10 @@
 
 void mh_exchange_move(struct mh_exchanges *set, uint64_t id)
 {
-	struct exchange *x = find(set, id);
+	struct exchange *x = mh_exchange_find(set, id);
 
-	if (!x || x->phase != PHASE_SENT || !x->upstream)
+	/* One with a run at a second server has nothing to gain. */
+	if (!x || x->phase != PHASE_SENT || !x->upstream || x->hedge.upstream)
 		return;
 	x->servers_reached++;
 	x->attempts++;
@@ -512,7 +544,7 @@
 		 "units=%u left_ms=%u version=%llu",
 		 (int)x->wire.id.len, x->wire.id.p, x->route->name,
 		 x->account ? x->account->name : "", x->service, quota_units(x),
-		 remaining_ms(x),
+		 mh_exchange_remaining_ms(x),
 		 (unsigned long long)mh_routes_version(x->routes));
 	request_slot(x);
 }
@@ -569,6 +601,7 @@
 {
 	if (x->phase == PHASE_SENT || x->phase == PHASE_RESPONDING) {
 		x->servers_reached++;
+		mh_exchange_drop_hedge(x, MH_SLOT_CANCELLED);
 		mh_exchange_release_slot(x, MH_SLOT_CANCELLED);
 		give_up(x, MH_ERR_TIMEOUT, 0);
 		return;
@@ -612,6 +645,7 @@
 		 x->route ? x->route->name : "", x->server ? x->server : "",
 		 mh_exchange_elapsed_ms(x, x->arrived_ns), x->phase, x->events);
 	mh_exchange_observe_total(x, "caller_gone");
+	mh_exchange_drop_hedge(x, MH_SLOT_CANCELLED);
 	mh_exchange_release_slot(x, MH_SLOT_CANCELLED);
 	mh_exchange_free(x);
 }
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -136,4 +136,13 @@
  */
 void mh_exchange_move(struct mh_exchanges *set, uint64_t id);
 
+/**
+ * mh_exchange_hedge() - send a request to a second server as well
+ * @set: set
+ * @id: request; declined if it may not run there any more
+ * @server: server of its second slot
+ */
+void mh_exchange_hedge(struct mh_exchanges *set, uint64_t id,
+		       const struct mh_server_ref *server);
+
 #endif
--- a/proxy/exchange_impl.h
+++ b/proxy/exchange_impl.h
@@ -23,11 +23,24 @@
 	VERDICT_FORWARD,
 	VERDICT_NOT_RUN, /* the server did not run the request */
 	VERDICT_RETRY,	 /* an error; another server may succeed */
+	VERDICT_CORRUPT, /* a success without its signature, or encoded */
 	/* Never forwarded: the status claims "not run" without proof, or it is
 	 * an error within a stream. Retried, or replaced by another error. */
 	VERDICT_REPLACE,
 };
 
+/* Run of a request at a second server, until its response begins. */
+struct hedged_run {
+	struct mh_upstream *upstream; /* NULL: there is none */
+	char *server;
+	char *address;
+	uint64_t born_ms;
+	uint64_t sent_ns;
+};
+
+/* A request with less time left is not sent. */
+#define MH_EXCHANGE_MIN_REMAINING_MS 5
+
 struct exchange {
 	uint64_t id;
 	struct mh_exchanges *set;
@@ -45,6 +58,8 @@
 	struct mh_timer timer;
 	enum phase phase;
 	enum verdict verdict;
+	uint64_t slot_id; /* x->id, or mh_hedge_id() of it */
+	struct hedged_run hedge;
 	struct mh_upstream *upstream;
 	char *server;
 	char *address;	  /* of the server */
@@ -62,7 +77,7 @@
 	uint32_t held_back_count; /* slots that a notice forbade to use */
 	bool may_have_run;
 	bool is_moved; /* last slot released on the dispatcher's request */
-	bool quota_charged;
+	uint64_t charged_slot; /* whose units are charged, 0: none */
 	bool head_forwarded;
 	enum mh_framing client_framing; /* of the response to the client */
 	bool by_events; /* it is forwarded by whole events, to be resumed */
@@ -121,7 +136,20 @@
 void mh_exchange_observe_first_byte(struct exchange *x);
 void mh_exchange_observe_gap(struct exchange *x);
 
+/* Runs at a second server: exchange_hedge.c */
+bool mh_exchange_use_hedge(struct exchange *x);
+void mh_exchange_drop_hedge(struct exchange *x, enum mh_slot_outcome outcome);
+
 /* Responses: exchange_response.c */
+bool mh_exchange_read_head(struct exchange *x, struct mh_upstream *upstream,
+			   const struct mh_server_ref *server, uint64_t sent_ns,
+			   const struct mh_http_head *head,
+			   struct mh_wire_response *response);
+enum verdict mh_exchange_classify(const struct exchange *x,
+				  const struct mh_http_head *head,
+				  const struct mh_wire_response *response);
+int mh_exchange_take_head(struct exchange *x, const struct mh_http_head *head,
+			  const struct mh_wire_response *response);
 bool mh_exchange_can_resume(const struct exchange *x);
 void mh_exchange_init_response(struct exchange *x);
 void mh_exchange_drop_partial_event(struct exchange *x);
@@ -132,6 +160,15 @@
 void mh_exchange_on_held_back(struct exchange *x);
 void mh_exchange_on_outcome_unknown(struct exchange *x, enum mh_error error);
 void mh_exchange_free(struct exchange *x);
+enum mh_send_verdict
+mh_exchange_check_server(const struct mh_exchange_env *env,
+			 const struct mh_server_ref *server);
+struct mh_upstream *mh_exchange_open(struct exchange *x,
+				     const struct mh_server_ref *server,
+				     const struct mh_upstream_ops *ops);
+void mh_exchange_add_tried(struct exchange *x, char *server);
+uint32_t mh_exchange_remaining_ms(const struct exchange *x);
+struct exchange *mh_exchange_find(const struct mh_exchanges *set, uint64_t id);
 bool mh_exchange_is_repeatable(const struct exchange *x);
 
 #endif
--- a/proxy/exchange_response.c
+++ b/proxy/exchange_response.c
@@ -27,18 +27,26 @@
 	return status >= 500;
 }
 
-static enum verdict classify(const struct exchange *x, uint16_t status,
-			     const struct mh_wire_response *response)
+/* While another run of the request may succeed, an error is not passed on. */
+static bool can_retry(const struct exchange *x)
 {
-	bool can_retry = mh_exchange_is_repeatable(x) &&
-			 x->attempts + 1 < x->route->max_attempts;
+	return x->hedge.upstream || (mh_exchange_is_repeatable(x) &&
+				     x->attempts + 1 < x->route->max_attempts);
+}
 
+enum verdict mh_exchange_classify(const struct exchange *x,
+				  const struct mh_http_head *head,
+				  const struct mh_wire_response *response)
+{
 	if (response->not_run)
 		return VERDICT_NOT_RUN;
-	if (is_server_error(status) && can_retry)
+	if (is_server_error(head->status) && can_retry(x))
 		return VERDICT_RETRY;
-	if (implies_not_run(status))
+	if (implies_not_run(head->status))
 		return VERDICT_REPLACE;
+	if (head->status < 300 &&
+	    (!response->is_signed || response->is_encoded))
+		return VERDICT_CORRUPT;
 	return VERDICT_FORWARD;
 }
 
@@ -119,6 +127,7 @@
 /* Whether the response is one to this request. One without an id is, if the server
  * refused the request and its connection carried no other one before. */
 static bool is_own_response(const struct exchange *x,
+			    const struct mh_upstream *upstream,
 			    const struct mh_wire_response *response)
 {
 	if (response->id.p)
@@ -126,35 +135,41 @@
 		       !memcmp(response->id.p, x->wire.id.p, x->wire.id.len);
 	if (!response->not_run)
 		return !x->wire.id.len;
-	return !mh_upstream_is_reused(x->upstream);
+	return !mh_upstream_is_reused(upstream);
 }
 
-static int on_head(void *data, const struct mh_http_head *head)
+/* Reads what a server says of itself.
+ * Return: whether the response is one to this request. */
+bool mh_exchange_read_head(struct exchange *x, struct mh_upstream *upstream,
+			   const struct mh_server_ref *server, uint64_t sent_ns,
+			   const struct mh_http_head *head,
+			   struct mh_wire_response *response)
 {
-	struct exchange *x = data;
-	struct mh_server_ref server = mh_exchange_server(x);
-	struct mh_wire_response response;
+	const struct mh_notice_relay *notices =
+		mh_slot_client_notices(x->set->env.slot_client);
 
-	mh_wire_read_response(head, &response);
-	mh_notice_relay_response(
-		mh_slot_client_notices(x->set->env.slot_client), &server,
-		&response);
-	mh_upstream_set_idle_timeout(x->upstream, response.keep_alive_s);
-	if (!is_own_response(x, &response))
-		return 1;
+	mh_wire_read_response(head, response);
+	mh_notice_relay_response(notices, server, response);
+	mh_upstream_set_idle_timeout(upstream, response->keep_alive_s);
+	if (!is_own_response(x, upstream, response))
+		return false;
 	/* If the server wrote the same bytes again while it runs a later request,
 	 * they could pass for a refusal of that one. */
-	if (response.not_run)
-		mh_upstream_retire(x->upstream);
-	if (!response.has_limit)
-		mh_notice_relay_no_limit(
-			mh_slot_client_notices(x->set->env.slot_client),
-			&server, x->sent_ns);
+	if (response->not_run)
+		mh_upstream_retire(upstream);
+	if (!response->has_limit)
+		mh_notice_relay_no_limit(notices, server, sent_ns);
+	return true;
+}
+
+/* Return: 0 to read on. */
+int mh_exchange_take_head(struct exchange *x, const struct mh_http_head *head,
+			  const struct mh_wire_response *response)
+{
 	x->status = head->status;
 	begin_judging(x, head);
-	x->verdict = classify(x, head->status, &response);
-	if (x->verdict == VERDICT_FORWARD && head->status < 300 &&
-	    (!response.is_signed || response.is_encoded))
+	x->verdict = mh_exchange_classify(x, head, response);
+	if (x->verdict == VERDICT_CORRUPT)
 		return 1;
 	/* The response that continues a stream must be one as well. */
 	if (x->head_forwarded && x->verdict == VERDICT_FORWARD &&
@@ -166,10 +181,11 @@
 			     mh_exchange_now_ns(x) + DISCARD_TIMEOUT_NS);
 		return 0;
 	}
+	mh_exchange_drop_hedge(x, MH_SLOT_CANCELLED);
 	/* The latency of an error does not measure the server's speed. */
 	if (!is_server_error(x->status))
 		mh_slot_client_first_byte(
-			x->set->env.slot_client, x->id,
+			x->set->env.slot_client, x->slot_id,
 			mh_exchange_elapsed_ms(x, x->sent_ns));
 	mh_exchange_observe_first_byte(x);
 	x->phase = PHASE_RESPONDING;
@@ -178,6 +194,18 @@
 	return 0;
 }
 
+static int on_head(void *data, const struct mh_http_head *head)
+{
+	struct exchange *x = data;
+	struct mh_server_ref server = mh_exchange_server(x);
+	struct mh_wire_response response;
+
+	if (!mh_exchange_read_head(x, x->upstream, &server, x->sent_ns, head,
+				   &response))
+		return 1;
+	return mh_exchange_take_head(x, head, &response);
+}
+
 /* Avoids printf, since it runs for each event of a stream. */
 static void write_chunk_header(struct mh_buffer *out, size_t len)
 {
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -181,15 +181,22 @@
 	return sc->current ? sc->current->incarnation : MH_LOCAL_GRANTOR;
 }
 
-static void accept_grant(struct mh_slot_client *sc, struct mh_request *req,
-			 const struct mh_server_ref *server)
+void mh_slot_client_count_granted(const struct mh_slot_client *sc,
+				  const struct mh_request *req,
+				  const struct mh_server_ref *server)
 {
-	mh_request_grant(req, server, now_of(sc));
 	mh_usage_forward_granted(
 		&sc->usage, &req->slot_req, current_grantor(sc),
 		mh_server_notices_has_limit(sc->notices.notices, server) ?
 			server->id :
 			NULL);
+}
+
+static void accept_grant(struct mh_slot_client *sc, struct mh_request *req,
+			 const struct mh_server_ref *server)
+{
+	mh_request_grant(req, server, now_of(sc));
+	mh_slot_client_count_granted(sc, req, server);
 	sc->ops->granted(sc->data, req->id, server);
 }
 
@@ -267,6 +274,9 @@
 		if (c == sc->current)
 			sc->ops->move(sc->data, frame->place_move->id);
 		break;
+	case MH__FRAME__BODY_PLACE_HEDGE:
+		mh_slot_client_on_hedge(sc, c, frame->place_hedge);
+		break;
 	case MH__FRAME__BODY_SERVER_WORDS:
 		mh_registration_receive(sc->catalog, frame->server_words,
 					now_of(sc), NULL);
@@ -361,8 +371,13 @@
 }
 
 static const struct mh_dispatch_ops local_ops = {
-	local_grant, local_refuse,  local_move,
-	local_lost,  local_suspect, local_limited
+	local_grant,
+	local_refuse,
+	local_move,
+	local_lost,
+	local_suspect,
+	local_limited,
+	mh_slot_client_local_hedge,
 };
 
 static void on_server(void *data, const struct mh_registration *reg)
--- a/proxy/slot_client.h
+++ b/proxy/slot_client.h
@@ -25,6 +25,8 @@
  * @move: release the slot and request another one
  * @document: a peer sent this configuration document
  * @suspect: other entries should learn of what the local dispatcher recorded
+ * @hedge: the request holds a second slot as well, at this server; it is to be
+ *         released by the number mh_hedge_id()
  */
 struct mh_slot_client_ops {
 	void (*granted)(void *data, uint64_t id,
@@ -35,6 +37,8 @@
 	void (*document)(void *data, uint64_t version, const uint8_t *bytes,
 			 size_t len);
 	void (*suspect)(void *data, const struct mh_suspect *suspect);
+	void (*hedge)(void *data, uint64_t id,
+		      const struct mh_server_ref *server);
 };
 
 /**
--- a/proxy/slot_client_impl.h
+++ b/proxy/slot_client_impl.h
@@ -38,4 +38,15 @@
 	struct mh_notice_relay notices;
 };
 
+/* Reports what a granted slot used: slot_client.c */
+void mh_slot_client_count_granted(const struct mh_slot_client *sc,
+				  const struct mh_request *req,
+				  const struct mh_server_ref *server);
+
+/* Second slots, from a dispatcher and the local one: slot_client_hedge.c */
+void mh_slot_client_on_hedge(struct mh_slot_client *sc, struct mh_candidate *c,
+			     const Mh__PlaceHedge *msg);
+void mh_slot_client_local_hedge(void *data, uint32_t owner, uint64_t id,
+				const struct mh_backend_server *server);
+
 #endif
--- a/proxy/slot_frames.c
+++ b/proxy/slot_frames.c
@@ -32,6 +32,7 @@
 	msg.fingerprint = slot_req->fingerprint;
 	msg.n_part = slot_req->n_parts;
 	msg.part = (uint64_t *)slot_req->parts;
+	msg.kind = slot_req->kind;
 	msg.is_repeat = slot_req->is_repeat;
 	msg.is_repeatable = slot_req->is_repeatable;
 	msg.is_moved = slot_req->is_moved;
--- a/proxy/upstream.c
+++ b/proxy/upstream.c
@@ -440,6 +440,12 @@
 	return true;
 }
 
+void mh_upstream_set_ops(struct mh_upstream *u,
+			 const struct mh_upstream_ops *ops)
+{
+	u->ops = ops;
+}
+
 bool mh_upstream_is_reused(const struct mh_upstream *u)
 {
 	return u->reused;
--- a/proxy/upstream.h
+++ b/proxy/upstream.h
@@ -110,6 +110,14 @@
 			    const struct mh_server_ref *server,
 			    const struct mh_upstream_ops *ops, void *data);
 
+/**
+ * mh_upstream_set_ops() - pass further events to another receiver
+ * @u: connection
+ * @ops: further events
+ */
+void mh_upstream_set_ops(struct mh_upstream *u,
+			 const struct mh_upstream_ops *ops);
+
 /**
  * mh_upstream_is_reused() - whether the connection carried a request before
  * @u: connection
--- a/proxy/usage_forward.c
+++ b/proxy/usage_forward.c
@@ -5,6 +5,7 @@
 #include <utlist.h>
 
 #include "core/check_alloc.h"
+#include "core/hedge.h"
 #include "net/link_peer.h"
 
 static uint64_t now_of(const struct mh_usage_forward *forward)
@@ -33,6 +34,9 @@
 	if (slot_req->is_repeat)
 		count_one(forward, MH_RETRY_USAGE_PREFIX, slot_req->service,
 			  grantor);
+	if (mh_is_hedge_id(slot_req->id))
+		count_one(forward, MH_HEDGE_USAGE_PREFIX, slot_req->service,
+			  grantor);
 	if (server)
 		count_one(forward, MH_SENDS_USAGE_PREFIX, server, grantor);
 }
--- a/tests/dispatch_fixture.h
+++ b/tests/dispatch_fixture.h
@@ -27,6 +27,7 @@
 	bool moved;
 	bool ended; /* for tests that keep track of it */
 	char server[32];
+	char hedge_server[32]; /* of its second slot, "" without one */
 	enum mh_error error;
 	uint32_t retry_ms;
 	uint64_t at_ns;
@@ -39,6 +40,7 @@
 	struct slot_result results[MAX_REQUESTS];
 	uint64_t next_id;
 	bool releases_on_move; /* like an entry that runs its own dispatcher */
+	uint32_t n_hedges;
 	uint32_t n_lost;
 	struct mh_lost_run last_lost; /* its strings may be stale */
 	struct mh_suspect last_suspect;
@@ -114,8 +116,23 @@
 		f->shares_suspect(f, suspect);
 }
 
+static inline void on_hedge(void *data, uint32_t owner, uint64_t id,
+			    const struct mh_backend_server *server)
+{
+	struct fixture *f = data;
+	struct slot_result *a = &f->results[id];
+
+	(void)owner;
+	assert_true(a->placed && !a->moved);
+	assert_string_not_equal(a->server, server->id);
+	assert_string_equal(a->hedge_server, "");
+	snprintf(a->hedge_server, sizeof(a->hedge_server), "%s", server->id);
+	f->n_hedges++;
+}
+
 static const struct mh_dispatch_ops ops = { on_place, on_refuse,  on_move,
-					    on_lost,  on_suspect, NULL };
+					    on_lost,  on_suspect, NULL,
+					    on_hedge };
 
 static const struct mh_dispatch_conf conf = {
 	.retry_ratio = 0.2,
--- a/tests/limit_simulation.c
+++ b/tests/limit_simulation.c
@@ -167,9 +167,9 @@
 	(void)suspect;
 }
 
-static const struct mh_dispatch_ops sim_ops = { sim_grant,   sim_refuse,
-						sim_move,    sim_lost,
-						sim_suspect, NULL };
+static const struct mh_dispatch_ops sim_ops = {
+	sim_grant, sim_refuse, sim_move, sim_lost, sim_suspect, NULL, NULL
+};
 
 static void start_node(struct sim *sim, struct node *node, uint32_t number)
 {
--- a/tests/parts_simulation.c
+++ b/tests/parts_simulation.c
@@ -232,8 +232,8 @@
 	}
 }
 
-static const struct mh_dispatch_ops ops = { grant, refuse,  move,
-					    lost,  suspect, NULL };
+static const struct mh_dispatch_ops ops = { grant,   refuse, move, lost,
+					    suspect, NULL,   NULL };
 
 static void list_server(struct sim *sim, uint32_t i, bool is_gone)
 {
