--- a/tests/proxy_site.sh
+++ b/tests/proxy_site.sh
@@ -39,6 +39,7 @@
 	quota_excess = 0.1
 	quota_slack = ${QUOTA_SLACK:-40}
 	grace_s = 8
+	${HEDGING:-}
 	[link]
 	key = "$LINK_KEY"
 	END
--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -36,6 +36,10 @@
  *                               all answers}
  *   POST /test/fail?id=&on=     on=1: a server answers with 500; 0: ends that
  *   POST /test/silent?id=&ms=   a server does not answer for that time
+ *   POST /test/late?first_ms=&first=&then_ms=&then=  the first run of each request
+ *                               id, and further ones, are answered this much later,
+ *                               unless the client closes the connection before;
+ *                               "fail": with 500, "drop": without a response
  *   GET  /test/runs             a line for each run: server, id, method,
  *                               target, account, deadline, event, body length,
  *                               key
@@ -120,6 +124,14 @@
 static struct mh_buffer arrivals;
 static struct mh_buffer ends;
 
+/* How runs are answered late: the first one of a request, and further ones. */
+struct lateness {
+	uint32_t ms;
+	char how[8];
+};
+
+static struct lateness first_runs, further_runs;
+
 static int on_head(void *data, const struct mh_http_head *head)
 {
 	(void)data;
@@ -152,6 +164,13 @@
 	store_put("keyed.servers", s->id, text, strlen(text));
 }
 
+static void set_lateness(const struct conn *c, struct lateness *l,
+			 const char *ms, const char *how)
+{
+	l->ms = (uint32_t)strtoul(query_param(c, ms), NULL, 10);
+	snprintf(l->how, sizeof(l->how), "%s", query_param(c, how));
+}
+
 static struct server *find_server(const char *id)
 {
 	int i;
@@ -185,6 +204,9 @@
 	s = find_server(id);
 	if (path_is(c, "/test/fail") && s) {
 		s->fails_all = !strcmp(query_param(c, "on"), "1");
+	} else if (path_is(c, "/test/late")) {
+		set_lateness(c, &first_runs, "first_ms", "first");
+		set_lateness(c, &further_runs, "then_ms", "then");
 	} else if (path_is(c, "/test/silent") && s) {
 		s->silent_until_ms =
 			mono_now_ms() + strtoul(query_param(c, "ms"), NULL, 10);
@@ -260,6 +282,23 @@
 	return t;
 }
 
+/* Return: how to answer a run that is not recorded yet. */
+static struct lateness lateness_of(const struct conn *c)
+{
+	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
+	struct lateness l;
+	char text[128];
+	int n = snprintf(text, sizeof(text), " %.*s ", (int)id.len, id.p);
+
+	pthread_mutex_lock(&lock);
+	l = runs.len && memmem(mh_buffer_front(&runs), runs.len, text,
+			       (size_t)n) ?
+		    further_runs :
+		    first_runs;
+	pthread_mutex_unlock(&lock);
+	return l;
+}
+
 static void record_run(const struct conn *c)
 {
 	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
@@ -380,11 +419,17 @@
 	return send_all(c);
 }
 
-static bool serve_hold(struct conn *c)
+/* Return: whether the client closed its connection in this time. */
+static bool client_leaves(const struct conn *c, uint32_t ms)
 {
 	struct pollfd p = { .fd = c->fd, .events = POLLIN };
 
-	if (poll(&p, 1, HOLD_MS) > 0)
+	return ms && poll(&p, 1, (int)ms) > 0;
+}
+
+static bool serve_hold(struct conn *c)
+{
+	if (client_leaves(c, HOLD_MS))
 		return false;
 	begin_response(c, 200, SIGNED "Content-Length: 5\r\n\r\nhello");
 	return send_all(c);
@@ -522,6 +567,7 @@
 {
 	struct mh_http_text expected = header(c, "X-Mangohead-Expect-Instance");
 	size_t id_len = strlen(c->server->id);
+	struct lateness late;
 	bool ok;
 
 	c->requests++;
@@ -549,7 +595,10 @@
 			       "Content-Length: 0\r\n\r\n");
 		return send_all(c);
 	}
+	late = lateness_of(c);
 	record_run(c);
+	if (client_leaves(c, late.ms) || !strcmp(late.how, "drop"))
+		return false;
 	if (has_deadly_part(c))
 		crash_of_part(c);
 	if (serve_shape(c, &ok))
@@ -586,7 +635,8 @@
 		begin_response(c, 200,
 			       SIGNED "Content-Encoding: gzip\r\n"
 				      "Content-Length: 5\r\n\r\nhello");
-	} else if (c->server->fails_all || target_ends_with(c, "fail")) {
+	} else if (c->server->fails_all || !strcmp(late.how, "fail") ||
+		   target_ends_with(c, "fail")) {
 		begin_response(c, 500, SIGNED "Content-Length: 5\r\n\r\nwrong");
 	} else if (target_ends_with(c, "busy")) {
 		begin_response(c, 503, "Content-Length: 4\r\n\r\nbusy");
