--- a/tests/test_hedge.c
+++ b/tests/test_hedge.c
@@ -283,6 +283,33 @@
 	free_fixture(f);
 }
 
+static double latency_ratio(const struct fixture *f, const char *server)
+{
+	struct mh_dispatch_view view;
+	const char *at;
+
+	mh_dispatch_view(f->d, SERVICE, &view);
+	at = strstr(view.server_stats, server);
+	assert_non_null(at);
+	return atof(at + strlen(server) + 1);
+}
+
+/* Failure: a server is slow for whatever it gets, and all of it is answered by
+ * others first. The dispatcher still learns that it is slow. */
+static void test_beaten_server_counts_as_slow(void **state)
+{
+	struct fixture *f = new_pool_of(4, SHARE, EXTRA);
+	uint64_t id = send_repeatable(f);
+	double before = latency_ratio(f, f->results[id].server);
+
+	(void)state;
+	wait_ms(f, 200);
+	assert_int_equal(f->n_hedges, 1);
+	done(f, id, MH_SLOT_CANCELLED, 200);
+	assert_true(latency_ratio(f, f->results[id].server) > before + 0.5);
+	free_fixture(f);
+}
+
 /* Guards against a changed behaviour of sites that do not use it. */
 static void test_off_by_default(void **state)
 {
@@ -744,6 +771,7 @@
 		cmocka_unit_test(test_limit_counts_what_others_granted),
 		cmocka_unit_test(test_load),
 		cmocka_unit_test(test_late_request_gets_a_second_slot),
+		cmocka_unit_test(test_beaten_server_counts_as_slow),
 		cmocka_unit_test(test_off_by_default),
 		cmocka_unit_test(test_requests_without_a_second_slot),
 		cmocka_unit_test(test_no_second_slot_before_the_deadline),
