--- a/Makefile
+++ b/Makefile
@@ -233,6 +233,15 @@
 
 .PHONY: log-cost
 
+$(BUILD)/bin/hedge_model: $(BUILD)/tests/hedge_model.o $(BUILD)/libmangohead.a
+	$(LINK)
+
+# Time to the first byte and extra work with and without hedged requests.
+bench-hedging: $(BUILD)/bin/hedge_model
+	$(BUILD)/bin/hedge_model
+
+.PHONY: bench-hedging
+
 bench: $(BUILD)/bin/bench
 	$(BUILD)/bin/bench
 	$(BUILD)/bin/bench --step-ms=30
