--- a/Makefile
+++ b/Makefile
@@ -130,7 +130,7 @@
 	      test_send_window test_limits test_usage_relay test_observed_crashes \
 	      test_store_era test_lost_entries test_client test_backend_bytes test_server_pace \
 	      test_account_share test_returning test_latest_start test_client_budget \
-	      test_client_limits test_link_limits test_http_clients
+	      test_client_limits test_link_limits test_http_clients test_hedge
 # Those that fail for a fault that KNOWN-RED.txt lists.
 RED_TESTS =
 
@@ -243,6 +243,15 @@
 
 .PHONY: log-cost
 
+$(BUILD)/bin/hedge_model: $(BUILD)/tests/hedge_model.o $(BUILD)/libmangohead.a
+	$(LINK)
+
+# Time to the first byte and extra work with and without hedged requests.
+bench-hedging: $(BUILD)/bin/hedge_model
+	$(BUILD)/bin/hedge_model
+
+.PHONY: bench-hedging
+
 bench: $(BUILD)/bin/bench
 	$(BUILD)/bin/bench
 	$(BUILD)/bin/bench --step-ms=30
--- a/config/bounds.c
+++ b/config/bounds.c
@@ -2,7 +2,8 @@
 
 struct mh_dispatch_conf
 mh_bounds_to_dispatch_conf(const struct mh_bounds_settings *bounds,
-			   const struct mh_policy_settings *policy)
+			   const struct mh_policy_settings *policy,
+			   const struct mh_hedging_settings *hedging)
 {
 	return (struct mh_dispatch_conf){
 		.retry_ratio = bounds->retry_ratio,
@@ -17,5 +18,7 @@
 		.length_aware = policy->length_aware_placement,
 		.account_shares = policy->account_shares,
 		.returning_first = policy->returning_first,
+		.hedge_share = hedging->max_share,
+		.hedge_extra = hedging->max_extra,
 	};
 }
--- a/config/settings.c
+++ b/config/settings.c
@@ -177,6 +177,13 @@
 	      MH_FIELD_BOOL),
 };
 
+static const struct mh_field hedging_fields[] = {
+	FIELD(mh_hedging_settings, max_share, "max_share", MH_FIELD_REAL,
+	      .max = 1, .def_u32 = 0),
+	FIELD(mh_hedging_settings, max_extra, "max_extra", MH_FIELD_REAL,
+	      .max = 100000, .def_u32 = 0),
+};
+
 #define P(m, name, ty, ...) FIELD(mh_proxy_settings, m, name, ty, __VA_ARGS__)
 
 static const struct mh_field proxy_root[] = {
@@ -209,6 +216,8 @@
 	  offsetof(struct mh_proxy_settings, policy) },
 	MACHINE(mh_proxy_settings),
 	CLIENTS(mh_proxy_settings),
+	{ "hedging", hedging_fields, LEN(hedging_fields),
+	  offsetof(struct mh_proxy_settings, hedging) },
 	{ "link", link_fields, LEN(link_fields),
 	  offsetof(struct mh_proxy_settings, link) },
 };
@@ -240,6 +249,8 @@
 	{ "policy", policy_fields, LEN(policy_fields),
 	  offsetof(struct mh_dispatcher_settings, policy) },
 	MACHINE(mh_dispatcher_settings),
+	{ "hedging", hedging_fields, LEN(hedging_fields),
+	  offsetof(struct mh_dispatcher_settings, hedging) },
 	{ "link", link_fields, LEN(link_fields),
 	  offsetof(struct mh_dispatcher_settings, link) },
 };
--- a/config/settings.h
+++ b/config/settings.h
@@ -155,6 +155,17 @@
 	double latest_start_percentile;
 };
 
+/**
+ * struct mh_hedging_settings - section [hedging], limits over all entries
+ * @max_share: hedged requests allowed for each request of a service
+ * @max_extra: those allowed in a window of the retry budget regardless of the
+ *             requests; with both 0 there are none
+ */
+struct mh_hedging_settings {
+	double max_share;
+	double max_extra;
+};
+
 /**
  * struct mh_proxy_settings - settings of mangohead-proxy
  * @host: name of this host
@@ -169,6 +180,7 @@
  * @policy: section [policy]
  * @machine: section [machine]
  * @clients: section [clients]
+ * @hedging: section [hedging]
  * @link: section [link]
  */
 struct mh_proxy_settings {
@@ -184,6 +196,7 @@
 	struct mh_policy_settings policy;
 	struct mh_machine_settings machine;
 	struct mh_clients_settings clients;
+	struct mh_hedging_settings hedging;
 	struct mh_link_settings link;
 };
 
@@ -199,6 +212,7 @@
  * @bounds: section [bounds]
  * @policy: section [policy]
  * @machine: section [machine]
+ * @hedging: section [hedging]
  * @link: section [link]
  */
 struct mh_dispatcher_settings {
@@ -212,6 +226,7 @@
 	struct mh_bounds_settings bounds;
 	struct mh_policy_settings policy;
 	struct mh_machine_settings machine;
+	struct mh_hedging_settings hedging;
 	struct mh_link_settings link;
 };
 
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -49,6 +49,7 @@
  *               client gives up then
  * @deadline_ns: monotonic time after which the response is of no use
  * @fingerprint: equal for equal requests of the same client
+ * @kind: equal for requests of the same route
  * @n_parts: number of elements in @parts
  * @parts: identifiers of the parts of its prompt that other requests may share,
  *         at most MH_PARTS_MAX
@@ -73,6 +74,7 @@
 	uint64_t start_by_ns;
 	uint64_t deadline_ns;
 	uint64_t fingerprint;
+	uint64_t kind;
 	uint32_t n_parts;
 	const uint64_t *parts;
 	bool is_repeat;
@@ -217,6 +219,9 @@
  * @suspect: other dispatchers should learn of this
  * @limited: the limits of servers alone kept a request that is granted a slot now
  *           waiting for this time; may be NULL
+ * @hedge: the request got a second slot: send it to this server as well, under
+ *         the number mh_hedge_id(), by which the second slot is released; may be
+ *         NULL, without which no request gets one
  */
 struct mh_dispatch_ops {
 	void (*grant)(void *data, uint32_t owner, uint64_t id,
@@ -228,10 +233,12 @@
 	void (*suspect)(void *data, const struct mh_suspect *suspect);
 	void (*limited)(void *data, uint32_t owner, uint64_t id,
 			uint32_t wait_ms);
+	void (*hedge)(void *data, uint32_t owner, uint64_t id,
+		      const struct mh_backend_server *server);
 };
 
 /**
- * struct mh_dispatch_conf - retry budget, tolerance of quotas, policy
+ * struct mh_dispatch_conf - retry budget, tolerance of quotas, policy, hedged requests
  * @retry_ratio: retries allowed for each first try, over all entries
  * @retry_extra: retries allowed in a window regardless of the first tries
  * @retry_window_ms: length of the retry budget's window
@@ -246,6 +253,10 @@
  *                  their accounts
  * @returning_first: requests of clients that come back at the time that they were
  *                   told go before new ones, and fewer are rejected
+ * @hedge_share: hedged requests allowed for each request of a service, over all
+ *               entries and in the retry budget's window
+ * @hedge_extra: those allowed regardless of the requests; with both 0 there are
+ *               none
  */
 struct mh_dispatch_conf {
 	double retry_ratio;
@@ -258,6 +269,8 @@
 	bool length_aware;
 	bool account_shares;
 	bool returning_first;
+	double hedge_share;
+	double hedge_extra;
 };
 
 /* Entries report the retries at a service to dispatchers as usage of an account
@@ -269,6 +282,9 @@
  * identifier behind the prefix. */
 #define MH_SENDS_USAGE_PREFIX "\x02"
 
+/* The same for hedged requests at a service, which count as retries as well. */
+#define MH_HEDGE_USAGE_PREFIX "\x03"
+
 struct mh_dispatch;
 
 /**
@@ -671,37 +687,4 @@
  */
 uint64_t mh_dispatch_tick(struct mh_dispatch *d);
 
-/**
- * struct mh_dispatch_view - state of a service, for logs and metrics
- * @servers: number of servers that take work
- * @limited: those of them that have a limit
- * @places: number of their slots
- * @held: slots in use
- * @accounts: client accounts with waiting requests, of the tier with the most;
- *            0 without shares of accounts
- * @returning: rejected requests of all services that are expected back
- * @waiting: requests that wait, by tier
- * @server_stats: "id:latency ratio:slots in use" of the servers that fit in,
- *                separated by commas; ids are cut to 6 bytes
- */
-struct mh_dispatch_view {
-	uint32_t servers;
-	uint32_t limited;
-	uint32_t places;
-	uint32_t held;
-	uint32_t accounts;
-	uint32_t returning;
-	uint32_t waiting[MH_TIERS];
-	char server_stats[320];
-};
-
-/**
- * mh_dispatch_view() - read the state of a service
- * @d: dispatcher
- * @service: name
- * @view: filled in
- */
-void mh_dispatch_view(const struct mh_dispatch *d, const char *service,
-		      struct mh_dispatch_view *view);
-
 #endif
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -10,6 +10,7 @@
 #include "core/check_alloc.h"
 #include "core/dispatch.h"
 #include "core/heap.h"
+#include "core/hedge.h"
 #include "core/open_runs.h"
 #include "core/quantile.h"
 #include "core/returning.h"
@@ -59,6 +60,10 @@
 	uint64_t limited_ns; /* since when limits alone keep it waiting, or 0 */
 	bool has_returned;   /* it was rejected before */
 	bool is_returning;   /* and came back at the time that it was told */
+	uint64_t kind;
+	bool is_first_try;
+	bool is_hedged;		/* it has or had a second slot */
+	uint32_t attempt_units; /* that an attempt costs its account */
 	bool is_repeatable;
 	bool has_waiting_retry; /* counted as such in the retry window */
 	bool over_quota;	/* served from spare slots only */
@@ -158,6 +163,7 @@
 	struct server *servers;
 	struct queue queues[MH_TIERS];
 	struct mh_retry_window retry_window;
+	struct mh_hedges *hedges; /* NULL while there are none */
 	uint32_t held;
 	uint64_t pauses_end_ns; /* from then on no pause has an effect */
 	double failure_rate;
@@ -250,6 +256,10 @@
 				   struct server *s, uint64_t now_ns);
 void mh_dispatch_move_overdue(struct mh_dispatch *d, struct pool *p,
 			      uint64_t now_ns);
+struct server *mh_dispatch_pick_hedge(struct mh_dispatch *d, struct pool *p,
+				      const struct request *hedge,
+				      uint64_t now_ns);
+void mh_dispatch_record_beaten(struct request *req, double ratio);
 void mh_dispatch_take_slot(struct server *s, struct request *req);
 void mh_dispatch_release_slot(struct request *req);
 void mh_dispatch_record_outcome(struct mh_dispatch *d, struct request *req,
@@ -353,6 +363,20 @@
 bool mh_dispatch_take_retry(struct mh_dispatch *d, struct pool *p);
 bool mh_dispatch_is_charged_retry(const struct mh_slot_request *slot_req);
 bool mh_dispatch_reserve_retry(struct mh_dispatch *d, struct pool *p);
+double mh_dispatch_granted_extra(const struct mh_dispatch *d, double extra,
+				 uint64_t now_ns);
+
+/* Hedged requests: dispatch_hedge.c */
+void mh_dispatch_hedge_late(struct mh_dispatch *d, uint64_t now_ns);
+void mh_dispatch_count_hedgeable(const struct mh_dispatch *d, struct pool *p);
+void mh_dispatch_observe_first_byte(const struct mh_dispatch *d,
+				    const struct request *req,
+				    uint32_t first_ms);
+void mh_dispatch_add_reported_hedges(struct mh_dispatch *d, const char *service,
+				     uint64_t n);
+void mh_dispatch_adopt_hedge(struct mh_dispatch *d, struct request *req);
+void mh_dispatch_end_hedge(struct mh_dispatch *d, struct request *req,
+			   enum mh_slot_outcome outcome);
 
 /* Free slots for waiting requests: dispatch_place.c */
 void mh_dispatch_place_waiting(struct mh_dispatch *d, struct pool *p,
@@ -409,6 +433,10 @@
 void mh_dispatch_review(struct mh_dispatch *d, struct pool *p, uint64_t now_ns);
 
 void mh_dispatch_enter_queue(const struct mh_dispatch *d, struct request *req);
+struct request *mh_dispatch_find_request(struct mh_dispatch *d, uint32_t owner,
+					 uint64_t id);
+bool mh_dispatch_has_waiting(const struct pool *p);
+bool mh_dispatch_is_unsent(enum mh_slot_outcome outcome);
 void mh_dispatch_leave_queue(struct mh_dispatch *d, struct request *req);
 void mh_dispatch_free_request(struct mh_dispatch *d, struct request *req);
 struct pool *mh_dispatch_pool(struct mh_dispatch *d, const char *name);
--- a/core/dispatch_view.c
+++ b/core/dispatch_view.c
@@ -4,6 +4,7 @@
 #include <utlist.h>
 
 #include "core/dispatch_impl.h"
+#include "core/dispatch_view.h"
 
 /* Bytes for one server in server_stats. */
 #define SERVER_STATS_BYTES 32
--- a/dispatcher/pool_log.c
+++ b/dispatcher/pool_log.c
@@ -1,5 +1,7 @@
 #include "dispatcher/pool_log.h"
 
+#include "core/dispatch_view.h"
+
 #include <stdio.h>
 
 void mh_pool_log(struct mh_event_log *log, const struct mh_dispatch *d,
--- a/proxy/app.c
+++ b/proxy/app.c
@@ -114,6 +114,14 @@
 	mh_exchange_move(app->exchanges, id);
 }
 
+static void on_hedge(void *data, uint64_t id,
+		     const struct mh_server_ref *server)
+{
+	struct mh_proxy_app *app = data;
+
+	mh_exchange_hedge(app->exchanges, id, server);
+}
+
 static void on_peer_document(void *data, uint64_t version, const uint8_t *bytes,
 			     size_t len)
 {
@@ -131,7 +139,7 @@
 }
 
 static const struct mh_slot_client_ops slot_client_ops = {
-	on_granted, on_refused, on_move, on_peer_document, on_suspect,
+	on_granted, on_refused, on_move, on_peer_document, on_suspect, on_hedge,
 };
 
 static void on_shared_suspect(void *data, const struct mh_suspect *suspect)
@@ -207,10 +215,12 @@
 	}
 	app->settings.bounds = updated.bounds;
 	app->settings.policy = updated.policy;
+	app->settings.hedging = updated.hedging;
 	mh_slot_client_set_seeds(app->slot_client, updated.seeds.v,
 				 updated.seeds.n);
 	mh_process_set_log_format(&app->process, updated.log_format);
-	conf = mh_bounds_to_dispatch_conf(&updated.bounds, &updated.policy);
+	conf = mh_bounds_to_dispatch_conf(&updated.bounds, &updated.policy,
+					  &updated.hedging);
 	mh_slot_client_set_conf(app->slot_client, &conf);
 	mh_event(app->process.log, MH_EV_PROCESS,
 		 "event=reloaded restart_needed=%d",
@@ -354,7 +364,8 @@
 		.zone = app->settings.zone,
 		.key = app->settings.link.key,
 		.dispatch = mh_bounds_to_dispatch_conf(&app->settings.bounds,
-						       &app->settings.policy),
+						       &app->settings.policy,
+						       &app->settings.hedging),
 		.seeds = app->settings.seeds.v,
 		.n_seeds = app->settings.seeds.n,
 	};
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -3,6 +3,7 @@
  * about servers.
  */
 #include "tests/dispatch_fixture.h"
+#include "core/dispatch_view.h"
 
 /* ---- order of service ---- */
 
--- a/tests/test_returning.c
+++ b/tests/test_returning.c
@@ -4,6 +4,7 @@
  */
 #include "core/returning.h"
 #include "tests/dispatch_fixture.h"
+#include "core/dispatch_view.h"
 
 #define TIER 1
 #define RUN_MS 20
