--- a/Makefile
+++ b/Makefile
@@ -130,7 +130,7 @@
 	      test_send_window test_limits test_usage_relay test_observed_crashes \
 	      test_store_era test_lost_entries test_client test_backend_bytes test_server_pace \
 	      test_account_share test_returning test_latest_start test_client_budget \
-	      test_client_limits test_link_limits test_http_clients test_hedge
+	      test_client_limits test_link_limits test_http_clients test_hedge test_hedge_load
 # Those that fail for a fault that KNOWN-RED.txt lists.
 RED_TESTS =
 
