Memory may be a fraction of a MB; a changed limit asks for a restart

[machine] memory_mb takes fractions, as the platform may fill in one. A reload says that changed [machine] and [clients] need a restart. The entry's check of a head is compared with that of whole requests.

--- a/config/machine.c
+++ b/config/machine.c
@@ -3,10 +3,10 @@
 #include <stdio.h>
 #include <sys/resource.h>
 
-#define MB_BYTES 1000000ull
+#define MB_BYTES 1000000
 #define MIB_BYTES (1ull << 20)
 /* Without any information: a small host. */
-#define DEFAULT_MEMORY_BYTES (160 * MB_BYTES)
+#define DEFAULT_MEMORY_BYTES (160ull * MB_BYTES)
 #define DEFAULT_MAX_FDS 1024
 #define CLIENT_MEMORY_PERCENT 35
 /* Part of the descriptors that are not for clients. */
@@ -43,7 +43,7 @@
 
 struct mh_machine mh_machine_detect(const struct mh_machine_settings *settings)
 {
-	struct mh_machine m = { settings->memory_mb * MB_BYTES,
+	struct mh_machine m = { (uint64_t)(settings->memory_mb * MB_BYTES),
 				system_max_fds() };
 
 	if (!m.memory_bytes)
@@ -53,6 +53,12 @@
 	return m;
 }
 
+bool mh_machine_same(const struct mh_machine_settings *a,
+		     const struct mh_machine_settings *b)
+{
+	return a->memory_mb == b->memory_mb && a->max_fds == b->max_fds;
+}
+
 static uint32_t clamp(uint32_t n, uint32_t min, uint32_t max)
 {
 	if (n < min)
--- a/config/machine.h
+++ b/config/machine.h
@@ -26,6 +26,14 @@
  */
 struct mh_machine mh_machine_detect(const struct mh_machine_settings *settings);
 
+/**
+ * mh_machine_same() - whether two settings say the same
+ * @a: section [machine]
+ * @b: another one
+ */
+bool mh_machine_same(const struct mh_machine_settings *a,
+		     const struct mh_machine_settings *b);
+
 /**
  * mh_machine_client_budget() - limits for clients of the process
  * @machine: what the process may use
--- a/config/settings.c
+++ b/config/settings.c
@@ -41,7 +41,7 @@
 
 /* 0 stands for a limit that is derived, see config/machine.h. */
 static const struct mh_field machine_fields[] = {
-	FIELD(mh_machine_settings, memory_mb, "memory_mb", MH_FIELD_U32,
+	FIELD(mh_machine_settings, memory_mb, "memory_mb", MH_FIELD_REAL,
 	      .max = 16000000),
 	FIELD(mh_machine_settings, max_fds, "max_fds", MH_FIELD_U32,
 	      .max = 16000000),
--- a/config/settings.h
+++ b/config/settings.h
@@ -31,7 +31,7 @@
  * @max_fds: descriptors of the process, 0: as many as the system allows it
  */
 struct mh_machine_settings {
-	uint32_t memory_mb;
+	double memory_mb;
 	uint32_t max_fds;
 };
 
--- a/proxy/app.c
+++ b/proxy/app.c
@@ -215,7 +215,13 @@
 		 "event=reloaded restart_needed=%d",
 		 strcmp(updated.store, app->settings.store) ||
 			 strcmp(updated.callers, app->settings.callers) ||
-			 strcmp(updated.status, app->settings.status));
+			 strcmp(updated.status, app->settings.status) ||
+			 !mh_machine_same(&updated.machine,
+					  &app->settings.machine) ||
+			 updated.clients.max_buffered_mib !=
+				 app->settings.clients.max_buffered_mib ||
+			 updated.clients.max_connections !=
+				 app->settings.clients.max_connections);
 	mh_proxy_settings_release(&updated);
 }
 
--- a/tests/test_unit.c
+++ b/tests/test_unit.c
@@ -590,6 +590,16 @@
 	return mh_call_parse(m, &req, 1000, out, &detail);
 }
 
+/* The body of a request is not read if its head is refused, so that both have to
+ * agree. */
+static enum mh_error expected_of_head(enum mh_error whole)
+{
+	return whole == MH_ERR_UNAUTHORIZED || whole == MH_ERR_UNKNOWN_POOL ||
+			       whole == MH_ERR_NOT_FOUND ?
+		       whole :
+		       MH_OK;
+}
+
 static void test_parse_calls(void **state)
 {
 	static const char *const chat = "/v1/chat/completions";
@@ -636,6 +646,7 @@
 	(void)state;
 	assert_non_null(m);
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const char *detail = NULL;
 		enum mh_error got =
 			parse(m, cases[i].method, cases[i].uri, cases[i].body,
 			      cases[i].auth, cases[i].tier, cases[i].key, &out);
@@ -644,6 +655,9 @@
 			fail_msg("case %zu: %s, expected %s", i,
 				 mh_error_info(got)->name,
 				 mh_error_info(cases[i].want)->name);
+		assert_int_equal(mh_call_check_head(m, cases[i].uri,
+						    cases[i].auth, &detail),
+				 expected_of_head(got));
 		mh_parsed_call_release(&out);
 	}
 	assert_int_equal(parse(m, "POST", "/svc/app/alerts/7", "x", auth, NULL,
