--- a/proxy/app.c
+++ b/proxy/app.c
@@ -160,9 +160,18 @@
 	mh_slot_client_add_dispatcher(app->slot_client, host, address);
 }
 
+static enum mh_rollout_order_result
+on_order(void *data, const struct mh_rollout_order *order)
+{
+	struct mh_proxy_app *app = data;
+
+	return mh_slot_client_order(app->slot_client, order);
+}
+
 static const struct mh_directory_ops directory_ops = {
 	on_routes,
 	on_dispatcher,
+	on_order,
 };
 
 static void on_term(void *data)
@@ -329,6 +338,7 @@
 		.zone = app->settings.zone,
 		.key = app->settings.link.key,
 		.dispatch = mh_bounds_to_dispatch_conf(&app->settings.bounds),
+		.rollouts = mh_bounds_to_rollout_conf(&app->settings.bounds),
 		.seeds = app->settings.seeds.v,
 		.n_seeds = app->settings.seeds.n,
 	};
