--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,8 @@
 		       $(BUILD)/libmangohead.a
 	$(LINK)
 $(BUILD)/bin/standin-platform: $(call objs,$(addprefix tests/standins/, \
-				 standin-platform.c shapes.c conn.c store.c)) \
+				 standin-platform.c shapes.c versions.c conn.c \
+				 store.c)) \
 			       $(BUILD)/libmangohead.a
 	$(LINK)
 $(BUILD)/bin/standin-%: $(BUILD)/tests/standins/standin-%.o \
--- a/net/rollout_frames.c
+++ b/net/rollout_frames.c
@@ -2,8 +2,6 @@
 
 #include <string.h>
 
-#define MAX_NAME_LEN 255
-
 void mh_rollout_send(struct mh_links *links, uint32_t link,
 		     const struct mh_rollout_record *rec)
 {
@@ -14,6 +12,7 @@
 	msg.target = (char *)rec->order.target;
 	msg.duration_ms = rec->order.duration_ms;
 	msg.phase = rec->phase;
+	msg.is_acknowledged = rec->is_acknowledged;
 	msg.n_excluded = rec->n_excluded;
 	msg.excluded = (char **)rec->excluded;
 	msg.elapsed_ms = rec->elapsed_ms;
@@ -46,7 +45,7 @@
 
 static bool is_name(const char *text)
 {
-	return *text && strlen(text) <= MAX_NAME_LEN;
+	return *text && strlen(text) <= MH_ROLLOUT_NAME_MAX;
 }
 
 bool mh_rollout_receive(struct mh_rollouts *set, const Mh__RolloutState *msg)
@@ -54,6 +53,7 @@
 	struct mh_rollout_record rec = {
 		.order = { msg->service, msg->target, msg->duration_ms },
 		.phase = (enum mh_rollout_phase)msg->phase,
+		.is_acknowledged = msg->is_acknowledged,
 		.elapsed_ms = msg->elapsed_ms,
 		.granted_service = msg->granted_service,
 		.granted_target = msg->granted_target,
@@ -62,8 +62,9 @@
 	};
 
 	if (!is_name(msg->service) || !is_name(msg->target) ||
-	    !msg->duration_ms || !msg->phase ||
-	    msg->phase > MH_ROLLOUT_ROLLED_BACK)
+	    !msg->duration_ms ||
+	    msg->duration_ms > MH_ROLLOUT_DURATION_MAX_MS || !msg->phase ||
+	    msg->phase >= MH_ROLLOUT_PHASES)
 		return false;
 	return mh_rollouts_merge(set, &rec);
 }
--- a/net/rollout_report.c
+++ b/net/rollout_report.c
@@ -11,23 +11,11 @@
 	char *target;
 	uint32_t duration_ms;
 	enum mh_rollout_phase phase;
+	bool is_acknowledged;
 	size_t n_excluded;
 	UT_hash_handle hh;
 };
 
-static const char *phase_name(enum mh_rollout_phase phase)
-{
-	static const char *const names[] = {
-		[MH_ROLLOUT_NONE] = "none",
-		[MH_ROLLOUT_OBSERVING] = "observing",
-		[MH_ROLLOUT_SHIFTING] = "shifting",
-		[MH_ROLLOUT_SUCCEEDED] = "succeeded",
-		[MH_ROLLOUT_ROLLED_BACK] = "rolled_back",
-	};
-
-	return names[phase];
-}
-
 /* Counts over all kinds. */
 struct sum {
 	unsigned long long good, failed, slow;
@@ -58,8 +46,8 @@
 		 "duration_ms=%u elapsed_ms=%llu granted=%llu "
 		 "granted_target=%llu good=%llu failed=%llu slow=%llu "
 		 "old_good=%llu old_failed=%llu old_slow=%llu",
-		 rec->order.service, rec->order.target, phase_name(rec->phase),
-		 phase_name(was), rec->order.duration_ms,
+		 rec->order.service, rec->order.target, mh_rollout_phase_name(rec->phase),
+		 mh_rollout_phase_name(was), rec->order.duration_ms,
 		 (unsigned long long)rec->elapsed_ms,
 		 (unsigned long long)rec->granted_service,
 		 (unsigned long long)rec->granted_target, target.good,
@@ -91,6 +79,7 @@
 		       row->duration_ms == rec->order.duration_ms;
 
 	if (is_same && row->phase == rec->phase &&
+	    row->is_acknowledged == rec->is_acknowledged &&
 	    row->n_excluded == rec->n_excluded)
 		return;
 	if (!is_same || row->phase != rec->phase)
@@ -104,15 +93,20 @@
 		row->duration_ms = rec->order.duration_ms;
 	}
 	row->phase = rec->phase;
+	row->is_acknowledged = rec->is_acknowledged;
 	row->n_excluded = rec->n_excluded;
 	report->changed(rec, report->data);
 }
 
-bool mh_rollout_report_update(struct mh_rollout_report *report,
+void mh_rollout_report_update(struct mh_rollout_report *report,
 			      const struct mh_rollouts *set)
 {
+	uint64_t changes = mh_rollouts_changes(set);
+
+	if (changes == report->changes)
+		return;
+	report->changes = changes;
 	mh_rollouts_each(set, update, report);
-	return report->rows;
 }
 
 void mh_rollout_report_release(struct mh_rollout_report *report)
--- a/net/rollout_report.h
+++ b/net/rollout_report.h
@@ -17,6 +17,7 @@
  * @metrics: metrics
  * @changed: called for each roll-out that has changed
  * @data: second argument of @changed
+ * @changes: mh_rollouts_changes() at the last update
  * @rows: what was last reported of each service
  */
 struct mh_rollout_report {
@@ -25,6 +26,7 @@
 	struct mh_metrics *metrics;
 	mh_rollout_visit_fn *changed;
 	void *data;
+	uint64_t changes;
 	struct mh_rollout_report_row *rows;
 };
 
@@ -32,10 +34,8 @@
  * mh_rollout_report_update() - report what has changed
  * @report: report
  * @set: roll-outs
- *
- * Return: whether there is any roll-out.
  */
-bool mh_rollout_report_update(struct mh_rollout_report *report,
+void mh_rollout_report_update(struct mh_rollout_report *report,
 			      const struct mh_rollouts *set);
 
 /**
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -4785,7 +4785,7 @@
   (ProtobufCMessageInit) mh__standing__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__rollout_state__field_descriptors[8] =
+static const ProtobufCFieldDescriptor mh__rollout_state__field_descriptors[9] =
 {
   {
     "service",
@@ -4883,6 +4883,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_acknowledged",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__RolloutState, is_acknowledged),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__rollout_state__field_indices_by_name[] = {
   2,   /* field[2] = duration_ms */
@@ -4890,6 +4902,7 @@
   4,   /* field[4] = excluded */
   6,   /* field[6] = granted_service */
   7,   /* field[7] = granted_target */
+  8,   /* field[8] = is_acknowledged */
   3,   /* field[3] = phase */
   0,   /* field[0] = service */
   1,   /* field[1] = target */
@@ -4897,7 +4910,7 @@
 static const ProtobufCIntRange mh__rollout_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mh__rollout_state__descriptor =
 {
@@ -4907,7 +4920,7 @@
   "Mh__RolloutState",
   "mh",
   sizeof(Mh__RolloutState),
-  8,
+  9,
   mh__rollout_state__field_descriptors,
   mh__rollout_state__field_indices_by_name,
   1,  mh__rollout_state__number_ranges,
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -795,10 +795,14 @@
    */
   uint64_t granted_service;
   uint64_t granted_target;
+  /*
+   * the store has the status of this final phase
+   */
+  protobuf_c_boolean is_acknowledged;
 };
 #define MH__ROLLOUT_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__rollout_state__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/proxy/app.c
+++ b/proxy/app.c
@@ -191,6 +191,7 @@
 	struct mh_proxy_app *app = data;
 	struct mh_proxy_settings updated;
 	struct mh_config_report rep = { 0 };
+	struct mh_rollout_conf rollout_conf;
 	struct mh_dispatch_conf conf;
 
 	if (!mh_proxy_settings_read(app->process.path, &updated, &rep)) {
@@ -205,7 +206,8 @@
 				 updated.seeds.n);
 	mh_process_set_log_format(&app->process, updated.log_format);
 	conf = mh_bounds_to_dispatch_conf(&updated.bounds);
-	mh_slot_client_set_conf(app->slot_client, &conf);
+	rollout_conf = mh_bounds_to_rollout_conf(&updated.bounds);
+	mh_slot_client_set_conf(app->slot_client, &conf, &rollout_conf);
 	mh_event(app->process.log, MH_EV_PROCESS,
 		 "event=reloaded restart_needed=%d",
 		 strcmp(updated.store, app->settings.store) ||
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -499,9 +499,11 @@
 }
 
 void mh_slot_client_set_conf(struct mh_slot_client *sc,
-			     const struct mh_dispatch_conf *conf)
+			     const struct mh_dispatch_conf *conf,
+			     const struct mh_rollout_conf *rollouts)
 {
 	mh_dispatch_set_conf(sc->local, conf);
+	mh_rollouts_set_conf(sc->rollouts.set, rollouts);
 }
 
 void mh_slot_client_request(struct mh_slot_client *sc,
--- a/proxy/slot_client.h
+++ b/proxy/slot_client.h
@@ -127,9 +127,11 @@
  * mh_slot_client_set_conf() - apply changed bounds from the settings
  * @sc: slot client
  * @conf: bounds
+ * @rollouts: bounds of roll-outs
  */
 void mh_slot_client_set_conf(struct mh_slot_client *sc,
-			     const struct mh_dispatch_conf *conf);
+			     const struct mh_dispatch_conf *conf,
+			     const struct mh_rollout_conf *rollouts);
 
 /**
  * mh_slot_client_forward_state() - send the dispatcher what this entry read
--- a/proxy/slot_client_state.c
+++ b/proxy/slot_client_state.c
@@ -1,4 +1,5 @@
 /* What an entry knows of servers and of the configuration, for its dispatcher. */
+#include "core/rollout_use.h"
 #include "net/registrations.h"
 #include "proxy/slot_client_impl.h"
 
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -144,6 +144,26 @@
 	pthread_mutex_unlock(&lock);
 }
 
+void store_history(const char *topic, const char *key, struct mh_buffer *out)
+{
+	size_t key_len = strlen(key), i;
+	struct topic *t;
+
+	pthread_mutex_lock(&lock);
+	t = get_topic(topic);
+	for (i = 0; i < t->n; i++) {
+		const struct record *r = &t->v[i];
+
+		if (r->len <= key_len + 1 || r->bytes[0] != key_len ||
+		    memcmp(r->bytes + 1, key, key_len))
+			continue;
+		mh_buffer_add(out, r->bytes + 1 + key_len,
+			      r->len - 1 - key_len);
+		mh_buffer_add(out, "\n", 1);
+	}
+	pthread_mutex_unlock(&lock);
+}
+
 static void respond(struct conn *c, int status, const char *type,
 		    const void *body, size_t len)
 {
