--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 CXXFLAGS += -std=c++17 -O2 -g -Wall -Wextra -Werror $(SAN)
 LDFLAGS += $(SAN)
 LIBS = -lmicrohttpd -lneon-gnutls -lprotobuf-c -ljansson -lsodium -lxxhash -lhttp_parser \
-       -llog4c -lurcu-bp -lurcu-common -lpthread -lstdc++
+       -llog4c -lurcu-bp -lurcu-common -lpthread -lm -lstdc++
 
 PACKAGES = gcc g++ make libmicrohttpd-dev libneon27-gnutls-dev \
 	   libprotobuf-c-dev protobuf-c-compiler liburcu-dev liblog4c-dev \
