--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -626,10 +626,10 @@
 		&mh_system_clock, app->process.log, app->process.metrics,
 		app->links,	  app->dispatch,    &app->linked_entries,
 	};
-	app->suspects = (struct mh_dispatcher_suspects){
-		app->process.log, app->links, app->dispatch,
-		&app->linked_entries
-	};
+	app->suspects =
+		(struct mh_dispatcher_suspects){ app->process.log, app->links,
+						 app->dispatch,
+						 &app->linked_entries };
 	rollout_conf = mh_bounds_to_rollout_conf(&app->settings.bounds);
 	mh_dispatcher_rollouts_init(&app->rollouts, &app->process,
 				    &rollout_conf, app->settings.store,
--- a/net/rollout_report.c
+++ b/net/rollout_report.c
@@ -46,9 +46,9 @@
 		 "duration_ms=%u elapsed_ms=%llu granted=%llu "
 		 "granted_target=%llu good=%llu failed=%llu slow=%llu "
 		 "old_good=%llu old_failed=%llu old_slow=%llu",
-		 rec->order.service, rec->order.target, mh_rollout_phase_name(rec->phase),
-		 mh_rollout_phase_name(was), rec->order.duration_ms,
-		 (unsigned long long)rec->elapsed_ms,
+		 rec->order.service, rec->order.target,
+		 mh_rollout_phase_name(rec->phase), mh_rollout_phase_name(was),
+		 rec->order.duration_ms, (unsigned long long)rec->elapsed_ms,
 		 (unsigned long long)rec->granted_service,
 		 (unsigned long long)rec->granted_target, target.good,
 		 target.failed, target.slow, others.good, others.failed,
@@ -84,9 +84,8 @@
 		return;
 	if (!is_same || row->phase != rec->phase)
 		log_change(report, rec, is_same ? row->phase : MH_ROLLOUT_NONE);
-	mh_metrics_set_labelled(report->metrics, MH_G_ROLLOUT_PHASE,
-				rec->phase, "service=\"%s\"",
-				rec->order.service);
+	mh_metrics_set_labelled(report->metrics, MH_G_ROLLOUT_PHASE, rec->phase,
+				"service=\"%s\"", rec->order.service);
 	if (!is_same) {
 		free(row->target);
 		row->target = mh_check_alloc(strdup(rec->order.target));
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -443,8 +443,8 @@
 		&sc->candidates, sc->local, conf->notices, conf->metrics,
 	};
 	mh_rollout_relay_init(&sc->rollouts,
-			      mh_rollouts_new(&conf->rollouts, clock), sc->links,
-			      &sc->candidates);
+			      mh_rollouts_new(&conf->rollouts, clock),
+			      sc->links, &sc->candidates);
 	sc->rollouts.report.log = log;
 	sc->rollouts.report.counters = counters;
 	sc->rollouts.report.metrics = conf->metrics;
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -21,6 +21,7 @@
 struct record {
 	uint8_t *bytes;
 	size_t len;
+	uint64_t added_ms;
 };
 
 struct topic {
@@ -93,6 +94,7 @@
 	r->bytes = malloc(len ? len : 1);
 	memcpy(r->bytes, bytes, len);
 	r->len = len;
+	r->added_ms = mono_now_ms();
 	t->n++;
 	drop_expired(t);
 }
@@ -157,6 +159,7 @@
 		if (r->len <= key_len + 1 || r->bytes[0] != key_len ||
 		    memcmp(r->bytes + 1, key, key_len))
 			continue;
+		mh_buffer_printf(out, "%llu ", (unsigned long long)r->added_ms);
 		mh_buffer_add(out, r->bytes + 1 + key_len,
 			      r->len - 1 - key_len);
 		mh_buffer_add(out, "\n", 1);
--- a/tests/standins/versions.c
+++ b/tests/standins/versions.c
@@ -13,7 +13,8 @@
  *   POST /test/stop?service=&on=  on=1: when the status of the service's order is
  *                               "succeeded", the servers of all other versions are
  *                               stopped at once
- *   GET  /test/status?service=  a line for each status of the service's orders
+ *   GET  /test/status?service=  a line for each status of the service's orders:
+ *                               time (CLOCK_BOOTTIME, ms) and JSON
  */
 #include <jansson.h>
 #include <pthread.h>
@@ -60,8 +61,8 @@
 
 	snprintf(v.name, sizeof(v.name), "%s", query_param(c, "version"));
 	v.base_ms = (uint32_t)strtoul(query_param(c, "base"), NULL, 10);
-	v.failing = (uint32_t)(strtod(query_param(c, "fail"), NULL) *
-			       SHARE_UNITS);
+	v.failing =
+		(uint32_t)(strtod(query_param(c, "fail"), NULL) * SHARE_UNITS);
 	v.slow = strtod(query_param(c, "slow"), NULL);
 	snprintf(v.prefix, sizeof(v.prefix), "%s", query_param(c, "prefix"));
 	v.from_running = atoi(query_param(c, "from"));
@@ -171,7 +172,7 @@
 	last = (const char *)mh_buffer_front(&history);
 	while (strchr(last, '\n') && *(strchr(last, '\n') + 1))
 		last = strchr(last, '\n') + 1;
-	doc = json_loads(last, 0, NULL);
+	doc = json_loads(strchr(last, ' ') ? strchr(last, ' ') : "", 0, NULL);
 	state = json_string_value(json_object_get(doc, "state"));
 	if (json_string_value(json_object_get(doc, "target")))
 		snprintf(target, 32, "%s",
