Dispatcher: asks the roll-outs before each pick

Servers and registrations have a version, slot requests a kind. A server of a forbidden version is left out of mh_dispatch_pick() before the fallback is chosen; canary requests fill one target server to the load of a regular one before the next.

core/rollout.h: mh_rollouts_serves() is new, mh_rollouts_is_canary() is gone. Unit tests that touch the dispatcher pass, without an order nothing changes.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -48,6 +48,7 @@
 	free(e->service);
 	free(e->address);
 	free(e->zone);
+	free(e->version);
 }
 
 static void free_row(struct mh_catalog *cat, struct row *r)
@@ -98,12 +99,19 @@
 	return update->state == MH_SERVER_GONE && old->state != MH_SERVER_GONE;
 }
 
+static const char *version_of(const struct mh_registration *reg)
+{
+	return reg->version ? reg->version : "";
+}
+
 static bool differs(const struct mh_registration *a,
 		    const struct mh_registration *b)
 {
 	return a->state != b->state || a->born_ms != b->born_ms ||
 	       a->places != b->places || a->is_doubtful ||
-	       strcmp(a->address, b->address) || strcmp(a->service, b->service);
+	       strcmp(a->address, b->address) ||
+	       strcmp(a->service, b->service) ||
+	       strcmp(version_of(a), version_of(b));
 }
 
 static struct row *add_row(struct mh_catalog *cat, const char *id)
@@ -141,6 +149,7 @@
 		replace_text(&r->reg.service, update->service);
 		replace_text(&r->reg.address, update->address);
 		replace_text(&r->reg.zone, update->zone);
+		replace_text(&r->reg.version, update->version);
 		r->reg.places = update->places;
 		r->reg.state = update->state;
 		r->reg.cold_remaining_ms = update->cold_remaining_ms;
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -23,6 +23,7 @@
  * @service: service that it belongs to
  * @address: "ip:port"
  * @zone: availability zone
+ * @version: version of what it runs, "" or NULL if not given
  * @places: number of its slots, the requests that it runs at a time
  * @state: whether it takes requests
  * @born_ms: Unix time of its start, 0 if not given
@@ -36,6 +37,7 @@
 	char *service;
 	char *address;
 	char *zone;
+	char *version;
 	uint32_t places;
 	enum mh_server_state state;
 	uint64_t born_ms;
@@ -48,8 +50,8 @@
 
 /**
  * mh_catalog_new() - create an empty catalog
- * @changed: called when the state, service, address, slots or incarnation of a
- *           server changed
+ * @changed: called when the state, service, address, version, slots or
+ *           incarnation of a server changed
  * @data: first argument of @changed
  */
 struct mh_catalog *mh_catalog_new(
@@ -66,7 +68,7 @@
  * mh_catalog_update() - apply a registration from a server or a peer
  * @cat: catalog
  * @update: copied; with state MH_SERVER_GONE @places and @cold_remaining_ms
- *          are ignored, and @service, @address and @zone may be NULL
+ *          and @version are ignored, and @service, @address and @zone may be NULL
  * @now_ns: monotonic time
  *
  * Return: whether it is newer than what the catalog held.
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -19,8 +19,6 @@
  * time for which a slot is held. */
 #define INITIAL_PLAIN_MS 20.0
 #define INITIAL_HOLD_MS 300.0
-/* Bytes for one server in server_stats. */
-#define SERVER_STATS_BYTES 32
 
 uint8_t mh_dispatch_tier(const struct mh_client_account *account,
 			 const struct mh_route *route)
@@ -69,6 +67,7 @@
 		mh_retry_window_give_up(&req->pool->retry_window);
 	mh_features_unref(req->features);
 	free(req->account);
+	free(req->version);
 	free(req);
 }
 
@@ -223,12 +222,21 @@
 	s->info.id = mh_check_alloc(strdup(info->id));
 	s->info.service = mh_check_alloc(strdup(info->service));
 	s->info.address = mh_check_alloc(strdup(info->address));
+	s->info.version = mh_check_alloc(strdup(""));
 	s->id_hash = mh_dispatch_hash(info->id);
 	HASH_ADD_KEYPTR(hh, p->servers, s->info.id, strlen(s->info.id), s);
 	reset_server(d, s);
 	return s;
 }
 
+static void set_version(struct server *s, const char *version)
+{
+	char *copy = mh_check_alloc(strdup(version ? version : ""));
+
+	free((char *)s->info.version);
+	s->info.version = copy;
+}
+
 void mh_dispatch_update_server(struct mh_dispatch *d,
 			       const struct mh_backend_server *info)
 {
@@ -262,6 +270,7 @@
 	s->incarnation = mh_server_incarnation(&(struct mh_server_ref){
 		info->id, info->address, info->born_ms });
 	s->info.places = info->places;
+	set_version(s, info->version);
 	s->vanished = info->is_gone && (s->takes_work || s->vanished);
 	s->takes_work = info->takes_work;
 	s->is_doubtful = info->is_doubtful;
@@ -276,6 +285,7 @@
 		.id = reg->id,
 		.service = reg->service,
 		.address = reg->address,
+		.version = reg->version,
 		.places = reg->places,
 		.born_ms = reg->born_ms,
 		.takes_work = reg->state == MH_SERVER_READY,
@@ -322,6 +332,7 @@
 	req->features = features;
 	req->requested_ns = mh_dispatch_now_ns(d);
 	req->is_repeatable = slot_req->is_repeatable;
+	req->kind = slot_req->kind;
 	req->heap_index = MH_HEAP_NONE;
 	req->n_avoid = slot_req->n_avoid;
 	for (i = 0; i < slot_req->n_avoid; i++)
@@ -411,6 +422,7 @@
 	/* Its units count at the dispatcher that granted it. */
 	req->units = 0;
 	mh_dispatch_take_slot(s, req);
+	mh_dispatch_note_version(d, req, false);
 	mh_dispatch_open_run(d, req);
 }
 
@@ -421,6 +433,7 @@
 
 	if (!req || !req->server)
 		return;
+	mh_dispatch_judge_first_byte(d, req, first_ms);
 	mh_dispatch_record_first_byte(req, first_ms, mh_dispatch_now_ns(d));
 	mh_dispatch_run_responds(d, req, mh_dispatch_now_ns(d));
 	mh_dispatch_record_response(d, req, mh_dispatch_now_ns(d));
@@ -475,6 +488,8 @@
 		return;
 	s = req->server;
 	if (s) {
+		mh_dispatch_judge_outcome(d, req, outcome, total_ms,
+					  mh_dispatch_now_ns(d));
 		mh_dispatch_record_outcome(d, req, outcome, total_ms,
 					   mh_dispatch_now_ns(d));
 		mh_dispatch_end_run(d, req, outcome, mh_dispatch_now_ns(d));
@@ -505,6 +520,7 @@
 		if (req->key.owner != owner)
 			continue;
 		if (s) {
+			mh_dispatch_orphan_run(req);
 			mh_dispatch_release_slot(req);
 			free_if_gone(d, s);
 		} else {
@@ -542,6 +558,7 @@
 	mh_dispatch_begin_trials(d, req, now_ns);
 	mh_dispatch_open_run(d, req);
 	mh_dispatch_take_slot(s, req);
+	mh_dispatch_note_version(d, req, true);
 	d->ops->grant(d->data, (uint32_t)req->key.owner, req->key.id, &s->info);
 }
 
@@ -626,6 +643,7 @@
 	bool any = mh_suspects_share(d->suspects, now_ns);
 	struct pool *p, *tmp;
 
+	mh_dispatch_tick_rollouts(d, now_ns);
 	if (now_ns >= d->rates_updated_ns + RATE_PERIOD_NS)
 		update_stats(d, now_ns);
 	if (due)
@@ -646,37 +664,6 @@
 	if (due)
 		d->next_review_ns = now_ns + REVIEW_NS;
 	d->review = false;
-	return any || d->parked ? d->next_review_ns : UINT64_MAX;
-}
-
-void mh_dispatch_view(const struct mh_dispatch *d, const char *service,
-		      struct mh_dispatch_view *view)
-{
-	struct server *s, *tmp;
-	struct request *req;
-	struct pool *p;
-	size_t at = 0;
-	int t;
-
-	memset(view, 0, sizeof(*view));
-	HASH_FIND_STR(d->pools, service, p);
-	if (!p)
-		return;
-	HASH_ITER(hh, p->servers, s, tmp) {
-		if (!mh_dispatch_server_takes_work(s))
-			continue;
-		view->servers++;
-		view->limited += s->limit.max_millihz != MH_NO_LIMIT;
-		view->places += mh_dispatch_server_slots(d, s);
-		if (at + SERVER_STATS_BYTES < sizeof(view->server_stats))
-			at += (size_t)snprintf(
-				view->server_stats + at, SERVER_STATS_BYTES,
-				"%s%.6s:%.2f:%u", at ? "," : "", s->info.id,
-				s->latency_ratio, s->held);
-	}
-	view->held = p->held;
-	for (t = 0; t < MH_TIERS; t++)
-		view->waiting[t] = p->queues[t].timely.n + p->queues[t].late.n;
-	DL_FOREACH(d->parked, req)
-		view->waiting[req->tier] += req->pool == p;
+	return mh_dispatch_next_tick_ns(
+		d, any || d->parked ? d->next_review_ns : UINT64_MAX);
 }
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -18,6 +18,7 @@
 #include "core/err.h"
 #include "core/features.h"
 #include "core/entry_set.h"
+#include "core/rollout.h"
 #include "core/routes.h"
 #include "core/server_notices.h"
 #include "core/sliding_window.h"
@@ -50,6 +51,7 @@
  * @n_parts: number of elements in @parts
  * @parts: identifiers of the parts of its prompt that other requests may share,
  *         at most MH_PARTS_MAX
+ * @kind: hash of the name of its route, 0 if not known
  * @is_repeat: it was sent to a server before
  * @is_repeatable: after a run in the requested slot it may be sent to a further
  *                 server
@@ -72,6 +74,7 @@
 	uint64_t fingerprint;
 	uint32_t n_parts;
 	const uint64_t *parts;
+	uint64_t kind;
 	bool is_repeat;
 	bool is_repeatable;
 	bool is_moved;
@@ -127,6 +130,7 @@
  * @id: identifier
  * @service: service that it belongs to
  * @address: "ip:port"
+ * @version: version, "" or NULL if it registered none
  * @places: slots, the number of requests that it runs at a time
  * @born_ms: Unix time of its start
  * @takes_work: it is neither draining nor gone
@@ -137,6 +141,7 @@
 	const char *id;
 	const char *service;
 	const char *address;
+	const char *version;
 	uint32_t places;
 	uint64_t born_ms;
 	bool takes_work;
@@ -298,6 +303,13 @@
 void mh_dispatch_set_conf(struct mh_dispatch *d,
 			  const struct mh_dispatch_conf *conf);
 
+/**
+ * mh_dispatch_set_rollouts() - follow the orders of a set of roll-outs
+ * @d: dispatcher, which reports grants and outcomes, and calls mh_rollouts_tick()
+ * @set: set, or NULL for none
+ */
+void mh_dispatch_set_rollouts(struct mh_dispatch *d, struct mh_rollouts *set);
+
 /**
  * mh_dispatch_set_share() - use only a share of all slots and limits
  * @d: dispatcher
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -10,6 +10,7 @@
 #include "core/dispatch.h"
 #include "core/heap.h"
 #include "core/open_runs.h"
+#include "core/rollout.h"
 #include "core/send_window.h"
 #include "core/sliding_window.h"
 #include "core/suspects.h"
@@ -55,6 +56,9 @@
 	bool over_quota;	/* served from spare slots only */
 	uint32_t n_avoid;
 	uint64_t avoid[MH_AVOID_MAX]; /* hashes of server ids */
+	uint64_t kind;
+	char *version; /* of its server, until its roll-out is told the outcome */
+	double first_byte_ratio; /* 0 if there is none to judge by */
 	uint32_t heap_index;
 	/* List of the server's requests, or of the parked ones. */
 	struct request *prev, *next;
@@ -114,6 +118,10 @@
 	uint64_t incarnation;	/* hash of its identifier and start */
 	uint64_t lost_ns;	/* when a run was last lost with it */
 	uint64_t trial_lost_ns; /* when a suspect was last lost with it */
+	uint64_t
+		judged_lost_ns; /* when a lost run was last counted as failed */
+	/* Until when runs of entries that fell silent may go on. */
+	uint64_t orphans_until_ns;
 	/* Runs that it did not respond to, the newest ones. */
 	struct ended_run silent[MAX_ENDED_RUNS];
 	uint32_t n_silent; /* ever recorded */
@@ -219,6 +227,8 @@
 	uint64_t grantor_id;
 	uint64_t rates_updated_ns;
 	uint64_t next_review_ns;
+	struct mh_rollouts *rollouts; /* NULL: none */
+	uint64_t next_rollout_tick_ns;
 	bool review; /* at the next tick, without waiting for the interval */
 };
 
@@ -325,6 +335,28 @@
 void mh_dispatch_drop_pauses(struct server *s);
 void mh_dispatch_drop_owner_pauses(struct mh_dispatch *d, uint32_t owner);
 
+/* Roll-outs: dispatch_rollout.c */
+/* Whether servers of this version get regular requests. */
+bool mh_dispatch_version_serves(const struct mh_dispatch *d,
+				const struct server *s);
+/* Whether the request may be sent to the server's version; @cost is added to the
+ * server's. */
+bool mh_dispatch_version_allows(const struct mh_dispatch *d,
+				const struct server *s,
+				const struct request *req, double *cost);
+void mh_dispatch_note_version(const struct mh_dispatch *d, struct request *req,
+			      bool is_granted);
+void mh_dispatch_judge_first_byte(const struct mh_dispatch *d,
+				  struct request *req, uint32_t first_ms);
+void mh_dispatch_judge_outcome(const struct mh_dispatch *d, struct request *req,
+			       enum mh_slot_outcome outcome, uint32_t total_ms,
+			       uint64_t now_ns);
+/* The entry of a run fell silent: the run may go on. */
+void mh_dispatch_orphan_run(const struct request *req);
+void mh_dispatch_tick_rollouts(struct mh_dispatch *d, uint64_t now_ns);
+uint64_t mh_dispatch_next_tick_ns(const struct mh_dispatch *d,
+				  uint64_t next_ns);
+
 /* Retry budget: dispatch_retry.c */
 bool mh_dispatch_take_retry(struct mh_dispatch *d, struct pool *p);
 bool mh_dispatch_is_charged_retry(const struct mh_slot_request *slot_req);
--- a/core/dispatch_notice.c
+++ b/core/dispatch_notice.c
@@ -163,7 +163,8 @@
 	struct server *s, *tmp;
 
 	HASH_ITER(hh, req->pool->servers, s, tmp) {
-		if (mh_dispatch_free_slots(d, s, now_ns) &&
+		if (mh_dispatch_version_serves(d, s) &&
+		    mh_dispatch_free_slots(d, s, now_ns) &&
 		    !mh_dispatch_allows(d, s, (uint32_t)req->key.owner, now_ns))
 			return true;
 	}
@@ -183,7 +184,8 @@
 	HASH_ITER(hh, p->servers, s, tmp) {
 		const struct pause *pause = find_pause(s, owner);
 
-		if (!mh_dispatch_server_takes_work(s))
+		if (!mh_dispatch_server_takes_work(s) ||
+		    !mh_dispatch_version_serves(d, s))
 			continue;
 		if (!pause || now_ns >= pause->until_ns)
 			n += mh_dispatch_server_slots(d, s);
--- a/core/dispatch_review.c
+++ b/core/dispatch_review.c
@@ -116,7 +116,8 @@
 			s->latency_ratio > 1 ? s->latency_ratio : 1;
 		double places, hz, wait_ms;
 
-		if (!mh_dispatch_server_takes_work(s))
+		if (!mh_dispatch_server_takes_work(s) ||
+		    !mh_dispatch_version_serves(d, s))
 			continue;
 		places = mh_dispatch_server_slots(d, s) / latency_ratio;
 		if (s->limit.max_millihz != MH_NO_LIMIT) {
--- /dev/null
+++ b/core/dispatch_rollout.c
@@ -0,0 +1,201 @@
+/*
+ * Roll-outs at the dispatcher: which servers a request may go to, and what became
+ * of it. The decisions are those of core/rollout.h.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/dispatch_impl.h"
+
+/* A canary goes before all other servers. */
+#define CANARY_COST (-1000.0)
+/* Interval of the ticks of an active roll-out. */
+#define TICK_NS (50 * MH_NS_PER_MS)
+/* Connections of one server that break within this time broke together: they
+ * count as one failure, since the next ones don't depend on their number. */
+#define LOST_TOGETHER_NS (200 * MH_NS_PER_MS)
+
+void mh_dispatch_set_rollouts(struct mh_dispatch *d, struct mh_rollouts *set)
+{
+	d->rollouts = set;
+}
+
+bool mh_dispatch_version_serves(const struct mh_dispatch *d,
+				const struct server *s)
+{
+	return mh_rollouts_serves(d->rollouts, s->info.service,
+				  s->info.version);
+}
+
+/* Part of its slots that a regular server of the pool uses at present. */
+static double regular_load(const struct mh_dispatch *d, const struct pool *p)
+{
+	struct server *s, *tmp;
+	uint32_t slots = 0, held = 0;
+
+	HASH_ITER(hh, p->servers, s, tmp) {
+		if (!mh_dispatch_server_takes_work(s) ||
+		    !mh_dispatch_version_serves(d, s))
+			continue;
+		slots += mh_dispatch_server_slots(d, s);
+		held += s->held;
+	}
+	return slots ? (double)held / slots : 0;
+}
+
+/* Canary requests fill one server to the load of a regular one before the next
+ * gets any, so that faults which come with load are seen. */
+static bool is_canary_full(const struct mh_dispatch *d, const struct server *s)
+{
+	double slots = mh_dispatch_server_slots(d, s);
+
+	return s->held >= 1 + (uint32_t)(regular_load(d, s->pool) * slots);
+}
+
+bool mh_dispatch_version_allows(const struct mh_dispatch *d,
+				const struct server *s,
+				const struct request *req, double *cost)
+{
+	enum mh_rollout_choice choice;
+
+	*cost = 0;
+	if (!mh_rollouts_has_orders(d->rollouts))
+		return true;
+	choice = mh_rollouts_choice(d->rollouts, s->info.service,
+				    s->info.version, req->is_repeatable);
+	if (choice != MH_ROLLOUT_PREFERRED)
+		return choice == MH_ROLLOUT_ANY;
+	/* In the order of their hashes, the same at each pick. */
+	*cost = CANARY_COST * (2.0 - (double)s->id_hash / (double)UINT64_MAX);
+	return !is_canary_full(d, s);
+}
+
+void mh_dispatch_note_version(const struct mh_dispatch *d, struct request *req,
+			      bool is_granted)
+{
+	const struct mh_backend_server *info = &req->server->info;
+
+	if (!mh_rollouts_has_orders(d->rollouts))
+		return;
+	req->version = mh_check_alloc(strdup(info->version));
+	if (is_granted)
+		mh_rollouts_granted(d->rollouts, info->service, info->version);
+}
+
+static void report(const struct mh_dispatch *d, struct request *req,
+		   bool failed, double ratio)
+{
+	mh_rollouts_ended(d->rollouts, req->pool->name, req->version, req->kind,
+			  failed, ratio);
+	free(req->version);
+	req->version = NULL;
+}
+
+void mh_dispatch_judge_first_byte(const struct mh_dispatch *d,
+				  struct request *req, uint32_t first_ms)
+{
+	if (!req->version || req->answering || !req->pool->is_engine)
+		return;
+	req->first_byte_ratio =
+		first_ms / mh_dispatch_expected_first_ms(req->pool, req);
+	/* A stream may last for long: slowness counts before its end. */
+	if (mh_rollouts_is_slow(d->rollouts, req->pool->name, req->kind,
+				req->first_byte_ratio))
+		report(d, req, false, req->first_byte_ratio);
+}
+
+static bool is_lost_with_others(struct server *s, uint64_t now_ns)
+{
+	if (s->judged_lost_ns && now_ns < s->judged_lost_ns + LOST_TOGETHER_NS)
+		return true;
+	s->judged_lost_ns = now_ns;
+	return false;
+}
+
+void mh_dispatch_judge_outcome(const struct mh_dispatch *d, struct request *req,
+			       enum mh_slot_outcome outcome, uint32_t total_ms,
+			       uint64_t now_ns)
+{
+	double ratio = req->first_byte_ratio;
+
+	if (!req->version)
+		return;
+	if (!req->pool->is_engine)
+		ratio = total_ms / mh_dispatch_expected_ms(req->pool, req);
+	switch (outcome) {
+	case MH_SLOT_OK:
+	case MH_SLOT_DECLINED:
+	case MH_SLOT_UNPROVEN:
+		report(d, req, false, ratio);
+		break;
+	case MH_SLOT_LOST:
+		if (!is_lost_with_others(req->server, now_ns))
+			report(d, req, true, 0);
+		break;
+	case MH_SLOT_FAILED:
+	case MH_SLOT_REJECTED:
+	case MH_SLOT_TIMED_OUT:
+	case MH_SLOT_CORRUPT:
+		report(d, req, true, 0);
+		break;
+	default:
+		/* Not sent, or cancelled by the client. */
+		break;
+	}
+}
+
+void mh_dispatch_orphan_run(const struct request *req)
+{
+	struct server *s = req->server;
+
+	if (req->deadline_ns > s->orphans_until_ns)
+		s->orphans_until_ns = req->deadline_ns;
+}
+
+static size_t number_of_servers(const struct mh_dispatch *d)
+{
+	struct pool *p, *tmp;
+	size_t n = 0;
+
+	HASH_ITER(hh, d->pools, p, tmp)
+		n += HASH_COUNT(p->servers);
+	return n;
+}
+
+void mh_dispatch_tick_rollouts(struct mh_dispatch *d, uint64_t now_ns)
+{
+	bool any_lost = mh_entry_set_count(d->lost, now_ns) > 0;
+	struct mh_rollout_in_flight *list;
+	struct server *s, *tmp_s;
+	struct pool *p, *tmp;
+	size_t n = 0;
+
+	if (!mh_rollouts_is_active(d->rollouts) ||
+	    now_ns < d->next_rollout_tick_ns)
+		return;
+	list = mh_check_alloc(calloc(number_of_servers(d) + 1, sizeof(*list)));
+	HASH_ITER(hh, d->pools, p, tmp) {
+		HASH_ITER(hh, p->servers, s, tmp_s) {
+			list[n++] = (struct mh_rollout_in_flight){
+				.service = p->name,
+				.version = s->info.version,
+				/* A lost entry may send to any server. */
+				.attempts = s->held + any_lost +
+					    (now_ns < s->orphans_until_ns),
+				.ready_servers =
+					mh_dispatch_server_takes_work(s),
+			};
+		}
+	}
+	if (mh_rollouts_tick(d->rollouts, list, n))
+		d->review = true;
+	free(list);
+	d->next_rollout_tick_ns = now_ns + TICK_NS;
+}
+
+uint64_t mh_dispatch_next_tick_ns(const struct mh_dispatch *d, uint64_t next_ns)
+{
+	return mh_rollouts_is_active(d->rollouts) ?
+		       mh_earlier(next_ns, d->next_rollout_tick_ns) :
+		       next_ns;
+}
--- a/core/dispatch_server.c
+++ b/core/dispatch_server.c
@@ -226,7 +226,7 @@
 {
 	struct server *s, *tmp, *best = NULL, *fallback = NULL;
 	bool suspect = mh_dispatch_is_suspect(d, req, now_ns);
-	double best_cost = 0, c;
+	double best_cost = 0, c, version_cost;
 	uint64_t only_at = 0;
 
 	if (suspect && !mh_dispatch_may_run(d, req, now_ns, &only_at))
@@ -240,12 +240,15 @@
 			continue;
 		if (!mh_dispatch_allows(d, s, (uint32_t)req->key.owner, now_ns))
 			continue;
+		/* Before the fallback: no request goes to a forbidden version. */
+		if (!mh_dispatch_version_allows(d, s, req, &version_cost))
+			continue;
 		if (avoids(req, s) || (suspect && s->half_open)) {
 			fallback = s;
 			continue;
 		}
 		/* The random part spreads work over servers of similar cost. */
-		c = cost(d, s, now_ns) +
+		c = version_cost + cost(d, s, now_ns) +
 		    (double)(mh_rng_next(&d->rng) % 64) * COST_NOISE_STEP;
 		if (suspect)
 			c += SUSPECT_LOAD_COST * s->held /
@@ -514,5 +517,6 @@
 	free((char *)s->info.id);
 	free((char *)s->info.service);
 	free((char *)s->info.address);
+	free((char *)s->info.version);
 	free(s);
 }
--- a/core/rollout.c
+++ b/core/rollout.c
@@ -435,16 +435,21 @@
 	}
 }
 
-bool mh_rollouts_is_canary(const struct mh_rollouts *set, const char *service,
-			   const char *version)
+bool mh_rollouts_serves(const struct mh_rollouts *set, const char *service,
+			const char *version)
 {
 	const struct service *svc = mh_rollout_find(set, service);
+	const struct version *v;
 
-	return svc && find_version(svc, version) == svc->target &&
-	       (svc->phase == MH_ROLLOUT_OBSERVING ||
-		(svc->phase == MH_ROLLOUT_SHIFTING &&
-		 !mh_rollout_has_shifted(svc))) &&
-	       !mh_rollout_is_alone(svc);
+	if (!svc)
+		return true;
+	v = find_version(svc, version);
+	if (v && mh_rollout_is_excluded(svc, v))
+		return false;
+	if (svc->phase == MH_ROLLOUT_SHIFTING && mh_rollout_has_shifted(svc))
+		return v == svc->target;
+	return v != svc->target || svc->phase == MH_ROLLOUT_SUCCEEDED ||
+	       (svc->phase == MH_ROLLOUT_OBSERVING && mh_rollout_is_alone(svc));
 }
 
 void mh_rollouts_granted(struct mh_rollouts *set, const char *service,
--- a/core/rollout.h
+++ b/core/rollout.h
@@ -242,13 +242,14 @@
 					  bool is_retryable);
 
 /**
- * mh_rollouts_is_canary() - whether a version gets few requests at present
+ * mh_rollouts_serves() - whether a version gets requests without the bound of
+ *                        canaries
  * @set: set or NULL
  * @service: service
  * @version: version or NULL
  */
-bool mh_rollouts_is_canary(const struct mh_rollouts *set, const char *service,
-			   const char *version);
+bool mh_rollouts_serves(const struct mh_rollouts *set, const char *service,
+			const char *version);
 
 /**
  * mh_rollouts_granted() - a request was granted to a server
