--- a/tests/test_rollout.sh
+++ b/tests/test_rollout.sh
@@ -88,16 +88,18 @@
 
 # Sends requests on all routes through all proxies.
 load() { # SERVICE SECONDS [PROCESSES]
-	local p part k
+	local p part what k
 	for p in $PROXIES; do
-		for part in /run -once/run -resume/stream; do
+		for part in "" -once -resume; do
+			what=run
+			[ "$part" != -resume ] || what=stream
 			for k in $(seq ${3:-1}); do
 				timeout $2 curl -s --max-time 8 -o /dev/null \
 					--rate $RATE/s -H 'Host: h.example' \
 					-H "X-Mangohead-Request-Id: $1-$p-$k" \
 					-H 'X-Mangohead-Deadline-Ms: 4000' \
 					-w '%{http_code} %{exitcode}\n' \
-					"http://127.0.0.1:$(proxy_port $p)/$1$part?[1-$(($2 * RATE))]" \
+					"http://127.0.0.1:$(proxy_port $p)/$1$part/[1-$(($2 * RATE))]/$what" \
 					>>"$DIR/$1.status" &
 				loads="$loads $!"
 			done
--- a/tests/test_rollout_wire.c
+++ b/tests/test_rollout_wire.c
@@ -188,7 +188,7 @@
 /* Guards against a server that is not used as its version can't be read. */
 static void test_versions_of_registrations(void **state)
 {
-	char field[400] = "\"version\":\"", name[400];
+	char field[500], name[400];
 
 	(void)state;
 	check_version("\"version\":\"v2\",", "v2");
