--- a/net/rollout_report.c
+++ b/net/rollout_report.c
@@ -41,18 +41,19 @@
 			    &target,
 		    &rec->counts[i]);
 	mh_count(report->counters, MH_C_ROLLOUT_CHANGES);
-	mh_event(report->log, MH_EV_CONFIG,
-		 "event=rollout service=%s target=%s phase=%s was=%s "
-		 "duration_ms=%u elapsed_ms=%llu granted=%llu "
-		 "granted_target=%llu good=%llu failed=%llu slow=%llu "
-		 "old_good=%llu old_failed=%llu old_slow=%llu",
-		 rec->order.service, rec->order.target,
-		 mh_rollout_phase_name(rec->phase), mh_rollout_phase_name(was),
-		 rec->order.duration_ms, (unsigned long long)rec->elapsed_ms,
-		 (unsigned long long)rec->granted_service,
-		 (unsigned long long)rec->granted_target, target.good,
-		 target.failed, target.slow, others.good, others.failed,
-		 others.slow);
+	mh_event(
+		report->log, MH_EV_CONFIG,
+		"event=rollout service=%s target=%s phase=%s was=%s written=%d "
+		"duration_ms=%u elapsed_ms=%llu granted=%llu "
+		"granted_target=%llu good=%llu failed=%llu slow=%llu "
+		"old_good=%llu old_failed=%llu old_slow=%llu",
+		rec->order.service, rec->order.target,
+		mh_rollout_phase_name(rec->phase), mh_rollout_phase_name(was),
+		rec->order.duration_ms, (unsigned long long)rec->elapsed_ms,
+		(unsigned long long)rec->granted_service,
+		(unsigned long long)rec->granted_target, target.good,
+		target.failed, target.slow, others.good, others.failed,
+		others.slow);
 }
 
 static struct mh_rollout_report_row *
--- a/tests/standins/versions.c
+++ b/tests/standins/versions.c
@@ -15,6 +15,8 @@
  *                               stopped at once
  *   GET  /test/status?service=  a line for each status of the service's orders:
  *                               time (CLOCK_BOOTTIME, ms) and JSON
+ *   GET  /test/bad              a line for each response that was made to fail or
+ *                               slow: time (CLOCK_BOOTTIME, ms) and server
  */
 #include <jansson.h>
 #include <pthread.h>
@@ -42,6 +44,7 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static struct version versions[MAX_ROWS];
 static char stopping[MAX_ROWS][32]; /* services */
+static struct mh_buffer bad_responses;
 
 /* Return: row with a name, or the first unused one. */
 static struct version *find(const char *name)
@@ -104,6 +107,14 @@
 		mh_buffer_release(&history);
 		return true;
 	}
+	if (path_is(c, "/test/bad")) {
+		pthread_mutex_lock(&lock);
+		write_response(c, 200, "text/plain",
+			       mh_buffer_front(&bad_responses),
+			       bad_responses.len);
+		pthread_mutex_unlock(&lock);
+		return true;
+	}
 	if (path_is(c, "/test/order"))
 		store_put("keyed.op", key, mh_buffer_front(&c->body),
 			  c->body.len);
@@ -130,7 +141,7 @@
 bool versions_run(const struct conn *c)
 {
 	struct version v;
-	bool is_bad;
+	bool is_bad, fails;
 
 	pthread_mutex_lock(&lock);
 	v = *find(c->server->version);
@@ -142,7 +153,15 @@
 		sleep_ms((uint32_t)(v.base_ms * v.slow));
 	else
 		sleep_ms(v.base_ms);
-	return is_bad && randombytes_uniform(SHARE_UNITS) < v.failing;
+	fails = is_bad && randombytes_uniform(SHARE_UNITS) < v.failing;
+	if (fails || (is_bad && v.slow > 1)) {
+		pthread_mutex_lock(&lock);
+		mh_buffer_printf(&bad_responses, "%llu %s\n",
+				 (unsigned long long)mono_now_ms(),
+				 c->server->id);
+		pthread_mutex_unlock(&lock);
+	}
+	return fails;
 }
 
 static bool is_stopping(const char *service)
--- a/tests/test_rollout.sh
+++ b/tests/test_rollout.sh
@@ -17,7 +17,7 @@
 ROLLBACK_MS=5000
 # Work of a request, and requests a second of each load process.
 WORK_MS=20
-RATE=5
+RATE=10
 DURATION_S=12
 ALONE="good fails slow later load route again next unknown bad"
 FAULTS="kg kb fg fb ng nb nn sg sb ag ab"
@@ -81,8 +81,8 @@
 	local s p
 	for s in $ALONE $FAULTS; do
 		p=$(first_port $s)
-		echo $p:${s}a1:$s:6:$p:$s-1
-		echo $((p + 1)):${s}a2:$s:6:$((p + 1)):$s-1
+		echo $p:${s}a1:$s:8:$p:$s-1
+		echo $((p + 1)):${s}a2:$s:8:$((p + 1)):$s-1
 	done
 }
 
@@ -94,12 +94,12 @@
 			what=run
 			[ "$part" != -resume ] || what=stream
 			for k in $(seq ${3:-1}); do
-				timeout $2 curl -s --max-time 8 -o /dev/null \
+				timeout $(($2 + 6)) curl -s --max-time 8 -o /dev/null \
 					--rate $RATE/s -H 'Host: h.example' \
 					-H "X-Mangohead-Request-Id: $1-$p-$k" \
 					-H 'X-Mangohead-Deadline-Ms: 4000' \
 					-w '%{http_code} %{exitcode}\n' \
-					"http://127.0.0.1:$(proxy_port $p)/$1$part/[1-$(($2 * RATE))]/$what" \
+					"http://127.0.0.1:$(proxy_port $p)/$1$part/[1-$((($2 - 1) * RATE))]/$what" \
 					>>"$DIR/$1.status" &
 				loads="$loads $!"
 			done
@@ -118,7 +118,7 @@
 }
 
 register() { # SERVICE VERSION N
-	platform "register?id=$1b$3&service=$1&slots=6&port=$((
+	platform "register?id=$1b$3&service=$1&slots=8&port=$((
 		$(first_port $1) + 1 + $3))&version=$2&listen=1"
 }
 
@@ -158,19 +158,25 @@
 	statuses $1 | awk '$2 != "running" { print $1; exit }'
 }
 
-# Of a version that is rolled back: what reached it, and that nothing did after the
-# verdict was written, nor later than rollback_ms after its 50th request.
+# Of a version that is rolled back: what reached it. Nothing may after the verdict
+# was written, nor later than rollback_ms after its 50th bad response.
 keeps_exposure() { # SERVICE
+	curl -sf "http://127.0.0.1:$STORE/test/bad" |
+		awk -v s=$1b 'index($2, s) == 1 && ++n == 50 { print $1 }' \
+		>"$DIR/$1.bad50"
 	arrivals | awk -v s=$1 -v from=$(ordered_ms $1) -v end=$(verdict_ms $1) \
-		-v share=$EXPOSURE_SHARE -v slack=$EXPOSURE_SLACK '
+		-v share=$EXPOSURE_SHARE -v slack=$EXPOSURE_SLACK \
+		-v bad50=$(cat "$DIR/$1.bad50") -v rollback=$ROLLBACK_MS '
 		index($2, s) != 1 || substr($2, length(s) + 1) !~ /^[ab][0-9]$/ {
 			next }
 		$1 < from || $4 == "421" { next }
 		{ all += $1 <= end }
-		substr($2, length(s) + 1) ~ /^b/ { target++; after += $1 > end }
+		substr($2, length(s) + 1) !~ /^b/ { next }
+		{ target++; after += $1 > end
+		  late += bad50 && $1 > bad50 + rollback }
 		END { print s, "requests", all, "target", target + 0,
-			"after the verdict", after + 0
-			exit !(all > 100 && after == 0 &&
+			"after the verdict", after + 0, "late", late + 0
+			exit !(all > 100 && target > 0 && !after && !late &&
 				target <= share * all + slack) }'
 }
 
@@ -354,7 +360,7 @@
 	load nn 22
 	sleep 1
 	roll_out ng
-	roll_out nb "fail=0.3&after=1500"
+	roll_out nb "fail=0.6&after=1500"
 	sleep 0.8
 	for n in 1 2; do
 		kill_hard dispatcher$n
@@ -442,7 +448,13 @@
 		grep -q '{service="fails"} 4$' "$DIR/phases" &&
 		grep -h 'event=rollout .*target=fails-2 phase=rolled_back' \
 			"$DIR"/dispatcher?.log | tee "$DIR/why" &&
-		grep -q ' failed=[1-9]' "$DIR/why"
+		grep -q ' failed=[1-9]' "$DIR/why" &&
+		$BIN/mangoctl rollouts "$DIR"/dispatcher?.log |
+		tee "$DIR/shown" &&
+		grep -qx 'order: fails to version fails-2: rolled_back, written to the store' \
+			"$DIR/shown" &&
+		grep -qx 'order: good to version good-2: succeeded, written to the store' \
+			"$DIR/shown"
 }
 
 loads=
