--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -534,6 +534,7 @@
 	struct mh_dispatcher_app *app = data;
 	uint64_t now = mh_now_ns(), next;
 
+	mh_dispatcher_rollouts_wake(&app->rollouts, now);
 	if (now >= app->next_maintenance_ns) {
 		app->next_maintenance_ns = now + MAINTENANCE_INTERVAL_NS;
 		run_maintenance(app);
--- a/dispatcher/rollouts.c
+++ b/dispatcher/rollouts.c
@@ -2,6 +2,9 @@
 
 #include "net/rollout_frames.h"
 
+/* Entries take a dispatcher for lost after 450 ms without a heartbeat. */
+#define STANDSTILL_NS (400 * MH_NS_PER_MS)
+
 static void broadcast(const struct mh_rollout_record *rec, void *data)
 {
 	const struct mh_dispatcher_rollouts *rollouts = data;
@@ -73,17 +76,40 @@
 	return false;
 }
 
+void mh_dispatcher_rollouts_wake(struct mh_dispatcher_rollouts *rollouts,
+				 uint64_t now_ns)
+{
+	uint64_t stood_ns = now_ns - rollouts->ticked_ns;
+	struct mh_linked_entry *entry, *tmp;
+
+	rollouts->ticked_ns = now_ns;
+	if (stood_ns < STANDSTILL_NS || !rollouts->judges)
+		return;
+	mh_event(rollouts->report.log, MH_EV_DEPENDENCY,
+		 "event=rollout_judge judges=0 silent_ms=%llu",
+		 (unsigned long long)(stood_ns / MH_NS_PER_MS));
+	HASH_ITER(hh, *rollouts->linked_entries, entry, tmp)
+		entry->is_using = false;
+	mh_stored_rollouts_follow(rollouts->stored, false);
+	rollouts->is_stale = true;
+	rollouts->judges = false;
+	mh_rollouts_set_judge(rollouts->set, false);
+}
+
 void mh_dispatcher_rollouts_tick(struct mh_dispatcher_rollouts *rollouts,
 				 bool was_fit)
 {
+	enum mh_rollout_store state;
 	bool judges;
 
 	if (!mh_rollouts_has_orders(rollouts->set))
 		return;
 	mh_stored_rollouts_follow(rollouts->stored, *rollouts->linked_entries);
-	mh_rollouts_set_store(rollouts->set,
-			      mh_stored_rollouts_state(rollouts->stored));
-	judges = is_used(rollouts) && (was_fit || rollouts->judges);
+	state = mh_stored_rollouts_state(rollouts->stored);
+	mh_rollouts_set_store(rollouts->set, state);
+	rollouts->is_stale &= state == MH_ROLLOUT_STORE_UNREAD;
+	judges = is_used(rollouts) && !rollouts->is_stale &&
+		 (was_fit || rollouts->judges);
 	if (judges != rollouts->judges)
 		mh_event(rollouts->report.log, MH_EV_DEPENDENCY,
 			 "event=rollout_judge judges=%d", judges);
--- a/dispatcher/rollouts.h
+++ b/dispatcher/rollouts.h
@@ -21,6 +21,8 @@
  * @linked_entries: table of linked entries
  * @report: what was told last
  * @judges: this dispatcher decides
+ * @is_stale: what it knows is to be read again before it decides
+ * @ticked_ns: monotonic time of the last mh_dispatcher_rollouts_wake()
  */
 struct mh_dispatcher_rollouts {
 	struct mh_rollouts *set;
@@ -29,6 +31,8 @@
 	struct mh_linked_entry **linked_entries;
 	struct mh_rollout_report report;
 	bool judges;
+	bool is_stale;
+	uint64_t ticked_ns;
 };
 
 /**
@@ -67,6 +71,18 @@
 void mh_dispatcher_rollouts_receive(struct mh_dispatcher_rollouts *rollouts,
 				    const Mh__RolloutState *msg);
 
+/**
+ * mh_dispatcher_rollouts_wake() - note that this process runs; first part of a tick
+ * @rollouts: roll-outs
+ * @now_ns: monotonic time
+ *
+ * While a process stood still, entries went on to another dispatcher, which may have
+ * written a verdict. Nothing is decided until the records were read again and an
+ * entry said that it uses this one.
+ */
+void mh_dispatcher_rollouts_wake(struct mh_dispatcher_rollouts *rollouts,
+				 uint64_t now_ns);
+
 /**
  * mh_dispatcher_rollouts_tick() - decide, tell and write what is due
  * @rollouts: roll-outs
--- a/tests/test_rollout.sh
+++ b/tests/test_rollout.sh
@@ -329,8 +329,8 @@
 	succeeds kg && is_rolled_back kb
 }
 
-# It is frozen and wakes up while another one has taken over: for a moment both take
-# themselves for the one in use.
+# It is frozen and wakes up while another one has taken over, the second time after
+# that one's verdict: for a moment both take themselves for the one in use.
 run_frozen() {
 	local n k
 	load fg $((DURATION_S + 3))
@@ -338,11 +338,11 @@
 	sleep 1
 	roll_out fg
 	roll_out fb "fail=0.5&after=2800"
-	for k in 1 2; do
+	for k in 1 3.5; do
 		sleep 1.4
 		n=$(dispatcher_in_use)
 		kill -STOP $(pid_of dispatcher$n)
-		sleep 1
+		sleep $k
 		kill -CONT $(pid_of dispatcher$n)
 	done
 	end_loads
