--- a/core/dispatch_rollout.c
+++ b/core/dispatch_rollout.c
@@ -9,6 +9,12 @@
 
 /* A canary goes before all other servers. */
 #define CANARY_COST (-1000.0)
+/* Servers of the target that have canary requests at a time: some, and one in so
+ * many, so that one slow machine does not decide. After a while others are used.
+ */
+#define MIN_CANARIES 2
+#define SERVERS_PER_CANARY 16
+#define ROTATION_NS (2000 * MH_NS_PER_MS)
 /* Interval of the ticks of an active roll-out. */
 #define TICK_NS (50 * MH_NS_PER_MS)
 /* Connections of one server that break within this time broke together: they
@@ -27,29 +33,37 @@
 				  s->info.version);
 }
 
-/* Part of its slots that a regular server of the pool uses at present. */
-static double regular_load(const struct mh_dispatch *d, const struct pool *p)
+/* Canary requests fill one server to the load of a regular one before the next
+ * gets any, so that faults which come with load are seen. */
+static bool is_canary_full(const struct mh_dispatch *d, const struct server *s)
 {
-	struct server *s, *tmp;
-	uint32_t slots = 0, held = 0;
-
-	HASH_ITER(hh, p->servers, s, tmp) {
-		if (!mh_dispatch_server_takes_work(s) ||
-		    !mh_dispatch_version_serves(d, s))
-			continue;
-		slots += mh_dispatch_server_slots(d, s);
-		held += s->held;
+	uint32_t slots = 0, held = 0, n_target = 0, n_canaries = 0;
+	struct server *other, *tmp;
+
+	HASH_ITER(hh, s->pool->servers, other, tmp) {
+		if (!strcmp(other->info.version, s->info.version)) {
+			n_target++;
+			n_canaries += other->held > 0;
+		} else if (mh_dispatch_server_takes_work(other) &&
+			   mh_dispatch_version_serves(d, other)) {
+			slots += mh_dispatch_server_slots(d, other);
+			held += other->held;
+		}
 	}
-	return slots ? (double)held / slots : 0;
+	if (!s->held)
+		return n_canaries >=
+		       MIN_CANARIES + n_target / SERVERS_PER_CANARY;
+	return slots &&
+	       s->held >= 1 + mh_dispatch_server_slots(d, s) * held / slots;
 }
 
-/* Canary requests fill one server to the load of a regular one before the next
- * gets any, so that faults which come with load are seen. */
-static bool is_canary_full(const struct mh_dispatch *d, const struct server *s)
+/* Of several servers the same is first at each pick, for a while. */
+static double canary_cost(const struct mh_dispatch *d, const struct server *s)
 {
-	double slots = mh_dispatch_server_slots(d, s);
+	uint64_t turn = mh_dispatch_now_ns(d) / ROTATION_NS;
+	uint64_t rank = mh_dispatch_mix(s->id_hash ^ mh_dispatch_mix(turn));
 
-	return s->held >= 1 + (uint32_t)(regular_load(d, s->pool) * slots);
+	return CANARY_COST * (2.0 - (double)rank / (double)UINT64_MAX);
 }
 
 bool mh_dispatch_version_allows(const struct mh_dispatch *d,
@@ -65,8 +79,7 @@
 				    s->info.version, req->is_repeatable);
 	if (choice != MH_ROLLOUT_PREFERRED)
 		return choice == MH_ROLLOUT_ANY;
-	/* In the order of their hashes, the same at each pick. */
-	*cost = CANARY_COST * (2.0 - (double)s->id_hash / (double)UINT64_MAX);
+	*cost = canary_cost(d, s);
 	return !is_canary_full(d, s);
 }
 
--- a/core/rollout.c
+++ b/core/rollout.c
@@ -15,8 +15,12 @@
 #define OLDER_ORDER_MS 2000
 /* One in so many requests of the target is for those that may run only once, as
  * long as both kinds of request arrive. */
-#define UNRETRYABLE_PART 4
+#define UNRETRYABLE_PART 3
 #define ARRIVES_NS (1000 * MH_NS_PER_MS)
+/* Requests that the target gets in a row, and the time after which it gets fewer:
+ * spread evenly, a twentieth of the requests would never load a server. */
+#define BURST 6
+#define BURST_WAIT_NS (2000 * MH_NS_PER_MS)
 
 static const char *const phase_names[MH_ROLLOUT_PHASES] = {
 	[MH_ROLLOUT_NONE] = "none",
@@ -249,8 +253,11 @@
 	svc->ready_ns = 0;
 	svc->alone_ns = 0;
 	svc->is_shift_recorded = false;
+	svc->shifted_ns = 0;
 	svc->retryable_ns = 0;
 	svc->unretryable_ns = 0;
+	svc->is_bursting = false;
+	svc->canary_ns = mh_rollout_now_ns(svc->set);
 	svc->period_ns = mh_rollout_now_ns(svc->set);
 	svc->phase = MH_ROLLOUT_OBSERVING;
 	svc->set->changes++;
@@ -324,6 +331,7 @@
 		svc->ready_ns = 0;
 		svc->alone_ns = 0;
 		svc->target_gone_ns = 0;
+		svc->shifted_ns = 0;
 		if (svc->phase == MH_ROLLOUT_SHIFTING)
 			svc->shift_ns = mh_rollout_now_ns(set);
 	}
@@ -382,6 +390,19 @@
 	return !other_ns || now_ns > other_ns + ARRIVES_NS;
 }
 
+/* Whether the target may get a request, within a burst of several. */
+static bool is_exposure_free(struct service *svc)
+{
+	double free = exposure(svc) - (double)svc->granted_target;
+	uint64_t now_ns = mh_rollout_now_ns(svc->set);
+
+	if (free < 1)
+		svc->is_bursting = false;
+	else if (free >= BURST || now_ns >= svc->canary_ns + BURST_WAIT_NS)
+		svc->is_bursting = true;
+	return svc->is_bursting;
+}
+
 static enum mh_rollout_choice choose_observing(struct service *svc,
 					       const struct version *v,
 					       bool is_retryable)
@@ -394,7 +415,7 @@
 		return MH_ROLLOUT_FORBIDDEN;
 	if (mh_rollout_is_alone(svc))
 		return MH_ROLLOUT_ANY;
-	if (!is_due || (double)svc->granted_target + 1 > exposure(svc))
+	if (!is_exposure_free(svc) || !is_due)
 		return MH_ROLLOUT_FORBIDDEN;
 	return MH_ROLLOUT_PREFERRED;
 }
@@ -460,8 +481,10 @@
 	if (!svc || mh_rollout_is_final(svc))
 		return;
 	svc->granted++;
-	if (mh_rollout_version(svc, version) == svc->target)
-		svc->granted_target++;
+	if (mh_rollout_version(svc, version) != svc->target)
+		return;
+	svc->granted_target++;
+	svc->canary_ns = mh_rollout_now_ns(set);
 }
 
 bool mh_rollouts_is_slow(const struct mh_rollouts *set, const char *service,
--- a/core/rollout_impl.h
+++ b/core/rollout_impl.h
@@ -45,6 +45,7 @@
  * struct test - comparison of the target with the old versions
  * @to_bad: log-likelihood ratio of "bad share is MARGIN above" to "is not
  *          above", never below 0
+ * @starts: how often @to_bad rose from 0
  * @to_good: the same with an unbiased share of the old versions, from which
  *           a low value shows that the target is good
  * @excess: bad answers of the target above what the old versions' share predicts
@@ -52,6 +53,7 @@
  */
 struct test {
 	double to_bad;
+	uint32_t starts;
 	double to_good;
 	double excess;
 	double variance;
@@ -91,9 +93,12 @@
 	uint64_t target_gone_ns; /* since when none is ready while shifting */
 	uint64_t alone_ns; /* since when no other version is known, or 0 */
 	uint64_t shift_ns;
+	uint64_t shifted_ns; /* since when the target gets all requests, or 0 */
 	bool is_shift_recorded;
 	uint64_t retryable_ns; /* when a retryable request was last placed */
 	uint64_t unretryable_ns;
+	bool is_bursting;   /* the target gets requests now */
+	uint64_t canary_ns; /* when it last got one */
 	struct kind *kinds;
 	struct test all;
 	uint64_t period_ns; /* when the present period began */
@@ -165,6 +170,9 @@
 void mh_rollout_end_period(struct service *svc, uint64_t now_ns);
 bool mh_rollout_is_bad(const struct service *svc);
 bool mh_rollout_is_good(const struct service *svc);
+/* Whether the log-likelihood ratio of a bad to a good version is above a limit, for
+ * any kind. */
+bool mh_rollout_leans_to_bad(const struct service *svc, double limit);
 bool mh_rollout_has_answers(const struct service *svc);
 
 #endif
--- a/core/rollout_judge.c
+++ b/core/rollout_judge.c
@@ -31,10 +31,13 @@
 #define MAX_SHARE 0.9
 /* Greatest share that a bad target is assumed to have. */
 #define MAX_BAD_SHARE 0.97
-/* Log-likelihood ratio that shows a bad version. By Ville's inequality each
- * start from 0 exceeds it with a probability below exp(-13.8), 1 in 1,000,000;
- * a roll-out has up to some hundred starts, one for each bad answer. */
-#define BAD_LIMIT 13.8
+/* Good versions that are found bad, and the sum of 1/k^2 over all k. By Ville's
+ * inequality each start of a test from 0 reaches a limit L with a probability
+ * below exp(-L): with the limit of the k-th start at
+ * ln(BASEL_SUM / GOOD_LOST * tests) + 2 ln(k) all starts of all tests together
+ * stay below GOOD_LOST. */
+#define GOOD_LOST 0.001
+#define BASEL_SUM 1.645
 /* Log-likelihood ratio below which a version is good: ln(0.01), for 1 in 100
  * versions that are MARGIN worse. */
 #define GOOD_LIMIT (-4.6)
@@ -43,16 +46,20 @@
 #define GOOD_FLOOR (-7.0)
 #define GOOD_CEILING 10.0
 /* Bad answers above the prediction that end the test at once, unless chance
- * explains them: they must exceed this many standard deviations too. */
+ * explains them: they must exceed this many standard deviations too. With 5, 6 of
+ * 1,000 good versions that fail once in seven were lost: the excess is looked at
+ * after each answer, and begins anew whenever it is 0. */
 #define EXCESS_LIMIT 20.0
-#define EXCESS_DEVIATIONS 5.0
+#define EXCESS_DEVIATIONS 6.5
 /* Answers that stand for the share before any are known, and their bad part. */
 #define PRIOR_N 10.0
 #define PRIOR_BAD 1.0
 /* Weight of the share since the order beside that of a period, in answers. */
 #define HISTORY_WEIGHT 4.0
-/* Standard normal quantile of the upper bound of the old versions' share. */
-#define UPPER_Z 2.0
+/* Standard normal quantile of the upper bound of the old versions' share. Of
+ * 1,500 good versions, 1 at 25 and 3 at 150 requests a second were lost with 1.0,
+ * none with 2.0, which keeps more bad ones at 25 to 60 requests a second. */
+#define UPPER_Z 1.5
 /* Kinds with fewer answers of the old versions need no result of their own
  * before the shift: absolutely, and as a share of the service's. */
 #define MIN_KIND_ANSWERS 20
@@ -230,6 +237,8 @@
 
 static void add_to_test(struct test *test, const struct test *step)
 {
+	if (test->to_bad <= 0 && step->to_bad > 0)
+		test->starts++;
 	test->to_bad = clamp(test->to_bad + step->to_bad, 0, INFINITY);
 	test->to_good =
 		clamp(test->to_good + step->to_good, GOOD_FLOOR, GOOD_CEILING);
@@ -256,11 +265,15 @@
 static void weigh_kind(struct service *svc, struct kind *k, double risen)
 {
 	struct tally old = total(svc, k, false);
+	struct tally all_old = total_of_all(svc, false);
+	double predicted = predicted_share(svc, k, risen);
 	struct test step =
-		weigh(&k->period_target, predicted_share(svc, k, risen),
-		      upper_share(&old));
+		weigh(&k->period_target, predicted, upper_share(&old));
 
 	add_to_test(&k->test, &step);
+	/* The error of the share over all kinds is smaller. */
+	step = weigh(&k->period_target, predicted,
+		     share(&old) + upper_share(&all_old) - share(&all_old));
 	add_to_test(&svc->all, &step);
 }
 
@@ -335,6 +348,15 @@
 	       excess >= EXCESS_DEVIATIONS * sqrt(variance);
 }
 
+static bool reaches_limit(const struct service *svc, const struct test *test)
+{
+	uint32_t n_tests = HASH_COUNT(svc->kinds) + 1;
+
+	return test->starts &&
+	       test->to_bad >= log(BASEL_SUM / GOOD_LOST * n_tests) +
+				       2 * log(test->starts);
+}
+
 bool mh_rollout_is_bad(const struct service *svc)
 {
 	struct tally all_old = total_of_all(svc, false);
@@ -343,7 +365,7 @@
 	double risen = rise(svc);
 	struct kind *k, *tmp;
 
-	if (svc->all.to_bad >= BAD_LIMIT)
+	if (reaches_limit(svc, &svc->all))
 		return true;
 	HASH_ITER(hh, svc->kinds, k, tmp) {
 		struct tally old = total(svc, k, false);
@@ -351,7 +373,7 @@
 		struct test step = weigh(&k->period_target,
 					 predicted_share(svc, k, risen), 0);
 
-		if (k->test.to_bad >= BAD_LIMIT ||
+		if (reaches_limit(svc, &k->test) ||
 		    exceeds(&k->test, &step, &old, &target))
 			return true;
 		all_step.excess += step.excess;
@@ -378,6 +400,19 @@
 	return true;
 }
 
+bool mh_rollout_leans_to_bad(const struct service *svc, double limit)
+{
+	struct kind *k, *tmp;
+
+	if (svc->all.to_good > limit)
+		return true;
+	HASH_ITER(hh, svc->kinds, k, tmp) {
+		if (k->test.to_good > limit)
+			return true;
+	}
+	return false;
+}
+
 bool mh_rollout_has_answers(const struct service *svc)
 {
 	return total_of_all(svc, true).n > 0;
--- a/core/rollout_phase.c
+++ b/core/rollout_phase.c
@@ -9,14 +9,23 @@
 /* The shift does not wait longer for its record: a slow store must not make a
  * verdict late. */
 #define RECORD_WAIT_NS (1000 * MH_NS_PER_MS)
-/* Parts of the duration: from which a good result begins the shift, from which
- * it begins without a result, for which the target is observed at least after
- * its first server was ready, and for which it gets all requests before it can
- * succeed, since some versions are bad under load only. */
-#define GOOD_RESULT_PART 3
-#define NO_RESULT_PART 2
-#define MIN_OBSERVED_PART 6
-#define MIN_SHIFTED_PART 6
+/* Parts of the duration: from which a good result begins the shift; from which
+ * it begins without a result, unless the answers speak for a bad version; from
+ * which it begins unless they do so clearly; from which it begins in any case, for
+ * a verdict in time. */
+#define GOOD_RESULT_PART (1.0 / 3)
+#define NO_RESULT_PART (1.0 / 2)
+#define WORSE_RESULT_PART (2.0 / 3)
+#define ANY_RESULT_PART (3.0 / 4)
+/* Log-likelihood ratios from which answers speak for a bad version, and clearly.
+ * The latter is ln(100): few good versions reach it by chance. */
+#define LEANS 0.0
+#define LEANS_FAR 4.6
+/* For which the target is observed at least after its first server was ready,
+ * and for which it gets all requests before it can succeed, since some versions
+ * are bad under load only. */
+#define MIN_OBSERVED_PART (1.0 / 6)
+#define MIN_SHIFTED_PART (1.0 / 6)
 /* With no ready server of the target for this time, the shift has failed. */
 #define TARGET_GONE_NS (3000 * MH_NS_PER_MS)
 
@@ -105,19 +114,29 @@
 	mh_rollout_replace_others(svc);
 }
 
+/* Whether this part of the duration is past since a time. */
+static bool is_past(const struct service *svc, uint64_t since_ns, double part)
+{
+	uint64_t now_ns = mh_rollout_now_ns(svc->set);
+
+	return (double)(now_ns - since_ns) / MH_NS_PER_MS >=
+	       part * svc->duration_ms;
+}
+
 static bool is_shift_due(const struct service *svc)
 {
-	uint64_t ms = mh_rollout_elapsed_ms(svc);
-	uint64_t observed_ms =
-		(mh_rollout_now_ns(svc->set) - svc->ready_ns) / MH_NS_PER_MS;
+	double done = (double)mh_rollout_elapsed_ms(svc) / svc->duration_ms;
 
 	if (!svc->target->ready_servers)
 		return false;
-	if (ms >= svc->duration_ms / GOOD_RESULT_PART &&
-	    mh_rollout_is_good(svc))
+	if (done >= GOOD_RESULT_PART && mh_rollout_is_good(svc))
 		return true;
-	return ms >= svc->duration_ms / NO_RESULT_PART &&
-	       observed_ms >= svc->duration_ms / MIN_OBSERVED_PART;
+	if (done < NO_RESULT_PART ||
+	    !is_past(svc, svc->ready_ns, MIN_OBSERVED_PART))
+		return false;
+	return done >= ANY_RESULT_PART ||
+	       !mh_rollout_leans_to_bad(
+		       svc, done < WORSE_RESULT_PART ? LEANS : LEANS_FAR);
 }
 
 static void step_observing(struct service *svc, uint64_t now_ns)
@@ -139,8 +158,6 @@
 
 static void step_shifting(struct service *svc, uint64_t now_ns)
 {
-	uint64_t shifted_ms = (now_ns - svc->shift_ns) / MH_NS_PER_MS;
-
 	if (!svc->target->ready_servers) {
 		if (!svc->target_gone_ns)
 			svc->target_gone_ns = now_ns;
@@ -149,8 +166,12 @@
 		return;
 	}
 	svc->target_gone_ns = 0;
-	if (mh_rollout_has_shifted(svc) && !old_attempts(svc) &&
-	    (shifted_ms >= svc->duration_ms / MIN_SHIFTED_PART ||
+	if (!mh_rollout_has_shifted(svc))
+		return;
+	if (!svc->shifted_ns)
+		svc->shifted_ns = now_ns;
+	if (!old_attempts(svc) &&
+	    (is_past(svc, svc->shifted_ns, MIN_SHIFTED_PART) ||
 	     mh_rollout_elapsed_ms(svc) >= svc->duration_ms))
 		succeed(svc);
 }
--- /dev/null
+++ b/tests/test_rollout_dispatch.c
@@ -0,0 +1,683 @@
+/*
+ * Unit tests of the dispatcher while a roll-out is under way: where requests go,
+ * and what is reported of them.
+ */
+#include "tests/dispatch_fixture.h"
+
+#include "core/catalog.h"
+
+#define OLD "v1"
+#define TARGET "v2"
+#define N_SERVERS 6
+#define RUN_MS 60
+
+static const struct mh_rollout_conf bounds = { 0.1, 50, 5000 };
+
+struct site {
+	struct fixture *f;
+	struct mh_rollouts *set;
+	uint64_t ordered_ns;
+	uint64_t first_open; /* older requests have ended */
+	/* Chooses the outcome of a run; NULL: all end well. */
+	enum mh_slot_outcome (*outcome)(struct site *s, uint64_t id);
+	uint32_t run_ms[2]; /* old, target */
+	uint32_t granted[2];
+	struct mh_rollout_record last; /* without its lists */
+	uint64_t target_good, target_bad;
+};
+
+static void add_server_of(struct site *s, const char *id, const char *version)
+{
+	struct mh_backend_server server = {
+		.id = id,
+		.service = SERVICE,
+		.address = "127.0.0.1:1",
+		.version = version,
+		.places = 2,
+		.born_ms = 1,
+		.takes_work = true,
+	};
+
+	mh_dispatch_update_server(s->f->d, &server);
+}
+
+static void add_servers(struct site *s, const char *prefix, const char *version)
+{
+	char id[16];
+	int i;
+
+	for (i = 0; i < N_SERVERS; i++) {
+		snprintf(id, sizeof(id), "%s%d", prefix, i);
+		add_server_of(s, id, version);
+	}
+}
+
+/* A dispatcher that has decided for a while, without servers. */
+static struct site *new_site(void)
+{
+	struct site *s = calloc(1, sizeof(*s));
+
+	assert_non_null(s);
+	s->f = new_fixture();
+	s->set = mh_rollouts_new(&bounds, &s->f->clock);
+	mh_rollouts_set_judge(s->set, true);
+	mh_rollouts_set_store(s->set, MH_ROLLOUT_STORE_READ);
+	mh_dispatch_set_rollouts(s->f->d, s->set);
+	s->f->now_ns += 5000 * MS;
+	s->run_ms[0] = s->run_ms[1] = RUN_MS;
+	return s;
+}
+
+static void free_site(struct site *s)
+{
+	free_fixture(s->f);
+	mh_rollouts_free(s->set);
+	free(s);
+}
+
+static void give_order(struct site *s)
+{
+	struct mh_rollout_order order = { SERVICE, TARGET, 12000 };
+
+	s->ordered_ns = s->f->now_ns;
+	assert_int_equal(mh_rollouts_order(s->set, &order, 0),
+			 MH_ROLLOUT_ORDER_ACCEPTED);
+}
+
+static void tell(struct site *s, enum mh_rollout_phase phase)
+{
+	struct mh_rollout_record rec = {
+		.order = { SERVICE, TARGET, 12000 },
+		.phase = phase,
+	};
+
+	mh_rollouts_merge(s->set, &rec);
+}
+
+static void read_record(const struct mh_rollout_record *rec, void *data)
+{
+	struct site *s = data;
+	size_t i;
+
+	s->last = *rec;
+	s->target_good = s->target_bad = 0;
+	for (i = 0; i < rec->n_counts; i++) {
+		if (strcmp(rec->counts[i].version, TARGET) != 0)
+			continue;
+		s->target_good += rec->counts[i].good;
+		s->target_bad += rec->counts[i].failed + rec->counts[i].slow;
+	}
+}
+
+static enum mh_rollout_phase phase_of(struct site *s)
+{
+	mh_rollouts_each(s->set, read_record, s);
+	return s->last.phase;
+}
+
+static bool is_at_target(const struct site *s, uint64_t id)
+{
+	return s->f->results[id].placed && s->f->results[id].server[0] == 't';
+}
+
+static uint32_t held_by(const struct site *s, const char *server)
+{
+	uint64_t id;
+	uint32_t n = 0;
+
+	for (id = s->first_open; id < s->f->next_id; id++) {
+		const struct slot_result *r = &s->f->results[id];
+
+		n += r->placed && !r->ended && !strcmp(r->server, server);
+	}
+	return n;
+}
+
+static void end_runs(struct site *s)
+{
+	struct fixture *f = s->f;
+	uint64_t id;
+
+	for (id = s->first_open; id < f->next_id; id++) {
+		struct slot_result *r = &f->results[id];
+		uint32_t run_ms = s->run_ms[is_at_target(s, id)];
+		enum mh_slot_outcome outcome = MH_SLOT_OK;
+
+		if (!r->placed || r->ended ||
+		    f->now_ns < r->at_ns + run_ms * MS)
+			continue;
+		if (s->outcome)
+			outcome = s->outcome(s, id);
+		r->ended = true;
+		s->granted[is_at_target(s, id)]++;
+		done(f, id, outcome, run_ms);
+	}
+	while (s->first_open < f->next_id &&
+	       (f->results[s->first_open].ended ||
+		f->results[s->first_open].refused))
+		s->first_open++;
+}
+
+/* Requests arrive each so many ms. */
+static void run_load(struct site *s, uint64_t ms, uint64_t each_ms)
+{
+	uint64_t t;
+
+	for (t = 0; t < ms; t++) {
+		advance_clock(s->f, 1);
+		if (!(t % each_ms)) {
+			struct mh_slot_request a = make_request(s->f, 0);
+
+			a.kind = 1 + a.id % 2;
+			a.is_repeatable = a.id % 3 != 0;
+			mh_dispatch_request_slot(s->f->d, &a);
+			mh_dispatch_tick(s->f->d);
+		}
+		end_runs(s);
+		mh_rollouts_recorded(s->set, SERVICE, TARGET, phase_of(s));
+	}
+}
+
+/* Guards against picks that change though no order concerns the service. */
+static void test_without_an_order_picks_are_unchanged(void **state)
+{
+	struct mh_rollout_order other = { "other", TARGET, 12000 };
+	struct site *with = new_site(), *without = new_site();
+	uint64_t id;
+
+	(void)state;
+	mh_dispatch_set_rollouts(without->f->d, NULL);
+	mh_rollouts_order(with->set, &other, 0);
+	add_servers(with, "o", OLD);
+	add_servers(with, "t", TARGET);
+	add_servers(without, "o", NULL);
+	add_servers(without, "t", NULL);
+	run_load(with, 6000, 4);
+	run_load(without, 6000, 4);
+	assert_int_equal(with->f->next_id, without->f->next_id);
+	for (id = 0; id < with->f->next_id; id++)
+		assert_string_equal(with->f->results[id].server,
+				    without->f->results[id].server);
+	free_site(with);
+	free_site(without);
+}
+
+/* A good version under load gets all requests in time, and none is lost. */
+static void test_good_version(void **state)
+{
+	struct site *s = new_site();
+	uint64_t id;
+
+	(void)state;
+	add_servers(s, "o", OLD);
+	add_servers(s, "t", TARGET);
+	give_order(s);
+	run_load(s, 11000, 7);
+	assert_int_equal(phase_of(s), MH_ROLLOUT_SUCCEEDED);
+	assert_int_equal(s->last.n_excluded, 1);
+	for (id = 0; id < s->f->next_id; id++)
+		assert_false(s->f->results[id].refused);
+	free_site(s);
+}
+
+/* Guards against a request that reaches a forbidden version because all others
+ * are to be avoided: the fallback is one of the allowed servers. */
+static void test_fallback_is_allowed(void **state)
+{
+	struct site *s = new_site();
+	struct mh_slot_request a;
+
+	(void)state;
+	add_server_of(s, "o0", OLD);
+	add_server_of(s, "t0", TARGET);
+	give_order(s);
+	tell(s, MH_ROLLOUT_ROLLED_BACK);
+	a = make_request(s->f, 0);
+	a.is_repeat = true;
+	a.avoid[0] = "o0";
+	a.n_avoid = 1;
+	mh_dispatch_request_slot(s->f->d, &a);
+	advance_clock(s->f, 1);
+	assert_string_equal(s->f->results[a.id].server, "o0");
+	/* The forbidden server is not even one to be avoided. */
+	a = make_request(s->f, 0);
+	a.is_repeat = true;
+	a.avoid[0] = "t0";
+	a.avoid[1] = "o0";
+	a.n_avoid = 2;
+	mh_dispatch_request_slot(s->f->d, &a);
+	advance_clock(s->f, 1);
+	assert_string_equal(s->f->results[a.id].server, "o0");
+	free_site(s);
+}
+
+/* Guards against a busy pool that overflows to a forbidden version: requests
+ * wait, and get the next slot of an allowed one. */
+static void test_requests_wait_for_an_allowed_version(void **state)
+{
+	struct site *s = new_site();
+	uint64_t ids[3];
+	int i;
+
+	(void)state;
+	add_server_of(s, "o0", OLD);
+	add_servers(s, "t", TARGET);
+	give_order(s);
+	tell(s, MH_ROLLOUT_ROLLED_BACK);
+	for (i = 0; i < 3; i++) {
+		ids[i] = request(s->f, 0);
+		advance_clock(s->f, 1);
+	}
+	advance_clock(s->f, 30);
+	assert_true(s->f->results[ids[1]].placed);
+	assert_false(s->f->results[ids[2]].placed);
+	done(s->f, ids[0], MH_SLOT_OK, 30);
+	assert_string_equal(s->f->results[ids[2]].server, "o0");
+	free_site(s);
+}
+
+/* Guards against moves away from a silent server to a forbidden one. */
+static void test_no_move_to_a_forbidden_version(void **state)
+{
+	bool allowed;
+
+	(void)state;
+	for (allowed = false;; allowed = true) {
+		struct site *s = new_site();
+		struct mh_slot_request a;
+
+		add_server_of(s, "o0", OLD);
+		a = make_request(s->f, 0);
+		a.is_repeatable = true;
+		a.start_by_ns = a.deadline_ns = s->f->now_ns + 60000 * MS;
+		mh_dispatch_request_slot(s->f->d, &a);
+		advance_clock(s->f, 1);
+		assert_string_equal(s->f->results[a.id].server, "o0");
+		give_order(s);
+		add_server_of(s, "t0", allowed ? OLD : TARGET);
+		tell(s, MH_ROLLOUT_ROLLED_BACK);
+		advance_clock(s->f, 5000);
+		assert_int_equal(s->f->results[a.id].moved, allowed);
+		free_site(s);
+		if (allowed)
+			return;
+	}
+}
+
+/* Guards against canary requests spread so thin that no server of the target is
+ * ever as busy as a regular one. */
+static void test_canaries_are_concentrated(void **state)
+{
+	struct site *s = new_site();
+	uint32_t ms_in_use = 0, ms_full = 0, ms;
+
+	(void)state;
+	add_servers(s, "o", OLD);
+	add_servers(s, "t", TARGET);
+	give_order(s);
+	for (ms = 0; ms < 3500; ms += 5) {
+		uint32_t held, busy = 0, full = 0;
+		char name[16];
+		int i;
+
+		run_load(s, 5, 5);
+		for (i = 0; i < N_SERVERS; i++) {
+			snprintf(name, sizeof(name), "t%d", i);
+			held = held_by(s, name);
+			busy += held > 0;
+			full += held > 1;
+		}
+		assert_true(busy <= 2);
+		ms_in_use += busy ? 5 : 0;
+		ms_full += full ? 5 : 0;
+	}
+	assert_int_equal(phase_of(s), MH_ROLLOUT_OBSERVING);
+	assert_true(ms_full > ms_in_use / 2);
+	free_site(s);
+}
+
+/* Two runs at a time fail, as on a regular server under this load. */
+static enum mh_slot_outcome fails_under_load(struct site *s, uint64_t id)
+{
+	if (is_at_target(s, id) && held_by(s, s->f->results[id].server) > 1)
+		return MH_SLOT_FAILED;
+	return MH_SLOT_OK;
+}
+
+/* Guards against a version that is bad under load only, and is found when it has
+ * all requests. */
+static void test_bad_under_load_only(void **state)
+{
+	struct site *s = new_site();
+	uint64_t sent;
+
+	(void)state;
+	s->outcome = fails_under_load;
+	add_servers(s, "o", OLD);
+	add_servers(s, "t", TARGET);
+	give_order(s);
+	run_load(s, 6000, 5);
+	assert_int_equal(phase_of(s), MH_ROLLOUT_ROLLED_BACK);
+	sent = s->granted[1];
+	assert_true((double)sent <= 0.1 * (double)s->f->next_id + 50);
+	assert_true(s->target_bad < 50);
+	run_load(s, 2000, 5);
+	assert_int_equal(s->granted[1], sent);
+	free_site(s);
+}
+
+static enum mh_slot_outcome target_fails(struct site *s, uint64_t id)
+{
+	return is_at_target(s, id) ? MH_SLOT_FAILED : MH_SLOT_OK;
+}
+
+static void test_bad_at_once(void **state)
+{
+	struct site *s = new_site();
+	uint64_t sent;
+
+	(void)state;
+	s->outcome = target_fails;
+	add_servers(s, "o", OLD);
+	add_servers(s, "t", TARGET);
+	give_order(s);
+	run_load(s, 4000, 6);
+	assert_int_equal(phase_of(s), MH_ROLLOUT_ROLLED_BACK);
+	sent = s->granted[1];
+	run_load(s, 4000, 6);
+	assert_int_equal(s->granted[1], sent);
+	assert_true(sent < 50);
+	free_site(s);
+}
+
+static void test_bad_by_slowness(void **state)
+{
+	struct site *s = new_site();
+
+	(void)state;
+	s->run_ms[1] = 4 * RUN_MS;
+	add_servers(s, "o", OLD);
+	add_servers(s, "t", TARGET);
+	give_order(s);
+	run_load(s, 6000, 7);
+	assert_int_equal(phase_of(s), MH_ROLLOUT_ROLLED_BACK);
+	free_site(s);
+}
+
+/* Runs that the client cancelled, or that were not sent, say nothing. */
+static enum mh_slot_outcome target_is_cancelled(struct site *s, uint64_t id)
+{
+	static const enum mh_slot_outcome outcomes[] = { MH_SLOT_CANCELLED,
+							 MH_SLOT_UNUSED,
+							 MH_SLOT_HELD_BACK,
+							 MH_SLOT_HANDED_OVER };
+
+	return is_at_target(s, id) ? outcomes[id % 4] : MH_SLOT_OK;
+}
+
+static void test_cancelled_runs_say_nothing(void **state)
+{
+	struct site *s = new_site();
+
+	(void)state;
+	s->outcome = target_is_cancelled;
+	add_servers(s, "o", OLD);
+	add_servers(s, "t", TARGET);
+	give_order(s);
+	run_load(s, 3000, 6);
+	assert_int_equal(phase_of(s), MH_ROLLOUT_OBSERVING);
+	assert_true(s->granted[1] > 10);
+	assert_int_equal(s->target_good + s->target_bad, 0);
+	free_site(s);
+}
+
+/* Guards against a rollback because one request crashed a server that ran
+ * several: their losses are one event. */
+static void test_runs_lost_together_count_once(void **state)
+{
+	struct site *s = new_site();
+	uint64_t ids[2];
+	int i;
+
+	(void)state;
+	add_server_of(s, "t0", TARGET);
+	give_order(s);
+	advance_clock(s->f, 60);
+	for (i = 0; i < 2; i++)
+		ids[i] = request(s->f, 0);
+	advance_clock(s->f, 1);
+	/* The order is for the version of all servers until now. */
+	add_server_of(s, "o0", OLD);
+	assert_true(is_at_target(s, ids[0]) && is_at_target(s, ids[1]));
+	free_site(s);
+
+	s = new_site();
+	add_servers(s, "o", OLD);
+	add_server_of(s, "t0", TARGET);
+	give_order(s);
+	run_load(s, 1000, 5);
+	for (i = 0; i < 40 && held_by(s, "t0") < 2; i++)
+		run_load(s, 5, 5);
+	assert_int_equal(held_by(s, "t0"), 2);
+	phase_of(s);
+	assert_int_equal(s->target_bad, 0);
+	{
+		uint64_t id;
+
+		for (id = s->first_open; id < s->f->next_id; id++) {
+			if (!is_at_target(s, id) || s->f->results[id].ended)
+				continue;
+			s->f->results[id].ended = true;
+			done(s->f, id, MH_SLOT_LOST, 20);
+		}
+	}
+	phase_of(s);
+	assert_int_equal(s->target_bad, 1);
+	free_site(s);
+}
+
+/* Guards against a slow version whose streams last for long: the first byte
+ * counts, before the end. */
+static void test_slow_first_byte_counts_at_once(void **state)
+{
+	struct mh_dispatch_service_conf service = { SERVICE, 2, true };
+	struct site *s = new_site();
+	uint64_t id;
+	int i;
+
+	(void)state;
+	mh_dispatch_set_service(s->f->d, &service);
+	add_servers(s, "o", OLD);
+	give_order(s);
+	for (i = 0; i < 20; i++) {
+		id = request(s->f, 0);
+		advance_clock(s->f, 30);
+		mh_dispatch_first_byte(s->f->d, 1, id, 30);
+		done(s->f, id, MH_SLOT_OK, 30);
+	}
+	add_server_of(s, "t0", TARGET);
+	advance_clock(s->f, 100);
+	for (i = 0; i < 8 && !is_at_target(s, id); i++)
+		id = request(s->f, 0), advance_clock(s->f, 1);
+	assert_true(is_at_target(s, id));
+	mh_dispatch_first_byte(s->f->d, 1, id, 150);
+	phase_of(s);
+	assert_int_equal(s->target_bad, 1);
+	/* It counts once. */
+	done(s->f, id, MH_SLOT_LOST, 200);
+	phase_of(s);
+	assert_int_equal(s->target_bad, 1);
+	assert_int_equal(s->target_good, 0);
+	free_site(s);
+}
+
+static void run_until_shifting(struct site *s)
+{
+	int i;
+
+	for (i = 0; i < 1000 && phase_of(s) != MH_ROLLOUT_SHIFTING; i++)
+		run_load(s, 10, 7);
+	assert_int_equal(phase_of(s), MH_ROLLOUT_SHIFTING);
+}
+
+/* Guards against an old server that is stopped while a run of an entry that fell
+ * silent may still be at it. */
+static void test_success_waits_for_runs_of_silent_entries(void **state)
+{
+	struct site *s = new_site();
+	struct mh_slot_request a;
+
+	(void)state;
+	add_servers(s, "o", OLD);
+	add_servers(s, "t", TARGET);
+	give_order(s);
+	run_load(s, 3000, 7);
+	do {
+		a = make_request(s->f, 0);
+		a.owner = 2;
+		a.deadline_ns = s->f->now_ns + 20000 * MS;
+		mh_dispatch_request_slot(s->f->d, &a);
+		advance_clock(s->f, 1);
+		s->f->results[a.id].ended = true;
+	} while (is_at_target(s, a.id));
+	mh_dispatch_owner_gone(s->f->d, 2);
+	run_until_shifting(s);
+	run_load(s, 7000, 20);
+	assert_int_equal(phase_of(s), MH_ROLLOUT_SHIFTING);
+	run_load(s, 12000, 20);
+	assert_int_equal(phase_of(s), MH_ROLLOUT_SUCCEEDED);
+	free_site(s);
+}
+
+/* Guards against an entry that is cut off and still sends to old servers by
+ * itself when they are stopped. */
+static void test_success_waits_for_lost_entries(void **state)
+{
+	struct site *s = new_site();
+
+	(void)state;
+	add_servers(s, "o", OLD);
+	add_servers(s, "t", TARGET);
+	give_order(s);
+	run_load(s, 2000, 7);
+	mh_dispatch_entry_lost(s->f->d, "cut-off", 3, s->f->now_ns);
+	run_until_shifting(s);
+	run_load(s, 8000, 20);
+	assert_int_equal(phase_of(s), MH_ROLLOUT_SHIFTING);
+	mh_dispatch_entry_linked(s->f->d, "cut-off");
+	run_load(s, 200, 20);
+	assert_int_equal(phase_of(s), MH_ROLLOUT_SUCCEEDED);
+	free_site(s);
+}
+
+/* Guards against outcomes that a takeover loses: of slots that another
+ * dispatcher granted. */
+static void test_adopted_slots_are_judged(void **state)
+{
+	struct site *s = new_site();
+	struct mh_slot_request a;
+
+	(void)state;
+	add_server_of(s, "o0", OLD);
+	add_server_of(s, "t0", TARGET);
+	give_order(s);
+	a = make_request(s->f, 0);
+	mh_dispatch_adopt_slot(s->f->d, &a, "t0", 10);
+	phase_of(s);
+	assert_int_equal(s->last.granted_service, 0);
+	done(s->f, a.id, MH_SLOT_FAILED, 20);
+	phase_of(s);
+	assert_int_equal(s->target_bad, 1);
+	free_site(s);
+}
+
+static void count_change(void *data, const struct mh_registration *updated)
+{
+	(*(uint32_t *)data)++;
+	assert_non_null(updated->version);
+}
+
+/* Guards against a server that keeps the version of its former start. */
+static void test_version_of_a_registration(void **state)
+{
+	struct mh_registration reg = {
+		.id = (char *)"s1",
+		.service = (char *)SERVICE,
+		.address = (char *)"a:1",
+		.places = 2,
+		.born_ms = 1,
+		.sequence = 1,
+	};
+	struct site *s = new_site();
+	uint32_t n = 0;
+	struct mh_catalog *cat = mh_catalog_new(count_change, &n);
+	uint64_t id;
+
+	(void)state;
+	assert_true(mh_catalog_update(cat, &reg, 1));
+	assert_string_equal(mh_catalog_find(cat, "s1")->version, "");
+	reg.sequence = 2;
+	reg.version = (char *)TARGET;
+	assert_true(mh_catalog_update(cat, &reg, 1));
+	assert_int_equal(n, 2);
+	assert_string_equal(mh_catalog_find(cat, "s1")->version, TARGET);
+	add_server_of(s, "o0", OLD);
+	give_order(s);
+	tell(s, MH_ROLLOUT_SHIFTING);
+	id = request(s->f, 0);
+	advance_clock(s->f, 1);
+	assert_false(s->f->results[id].placed);
+	mh_dispatch_update_registration(s->f->d, mh_catalog_find(cat, "s1"));
+	id = request(s->f, 0);
+	advance_clock(s->f, 1);
+	assert_string_equal(s->f->results[id].server, "s1");
+	mh_catalog_free(cat);
+	free_site(s);
+}
+
+/* Guards against a roll-out that stands still in a service without requests. */
+static void test_ticks_go_on_without_requests(void **state)
+{
+	struct site *s = new_site();
+
+	(void)state;
+	add_servers(s, "o", OLD);
+	add_servers(s, "t", TARGET);
+	assert_true(mh_dispatch_tick(s->f->d) == UINT64_MAX);
+	give_order(s);
+	while (s->f->now_ns < s->ordered_ns + 12000 * MS) {
+		uint64_t next_ns = mh_dispatch_tick(s->f->d);
+
+		if (next_ns == UINT64_MAX)
+			break;
+		assert_true(next_ns > s->f->now_ns);
+		s->f->now_ns = next_ns;
+	}
+	assert_int_equal(phase_of(s), MH_ROLLOUT_SUCCEEDED);
+	free_site(s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_without_an_order_picks_are_unchanged),
+		cmocka_unit_test(test_good_version),
+		cmocka_unit_test(test_fallback_is_allowed),
+		cmocka_unit_test(test_requests_wait_for_an_allowed_version),
+		cmocka_unit_test(test_no_move_to_a_forbidden_version),
+		cmocka_unit_test(test_canaries_are_concentrated),
+		cmocka_unit_test(test_bad_under_load_only),
+		cmocka_unit_test(test_bad_at_once),
+		cmocka_unit_test(test_bad_by_slowness),
+		cmocka_unit_test(test_cancelled_runs_say_nothing),
+		cmocka_unit_test(test_runs_lost_together_count_once),
+		cmocka_unit_test(test_slow_first_byte_counts_at_once),
+		cmocka_unit_test(test_success_waits_for_runs_of_silent_entries),
+		cmocka_unit_test(test_success_waits_for_lost_entries),
+		cmocka_unit_test(test_adopted_slots_are_judged),
+		cmocka_unit_test(test_version_of_a_registration),
+		cmocka_unit_test(test_ticks_go_on_without_requests),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
