Roll-outs: mutants, and tests for those that survived

Three survived at first: the test of a new judge did not see grants that used up the exposure, a burst early in the roll-out raises the share since the order by itself (new: a burst after 15 s of calm), and no test showed what the excess rule adds to the periods (new: all requests fail once shifted, at 400 a second).

--- a/tests/test_rollout_merge.c
+++ b/tests/test_rollout_merge.c
@@ -28,21 +28,24 @@
 static void test_new_judge_waits_for_the_record(void **state)
 {
 	struct model *m = new_model(1);
+	uint64_t granted;
 
 	(void)state;
 	give_order(m);
 	run_ms(m, 1000);
+	granted = m->granted[1];
 	new_judge(m);
 	give_order(m);
-	run_ms(m, 3000);
 	assert_allowed(m, TARGET, false);
+	run_ms(m, 3000);
 	/* The store is down, and no link told anything. */
 	mh_rollouts_set_store(m->set, MH_ROLLOUT_STORE_DOWN);
 	run_ms(m, 1000);
-	assert_allowed(m, TARGET, false);
+	assert_int_equal(m->granted[1], granted);
+	assert_int_equal(m->waiting, 0);
 	assert_true(tell(m, TARGET, MH_ROLLOUT_OBSERVING, 5000));
 	run_ms(m, 3000);
-	assert_true(m->granted[1] > 0);
+	assert_true(m->granted[1] > granted);
 	free_model(m);
 }
 
--- a/tests/test_rollout_trials.c
+++ b/tests/test_rollout_trials.c
@@ -104,6 +104,26 @@
 	assert_all_good(&r, SEEDS);
 }
 
+/* The same after a long calm, when the share since the order is low. */
+static void prepare_late_burst(struct model *m)
+{
+	add_noise(m);
+	m->duration_ms = 60000;
+	set_fails(&m->burst, 0.8);
+	m->burst.from_ms = 15000;
+	m->burst_end_ms = 18000;
+}
+
+static void test_good_beside_a_late_burst(void **state)
+{
+	struct result r =
+		run_trials("late burst", SEEDS / 4, prepare_late_burst);
+
+	(void)state;
+	assert_int_equal(r.succeeded, SEEDS / 4);
+	assert_true(r.latest_ms < 60000);
+}
+
 /* Guards against a verdict that an old server in gray failure distorts: one of
  * five fails most of its requests. */
 static void prepare_gray(struct model *m)
@@ -234,6 +254,25 @@
 	assert_all_bad(&r, SEEDS);
 }
 
+/* Guards against a verdict that waits for the end of a period while hundreds of
+ * requests fail. Those in flight when 20 have failed are bad too. */
+static void prepare_all_fail_when_shifted(struct model *m)
+{
+	m->rate_per_s = 400;
+	set_fails(&m->target, 1);
+	m->target.from_ms = 4300;
+}
+
+static void test_all_fail_once_shifted(void **state)
+{
+	struct result r = run_trials("all fail once shifted", SEEDS / 4,
+				     prepare_all_fail_when_shifted);
+
+	(void)state;
+	assert_all_bad(&r, SEEDS / 4);
+	assert_true(r.target_bad <= 20 + 400 * RUN_MS / 1000 * 3 / 2);
+}
+
 /* Guards against faults on one route that the other routes, of which one fails
  * naturally, hide. */
 static void prepare_bad_route(struct model *m)
@@ -333,6 +372,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_good_beside_noise_and_a_burst),
+		cmocka_unit_test(test_good_beside_a_late_burst),
 		cmocka_unit_test(test_old_server_in_gray_failure),
 		cmocka_unit_test(test_bad_beside_gray_failure),
 		cmocka_unit_test(test_bad_at_once_by_failures),
@@ -341,6 +381,7 @@
 		cmocka_unit_test(test_bad_at_once_by_slowness),
 		cmocka_unit_test(test_bad_later),
 		cmocka_unit_test(test_bad_once_shifted),
+		cmocka_unit_test(test_all_fail_once_shifted),
 		cmocka_unit_test(test_bad_on_one_route),
 		cmocka_unit_test(test_bad_on_the_route_that_may_run_once),
 		cmocka_unit_test(test_too_little_traffic),
