Roll-outs: servers that have just started are not slow

The registration says for how long a server stays slow after its start; the durations of its requests in that time are not compared. All servers of a new version start with the order, so a good version would be rolled back for it. Header: mh_rollouts_set_judge() is to be called from the start, also without orders; a judge that begins with the order takes half of the slack as used and waits for the store, as after a takeover.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -237,6 +237,13 @@
 	s->info.version = copy;
 }
 
+static void begin_incarnation(struct mh_dispatch *d, struct server *s,
+			      const struct mh_backend_server *info)
+{
+	mh_dispatch_begin_limit(d, s);
+	s->warm_ns = mh_dispatch_now_ns(d) + info->cold_ms * MH_NS_PER_MS;
+}
+
 void mh_dispatch_update_server(struct mh_dispatch *d,
 			       const struct mh_backend_server *info)
 {
@@ -266,7 +273,7 @@
 	is_new = !s->incarnation || s->info.born_ms != info->born_ms;
 	s->info.born_ms = info->born_ms;
 	if (is_new)
-		mh_dispatch_begin_limit(d, s);
+		begin_incarnation(d, s, info);
 	s->incarnation = mh_server_incarnation(&(struct mh_server_ref){
 		info->id, info->address, info->born_ms });
 	s->info.places = info->places;
@@ -288,6 +295,7 @@
 		.version = reg->version,
 		.places = reg->places,
 		.born_ms = reg->born_ms,
+		.cold_ms = reg->cold_remaining_ms,
 		.takes_work = reg->state == MH_SERVER_READY,
 		.is_gone = reg->state == MH_SERVER_GONE,
 		.is_doubtful = reg->is_doubtful,
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -133,6 +133,7 @@
  * @version: version, "" or NULL if it registered none
  * @places: slots, the number of requests that it runs at a time
  * @born_ms: Unix time of its start
+ * @cold_ms: how much longer it stays slow after its start
  * @takes_work: it is neither draining nor gone
  * @is_doubtful: it may be gone: others are used first
  * @is_gone: its registration was removed
@@ -144,6 +145,7 @@
 	const char *version;
 	uint32_t places;
 	uint64_t born_ms;
+	uint32_t cold_ms;
 	bool takes_work;
 	bool is_doubtful;
 	bool is_gone;
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -57,7 +57,8 @@
 	uint32_t n_avoid;
 	uint64_t avoid[MH_AVOID_MAX]; /* hashes of server ids */
 	uint64_t kind;
-	char *version; /* of its server, until its roll-out is told the outcome */
+	/* Of its server, until the roll-out is told the outcome, or NULL. */
+	char *version;
 	double first_byte_ratio; /* 0 if there is none to judge by */
 	uint32_t heap_index;
 	/* List of the server's requests, or of the parked ones. */
@@ -118,8 +119,9 @@
 	uint64_t incarnation;	/* hash of its identifier and start */
 	uint64_t lost_ns;	/* when a run was last lost with it */
 	uint64_t trial_lost_ns; /* when a suspect was last lost with it */
-	uint64_t
-		judged_lost_ns; /* when a lost run was last counted as failed */
+	/* When a lost run last counted as failed. */
+	uint64_t judged_lost_ns;
+	uint64_t warm_ns; /* until then it is slow because it just started */
 	/* Until when runs of entries that fell silent may go on. */
 	uint64_t orphans_until_ns;
 	/* Runs that it did not respond to, the newest ones. */
--- a/core/dispatch_rollout.c
+++ b/core/dispatch_rollout.c
@@ -104,13 +104,21 @@
 	req->version = NULL;
 }
 
+/* Servers of a new version have just started: that they are slow at first says
+ * nothing of the version. */
+static double judged_ratio(const struct request *req, double ms,
+			   double expected_ms)
+{
+	return req->placed_ns < req->server->warm_ns ? 0 : ms / expected_ms;
+}
+
 void mh_dispatch_judge_first_byte(const struct mh_dispatch *d,
 				  struct request *req, uint32_t first_ms)
 {
 	if (!req->version || req->answering || !req->pool->is_engine)
 		return;
-	req->first_byte_ratio =
-		first_ms / mh_dispatch_expected_first_ms(req->pool, req);
+	req->first_byte_ratio = judged_ratio(
+		req, first_ms, mh_dispatch_expected_first_ms(req->pool, req));
 	/* A stream may last for long: slowness counts before its end. */
 	if (mh_rollouts_is_slow(d->rollouts, req->pool->name, req->kind,
 				req->first_byte_ratio))
@@ -134,7 +142,8 @@
 	if (!req->version)
 		return;
 	if (!req->pool->is_engine)
-		ratio = total_ms / mh_dispatch_expected_ms(req->pool, req);
+		ratio = judged_ratio(req, total_ms,
+				     mh_dispatch_expected_ms(req->pool, req));
 	switch (outcome) {
 	case MH_SLOT_OK:
 	case MH_SLOT_DECLINED:
--- a/core/rollout.h
+++ b/core/rollout.h
@@ -185,6 +185,11 @@
  * mh_rollouts_set_judge() - set whether this process decides
  * @set: set
  * @judges: it is the active dispatcher; others follow the records that they get
+ *
+ * To be called from the start, also while no order is known: a judge of two
+ * seconds before an order knows that no other one has granted anything since the
+ * order. Any other judge takes half of the slack as used, and waits for the
+ * records of the store.
  */
 void mh_rollouts_set_judge(struct mh_rollouts *set, bool judges);
 
