Roll-outs: a version that nothing can be sent to does not succeed

Connections that can't be opened are not counted as attempts, so such a version had no bad response, and with too little traffic for a result it got all requests at half of the duration and then replaced the old one. Three in a row, with no response between, now hold the phase, ten roll it back: after 10 attempts with one target server and with six, in the test; one dead server of six does not matter.

--- a/core/dispatch_rollout.c
+++ b/core/dispatch_rollout.c
@@ -115,7 +115,10 @@
 void mh_dispatch_judge_first_byte(const struct mh_dispatch *d,
 				  struct request *req, uint32_t first_ms)
 {
-	if (!req->version || req->answering || !req->pool->is_engine)
+	if (!req->version || req->answering)
+		return;
+	mh_rollouts_answering(d->rollouts, req->pool->name, req->version);
+	if (!req->pool->is_engine)
 		return;
 	req->first_byte_ratio = judged_ratio(
 		req, first_ms, mh_dispatch_expected_first_ms(req->pool, req));
@@ -160,6 +163,10 @@
 	case MH_SLOT_CORRUPT:
 		report(d, req, true, 0);
 		break;
+	case MH_SLOT_UNREACHABLE:
+		mh_rollouts_unreachable(d->rollouts, req->pool->name,
+					req->version);
+		break;
 	default:
 		/* Not sent, or cancelled by the client. */
 		break;
--- a/core/rollout.c
+++ b/core/rollout.c
@@ -252,6 +252,7 @@
 	svc->was_watched = false;
 	svc->ready_ns = 0;
 	svc->alone_ns = 0;
+	svc->unreachable = 0;
 	svc->is_shift_recorded = false;
 	svc->shifted_ns = 0;
 	svc->retryable_ns = 0;
@@ -330,6 +331,7 @@
 		svc->was_watched = false;
 		svc->ready_ns = 0;
 		svc->alone_ns = 0;
+		svc->unreachable = 0;
 		svc->target_gone_ns = 0;
 		svc->shifted_ns = 0;
 		if (svc->phase == MH_ROLLOUT_SHIFTING)
@@ -506,12 +508,39 @@
 	if (!svc || mh_rollout_is_final(svc))
 		return;
 	v = mh_rollout_version(svc, version);
+	if (!failed)
+		mh_rollouts_answering(set, service, version);
 	mh_rollout_add_answer(svc, mh_rollout_kind(svc, kind), v, failed,
 			      ratio);
 	if (v == svc->target)
 		mh_rollout_roll_back_if_bad(svc);
 }
 
+static bool is_target(const struct service *svc, const char *version)
+{
+	return find_version(svc, version) == svc->target;
+}
+
+void mh_rollouts_unreachable(struct mh_rollouts *set, const char *service,
+			     const char *version)
+{
+	struct service *svc = mh_rollout_find(set, service);
+
+	if (!svc || mh_rollout_is_final(svc) || !is_target(svc, version))
+		return;
+	svc->unreachable++;
+	mh_rollout_roll_back_if_bad(svc);
+}
+
+void mh_rollouts_answering(struct mh_rollouts *set, const char *service,
+			   const char *version)
+{
+	struct service *svc = mh_rollout_find(set, service);
+
+	if (svc && is_target(svc, version))
+		svc->unreachable = 0;
+}
+
 bool mh_rollouts_is_active(const struct mh_rollouts *set)
 {
 	struct service *svc, *tmp;
--- a/core/rollout.h
+++ b/core/rollout.h
@@ -292,6 +292,25 @@
 		       const char *version, uint64_t kind, bool failed,
 		       double ratio);
 
+/**
+ * mh_rollouts_unreachable() - an attempt was not sent, since no connection to the
+ *                             server could be opened
+ * @set: set or NULL
+ * @service: service
+ * @version: version of the server
+ */
+void mh_rollouts_unreachable(struct mh_rollouts *set, const char *service,
+			     const char *version);
+
+/**
+ * mh_rollouts_answering() - a server began to respond
+ * @set: set or NULL
+ * @service: service
+ * @version: version of the server
+ */
+void mh_rollouts_answering(struct mh_rollouts *set, const char *service,
+			   const char *version);
+
 /**
  * mh_rollouts_tick() - decide what is due
  * @set: set
--- a/core/rollout_impl.h
+++ b/core/rollout_impl.h
@@ -92,6 +92,8 @@
 	uint64_t ready_ns; /* since when target servers were seen, 0: never */
 	uint64_t target_gone_ns; /* since when none is ready while shifting */
 	uint64_t alone_ns; /* since when no other version is known, or 0 */
+	/* Connections to the target that failed since it last responded. */
+	uint32_t unreachable;
 	uint64_t shift_ns;
 	uint64_t shifted_ns; /* since when the target gets all requests, or 0 */
 	bool is_shift_recorded;
--- a/core/rollout_phase.c
+++ b/core/rollout_phase.c
@@ -29,6 +29,14 @@
 /* With no ready server of the target for this time, the shift has failed. */
 #define TARGET_GONE_NS (3000 * MH_NS_PER_MS)
 
+/* Connections to the target that fail in a row, without any response: such
+ * attempts are not counted, since nothing was sent, but a version that none can
+ * be sent to must not replace another. From the first number on it gets no
+ * further phase, at the second it is bad. A dead server among others that respond
+ * reaches neither. */
+#define DOUBTFUL_UNREACHABLE 3
+#define BAD_UNREACHABLE 10
+
 bool mh_rollout_is_alone(const struct service *svc)
 {
 	uint64_t wait_ns = svc->was_watched ? 0 : MH_ROLLOUT_NEW_JUDGE_NS;
@@ -48,7 +56,8 @@
 
 void mh_rollout_roll_back_if_bad(struct service *svc)
 {
-	if (mh_rollout_decides(svc) && mh_rollout_is_bad(svc))
+	if (mh_rollout_decides(svc) &&
+	    (svc->unreachable >= BAD_UNREACHABLE || mh_rollout_is_bad(svc)))
 		mh_rollout_set_phase(svc, MH_ROLLOUT_ROLLED_BACK);
 }
 
@@ -127,7 +136,8 @@
 {
 	double done = (double)mh_rollout_elapsed_ms(svc) / svc->duration_ms;
 
-	if (!svc->target->ready_servers)
+	if (!svc->target->ready_servers ||
+	    svc->unreachable >= DOUBTFUL_UNREACHABLE)
 		return false;
 	if (done >= GOOD_RESULT_PART && mh_rollout_is_good(svc))
 		return true;
@@ -170,7 +180,7 @@
 		return;
 	if (!svc->shifted_ns)
 		svc->shifted_ns = now_ns;
-	if (!old_attempts(svc) &&
+	if (!old_attempts(svc) && svc->unreachable < DOUBTFUL_UNREACHABLE &&
 	    (is_past(svc, svc->shifted_ns, MIN_SHIFTED_PART) ||
 	     mh_rollout_elapsed_ms(svc) >= svc->duration_ms))
 		succeed(svc);
--- a/tests/test_rollout_dispatch.c
+++ b/tests/test_rollout_dispatch.c
@@ -289,6 +289,58 @@
 	free_site(s);
 }
 
+/* Guards against a version that nothing can be sent to, which has no bad
+ * response: it must not get all requests. */
+static enum mh_slot_outcome target_is_unreachable(struct site *s, uint64_t id)
+{
+	return is_at_target(s, id) ? MH_SLOT_UNREACHABLE : MH_SLOT_OK;
+}
+
+static void test_unreachable_version(void **state)
+{
+	int n;
+
+	(void)state;
+	for (n = 1; n <= N_SERVERS; n += N_SERVERS - 1) {
+		struct site *s = new_site();
+
+		s->outcome = target_is_unreachable;
+		s->run_ms[1] = 2;
+		add_servers(s, "o", OLD);
+		if (n == 1)
+			add_server_of(s, "t0", TARGET);
+		else
+			add_servers(s, "t", TARGET);
+		give_order(s);
+		run_load(s, 12000, 7);
+		assert_int_equal(phase_of(s), MH_ROLLOUT_ROLLED_BACK);
+		assert_int_equal(s->target_good + s->target_bad, 0);
+		assert_true(s->granted[1] <= 10);
+		free_site(s);
+	}
+}
+
+/* Guards against a rollback for one dead server of many. */
+static enum mh_slot_outcome one_is_unreachable(struct site *s, uint64_t id)
+{
+	return strcmp(s->f->results[id].server, "t3") ? MH_SLOT_OK :
+							MH_SLOT_UNREACHABLE;
+}
+
+static void test_one_unreachable_server(void **state)
+{
+	struct site *s = new_site();
+
+	(void)state;
+	s->outcome = one_is_unreachable;
+	add_servers(s, "o", OLD);
+	add_servers(s, "t", TARGET);
+	give_order(s);
+	run_load(s, 12000, 7);
+	assert_int_equal(phase_of(s), MH_ROLLOUT_SUCCEEDED);
+	free_site(s);
+}
+
 /* Guards against a rollback because one request crashed a server that ran
  * several: their losses are one event. */
 static void test_runs_lost_together_count_once(void **state)
@@ -515,6 +567,8 @@
 		cmocka_unit_test(test_bad_by_slowness),
 		cmocka_unit_test(test_cold_servers_are_not_slow),
 		cmocka_unit_test(test_cancelled_runs_say_nothing),
+		cmocka_unit_test(test_unreachable_version),
+		cmocka_unit_test(test_one_unreachable_server),
 		cmocka_unit_test(test_runs_lost_together_count_once),
 		cmocka_unit_test(test_slow_first_byte_counts_at_once),
 		cmocka_unit_test(test_success_waits_for_runs_of_silent_entries),
