--- a/tests/test_rollout.sh
+++ b/tests/test_rollout.sh
@@ -209,7 +209,7 @@
 		grep -o ' to=dispatcher-[0-9]*' | cut -d- -f2
 }
 
-# ---- the site is sound ----
+# ---- nothing else fails ----
 
 run_alone() {
 	local s
@@ -470,35 +470,37 @@
 done
 sleep 1
 
-selects() { # CHECK-NAME...
-	local name
-	for name in "$@"; do
-		[ -n "$only" ] && [[ "$name" != *"$only"* ]] || return 0
+# Runs the load of a group of cases if any of them is selected, then their checks.
+group() { # RUN-FUNCTION [NAME CHECK-FUNCTION]...
+	local run=$1 names i
+	shift
+	names=("$@")
+	for ((i = 0; i < ${#names[@]}; i += 2)); do
+		[[ "rollout: ${names[i]}" == *"$only"* ]] || continue
+		$run
+		break
 	done
-	return 1
-}
-
-selects "rollout: sound site" && run_alone
-check "rollout: sound site, good version" t_good
-check "rollout: sound site, version fails at once" t_fails
-check "rollout: sound site, version is slow" t_slow
-check "rollout: sound site, version fails later" t_later
-check "rollout: sound site, version fails under load" t_under_load
-check "rollout: sound site, version fails on one route" t_one_route
-check "rollout: sound site, order repeated" t_repeated
-check "rollout: sound site, order replaced" t_replaced
-check "rollout: sound site, unknown version and service" t_unknown
-check "rollout: sound site, malformed orders" t_malformed
-check "rollout: sound site, state is shown" t_state_is_shown
-selects "rollout: dispatcher killed" && run_killed
-check "rollout: dispatcher killed" t_dispatcher_killed
-selects "rollout: two dispatchers" && run_frozen
-check "rollout: two dispatchers" t_two_dispatchers
-selects "rollout: no dispatcher" && run_without
-check "rollout: no dispatcher" t_without_dispatcher
-selects "rollout: store down" && run_store_down
-check "rollout: store down" t_store_down
-selects "rollout: all killed" && run_all_killed
-check "rollout: all killed" t_all_killed
+	for ((i = 0; i < ${#names[@]}; i += 2)); do
+		check "rollout: ${names[i]}" ${names[i + 1]}
+	done
+}
+
+group run_alone \
+	"good version" t_good \
+	"version fails at once" t_fails \
+	"version is slow" t_slow \
+	"version fails later" t_later \
+	"version fails under load" t_under_load \
+	"version fails on one route" t_one_route \
+	"order repeated" t_repeated \
+	"order replaced" t_replaced \
+	"unknown version and service" t_unknown \
+	"malformed orders" t_malformed \
+	"state is shown" t_state_is_shown
+group run_killed "dispatcher killed" t_dispatcher_killed
+group run_frozen "two dispatchers" t_two_dispatchers
+group run_without "no dispatcher" t_without_dispatcher
+group run_store_down "store down" t_store_down
+group run_all_killed "all killed" t_all_killed
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
