--- a/core/rollout.h
+++ b/core/rollout.h
@@ -64,7 +64,8 @@
  * struct mh_rollout_conf - bounds on what a bad version may get
  * @exposure_share: share of the requests granted since the order
  * @exposure_slack: requests in addition to the share
- * @rollback_ms: from the 50th bad response to the last request sent
+ * @rollback_ms: from the 50th bad response to the last request sent; the test of
+ *               core/rollout_judge.c keeps it, no rule depends on it
  */
 struct mh_rollout_conf {
 	double exposure_share;
--- a/tests/test_rollout_merge.c
+++ b/tests/test_rollout_merge.c
@@ -129,6 +129,35 @@
 	}
 }
 
+/* Guards against a bound that two judges use up twice, while neither knows of the
+ * other: each has seen the order, and grants to its own entries. */
+static void test_bound_of_two_judges(void **state)
+{
+	struct model *a = new_model(1), *b = new_model(2);
+	uint64_t all, target, ms;
+
+	(void)state;
+	set_fails(&a->target, 0.05);
+	set_fails(&b->target, 0.05);
+	a->duration_ms = b->duration_ms = 60000;
+	a->rate_per_s = 300;
+	b->rate_per_s = 30;
+	give_order(a);
+	give_order(b);
+	for (ms = 0; ms < 10000; ms += 100) {
+		run_ms(a, 100);
+		run_ms(b, 100);
+		target = a->granted[1] + b->granted[1];
+		all = target + a->granted[0] + b->granted[0];
+		assert_true((double)target <= 0.1 * (double)all + 50);
+	}
+	assert_int_equal(phase_of(a), MH_ROLLOUT_OBSERVING);
+	assert_int_equal(phase_of(b), MH_ROLLOUT_OBSERVING);
+	assert_true(a->granted[1] > 50 && b->granted[1] > 25);
+	free_model(a);
+	free_model(b);
+}
+
 /* Guards against evidence that a takeover loses. */
 static void test_counts_of_the_record_are_evidence(void **state)
 {
@@ -305,6 +334,7 @@
 		cmocka_unit_test(test_new_judge_reads_the_verdict),
 		cmocka_unit_test(test_followers),
 		cmocka_unit_test(test_bound_over_many_takeovers),
+		cmocka_unit_test(test_bound_of_two_judges),
 		cmocka_unit_test(test_counts_of_the_record_are_evidence),
 		cmocka_unit_test(test_verdicts_are_never_reversed),
 		cmocka_unit_test(
