--- a/tests/test_rollout_wire.c
+++ b/tests/test_rollout_wire.c
@@ -434,6 +434,60 @@
 	close_store(&fx);
 }
 
+struct follower {
+	struct fixture *fx;
+	struct mh_stored_rollouts *stored;
+	int rounds;
+};
+
+static uint64_t follow_again(void *data)
+{
+	struct follower *f = data;
+
+	if (mh_stored_rollouts_state(f->stored) == MH_ROLLOUT_STORE_READ) {
+		f->rounds++;
+		mh_stored_rollouts_follow(f->stored, false);
+		assert_int_equal(mh_stored_rollouts_state(f->stored),
+				 MH_ROLLOUT_STORE_UNREAD);
+		if (f->rounds == 2)
+			mh_loop_stop(f->fx->loop);
+		else
+			mh_stored_rollouts_follow(f->stored, true);
+	}
+	return tick(f->fx);
+}
+
+/* Guards against a dispatcher that never decides again after it stood still, or
+ * after all its entries were gone for a while. */
+static void test_the_topic_is_read_again(void **state)
+{
+	static const struct step steps[] = {
+		{ "/log-newest?topic=keyed.rollouts", 200,
+		  TEXT("{\"items\":[],\"more\":false,\"end\":0}"), NULL },
+		{ "/log-newest?topic=keyed.rollouts", 200,
+		  TEXT("{\"items\":[],\"more\":false,\"end\":0}"), NULL },
+	};
+	struct mh_counters counters = { 0 };
+	struct follower follower = { 0 };
+	struct mh_rollouts *set;
+	struct fixture fx;
+
+	(void)state;
+	open_store(&fx, steps, LEN(steps));
+	set = mh_rollouts_new(&conf, &mh_system_clock);
+	follower.fx = &fx;
+	follower.stored = new_stored(&fx, &counters, set);
+	mh_stored_rollouts_follow(follower.stored, true);
+	fx.stop_after_calls = LEN(steps) + 1;
+	fx.end_ns = mh_clock_mono_ns(&mh_system_clock) +
+		    WAIT_LIMIT_MS * MH_NS_PER_MS;
+	mh_loop_run(fx.loop, follow_again, &follower);
+	assert_int_equal(follower.rounds, 2);
+	mh_stored_rollouts_free(follower.stored);
+	mh_rollouts_free(set);
+	close_store(&fx);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -447,6 +501,7 @@
 		cmocka_unit_test(test_malformed_messages_change_nothing),
 		cmocka_unit_test(
 			test_a_verdict_is_written_again_to_an_old_copy),
+		cmocka_unit_test(test_the_topic_is_read_again),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
