--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 CXXFLAGS += -std=c++17 -O2 -g -Wall -Wextra -Werror $(SAN)
 LDFLAGS += $(SAN)
 LIBS = -lmicrohttpd -lneon-gnutls -lprotobuf-c -ljansson -lsodium -lxxhash -lhttp_parser \
-       -llog4c -lurcu-bp -lurcu-common -lpthread -lstdc++
+       -llog4c -lurcu-bp -lurcu-common -lpthread -lm -lstdc++
 
 PACKAGES = gcc g++ make libmicrohttpd-dev libneon27-gnutls-dev \
 	   libprotobuf-c-dev protobuf-c-compiler liburcu-dev liblog4c-dev \
@@ -66,7 +66,8 @@
 		       $(BUILD)/libmangohead.a
 	$(LINK)
 $(BUILD)/bin/standin-platform: $(call objs,$(addprefix tests/standins/, \
-				 standin-platform.c shapes.c conn.c store.c)) \
+				 standin-platform.c shapes.c versions.c conn.c \
+				 store.c)) \
 			       $(BUILD)/libmangohead.a
 	$(LINK)
 $(BUILD)/bin/standin-%: $(BUILD)/tests/standins/standin-%.o \
@@ -130,7 +131,9 @@
 	      test_send_window test_limits test_usage_relay test_observed_crashes \
 	      test_store_era test_lost_entries test_client test_backend_bytes test_server_pace \
 	      test_account_share test_returning test_latest_start test_client_budget \
-	      test_client_limits test_link_limits test_http_clients test_hedge test_hedge_load
+	      test_client_limits test_link_limits test_http_clients test_hedge test_hedge_load \
+	      test_rollout test_rollout_merge test_rollout_dispatch test_rollout_trials \
+	      test_rollout_wire
 # Those that fail for a fault that KNOWN-RED.txt lists.
 RED_TESTS =
 
--- a/config/bounds.h
+++ b/config/bounds.h
@@ -1,11 +1,13 @@
 /*
- * Converts sections [bounds] and [policy] of a settings file for the dispatch core.
+ * Converts sections [bounds], [policy] and [hedging] of a settings file for the
+ * dispatch core, and [bounds] for roll-outs.
  */
 #ifndef MH_BOUNDS_H
 #define MH_BOUNDS_H
 
 #include "config/settings.h"
 #include "core/dispatch.h"
+#include "core/rollout.h"
 
 /**
  * mh_bounds_to_dispatch_conf() - convert to the dispatch core's configuration
@@ -20,4 +22,11 @@
 			   const struct mh_policy_settings *policy,
 			   const struct mh_hedging_settings *hedging);
 
+/**
+ * mh_bounds_to_rollout_conf() - convert to the bounds of roll-outs
+ * @bounds: section [bounds]
+ */
+struct mh_rollout_conf
+mh_bounds_to_rollout_conf(const struct mh_bounds_settings *bounds);
+
 #endif
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -69,6 +69,7 @@
 		mh_retry_window_give_up(&req->pool->retry_window);
 	mh_features_unref(req->features);
 	free(req->account);
+	free(req->version);
 	free(req);
 }
 
@@ -233,12 +234,29 @@
 	s->info.id = mh_check_alloc(strdup(info->id));
 	s->info.service = mh_check_alloc(strdup(info->service));
 	s->info.address = mh_check_alloc(strdup(info->address));
+	s->info.version = mh_check_alloc(strdup(""));
 	s->id_hash = mh_dispatch_hash(info->id);
 	HASH_ADD_KEYPTR(hh, p->servers, s->info.id, strlen(s->info.id), s);
 	reset_server(d, s);
 	return s;
 }
 
+static void set_version(struct server *s, const char *version)
+{
+	char *copy = mh_check_alloc(strdup(version ? version : ""));
+
+	free((char *)s->info.version);
+	s->info.version = copy;
+}
+
+static void begin_incarnation(struct mh_dispatch *d, struct server *s,
+			      const struct mh_backend_server *info)
+{
+	mh_dispatch_begin_limit(d, s);
+	s->warm_ns = mh_dispatch_now_ns(d) + info->cold_ms * MH_NS_PER_MS;
+	s->n_compared = s->n_slow = 0;
+}
+
 void mh_dispatch_update_server(struct mh_dispatch *d,
 			       const struct mh_backend_server *info)
 {
@@ -268,10 +286,11 @@
 	is_new = !s->incarnation || s->info.born_ms != info->born_ms;
 	s->info.born_ms = info->born_ms;
 	if (is_new)
-		mh_dispatch_begin_limit(d, s);
+		begin_incarnation(d, s, info);
 	s->incarnation = mh_server_incarnation(&(struct mh_server_ref){
 		info->id, info->address, info->born_ms });
 	s->info.places = info->places;
+	set_version(s, info->version);
 	s->vanished = info->is_gone && (s->takes_work || s->vanished);
 	s->takes_work = info->takes_work;
 	s->is_doubtful = info->is_doubtful;
@@ -286,8 +305,10 @@
 		.id = reg->id,
 		.service = reg->service,
 		.address = reg->address,
+		.version = reg->version,
 		.places = reg->places,
 		.born_ms = reg->born_ms,
+		.cold_ms = reg->cold_remaining_ms,
 		.takes_work = reg->state == MH_SERVER_READY,
 		.is_gone = reg->state == MH_SERVER_GONE,
 		.is_doubtful = reg->is_doubtful,
@@ -337,6 +358,7 @@
 	req->is_first_try = !slot_req->is_repeat && !slot_req->n_avoid;
 	req->attempt_units = slot_req->units;
 	req->is_repeatable = slot_req->is_repeatable;
+	req->kind = slot_req->kind;
 	req->heap_index = MH_HEAP_NONE;
 	req->n_avoid = slot_req->n_avoid;
 	for (i = 0; i < slot_req->n_avoid; i++)
@@ -429,6 +451,7 @@
 	/* Its units count at the dispatcher that granted it. */
 	req->units = 0;
 	mh_dispatch_take_slot(s, req);
+	mh_dispatch_note_version(d, req, false);
 	mh_dispatch_open_run(d, req);
 	mh_dispatch_adopt_hedge(d, req);
 }
@@ -440,6 +463,7 @@
 
 	if (!req || !req->server)
 		return;
+	mh_dispatch_judge_first_byte(d, req, first_ms);
 	mh_dispatch_observe_first_byte(d, req, first_ms);
 	mh_dispatch_record_first_byte(d, req, first_ms, mh_dispatch_now_ns(d));
 	mh_dispatch_run_responds(d, req, mh_dispatch_now_ns(d));
@@ -507,6 +531,8 @@
 		return;
 	s = req->server;
 	if (s) {
+		mh_dispatch_judge_outcome(d, req, outcome, total_ms,
+					  mh_dispatch_now_ns(d));
 		mh_dispatch_record_outcome(d, req, outcome, total_ms,
 					   mh_dispatch_now_ns(d));
 		mh_dispatch_end_run(d, req, outcome, mh_dispatch_now_ns(d));
@@ -540,6 +566,7 @@
 		if (req->key.owner != owner)
 			continue;
 		if (s) {
+			mh_dispatch_orphan_run(req);
 			mh_dispatch_release_slot(req);
 			free_if_gone(d, s);
 		} else {
@@ -607,6 +634,7 @@
 	bool any = mh_suspects_share(d->suspects, now_ns);
 	struct pool *p, *tmp;
 
+	mh_dispatch_tick_rollouts(d, now_ns);
 	if (now_ns >= d->rates_updated_ns + RATE_PERIOD_NS)
 		update_stats(d, now_ns);
 	if (due)
@@ -630,6 +658,8 @@
 	}
 	d->review = is_put_off;
 	if (is_put_off)
-		return d->next_review_ns - REVIEW_NS + REVIEW_GAP_NS;
-	return any || d->parked ? d->next_review_ns : UINT64_MAX;
+		return mh_dispatch_next_tick_ns(
+			d, d->next_review_ns - REVIEW_NS + REVIEW_GAP_NS);
+	return mh_dispatch_next_tick_ns(
+		d, any || d->parked ? d->next_review_ns : UINT64_MAX);
 }
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -17,7 +17,9 @@
 #include "core/clock.h"
 #include "core/err.h"
 #include "core/features.h"
+#include "core/lost_run.h"
 #include "core/entry_set.h"
+#include "core/rollout.h"
 #include "core/routes.h"
 #include "core/server_notices.h"
 #include "core/sliding_window.h"
@@ -132,8 +134,10 @@
  * @id: identifier
  * @service: service that it belongs to
  * @address: "ip:port"
+ * @version: version, "" or NULL if it registered none
  * @places: slots, the number of requests that it runs at a time
  * @born_ms: Unix time of its start
+ * @cold_ms: how much longer it stays slow after its start
  * @takes_work: it is neither draining nor gone
  * @is_doubtful: it may be gone: others are used first
  * @is_gone: its registration was removed
@@ -142,8 +146,10 @@
 	const char *id;
 	const char *service;
 	const char *address;
+	const char *version;
 	uint32_t places;
 	uint64_t born_ms;
+	uint32_t cold_ms;
 	bool takes_work;
 	bool is_doubtful;
 	bool is_gone;
@@ -167,48 +173,6 @@
 	struct mh_feature feature;
 };
 
-/* Whether a lost run counts against its request, and if not, why. */
-enum mh_lost_verdict {
-	MH_LOST_COUNTED,
-	MH_LOST_SUCCEEDED, /* an equal request ended well shortly before */
-	MH_LOST_BESIDE,	   /* a suspect that has just begun was lost as well */
-	MH_LOST_LEAVING,   /* the server was draining or gone */
-	MH_LOST_UNMARKED,  /* the request has no features */
-	MH_LOST_VERDICTS,
-};
-
-/**
- * mh_lost_verdict_name() - word of a verdict for logs
- * @verdict: verdict
- */
-const char *mh_lost_verdict_name(enum mh_lost_verdict verdict);
-
-/**
- * struct mh_lost_run - a run whose connection to its server broke
- * @owner: entry that holds the request
- * @id: request
- * @server: identifier of the server
- * @fingerprint: fingerprint of the request
- * @features: all features of the request
- * @verdict: whether it counts against the fingerprint
- * @answering: the server had begun to respond
- * @held: other requests that hold a slot of the server
- * @crashes: crashes of servers that count against the fingerprint
- * @part_crashes: those against one of its parts, the most
- */
-struct mh_lost_run {
-	uint32_t owner;
-	uint64_t id;
-	const char *server;
-	uint64_t fingerprint;
-	const struct mh_features *features;
-	enum mh_lost_verdict verdict;
-	bool answering;
-	uint32_t held;
-	uint32_t crashes;
-	uint32_t part_crashes;
-};
-
 /**
  * struct mh_dispatch_ops - results of slot requests
  * @grant: the request got a slot: send it to this server
@@ -329,6 +293,13 @@
 void mh_dispatch_set_conf(struct mh_dispatch *d,
 			  const struct mh_dispatch_conf *conf);
 
+/**
+ * mh_dispatch_set_rollouts() - follow the orders of a set of roll-outs
+ * @d: dispatcher, which reports grants and outcomes, and calls mh_rollouts_tick()
+ * @set: set, or NULL for none
+ */
+void mh_dispatch_set_rollouts(struct mh_dispatch *d, struct mh_rollouts *set);
+
 /**
  * mh_dispatch_set_share() - use only a share of all slots and limits
  * @d: dispatcher
--- a/core/dispatch_pace.c
+++ b/core/dispatch_pace.c
@@ -18,19 +18,21 @@
 /* Servers that are faster than @free and have no free slot, for a request that
  * @n_ahead others wait for as well. */
 static struct mh_pace_faster faster_servers(const struct mh_dispatch *d,
-					    const struct pool *p,
+					    const struct request *req,
 					    const struct server *free,
-					    double hold_ms, uint32_t n_ahead,
-					    uint64_t now_ns)
+					    uint32_t n_ahead, uint64_t now_ns)
 {
+	const struct pool *p = req->pool;
+	double hold_ms = p->queues[req->tier].hold_ms;
 	struct mh_pace_faster faster = { 0 };
-	double slots_per_ms = 0, sum = 0;
+	double slots_per_ms = 0, sum = 0, version_cost;
 	struct server *s, *tmp;
 
 	HASH_ITER(hh, p->servers, s, tmp) {
 		double per_ms;
 
-		if (s->pace.event_ms <= 0 ||
+		if (!mh_dispatch_version_allows(d, s, req, &version_cost) ||
+		    s->pace.event_ms <= 0 ||
 		    s->pace.event_ms > FASTER * free->pace.event_ms ||
 		    !mh_dispatch_server_takes_work(s) ||
 		    now_ns < s->backoff_until_ns ||
@@ -69,8 +71,7 @@
 
 	if (!d->conf.length_aware || !p->is_engine)
 		return false;
-	faster = faster_servers(d, p, free, p->queues[req->tier].hold_ms,
-				n_ahead, now_ns);
+	faster = faster_servers(d, req, free, n_ahead, now_ns);
 	return faster.event_ms > 0 &&
 	       mh_server_pace_waits(&p->pace, &run, &free->pace, &faster);
 }
--- a/core/dispatch_place.c
+++ b/core/dispatch_place.c
@@ -35,6 +35,7 @@
 	mh_dispatch_begin_trials(d, req, now_ns);
 	mh_dispatch_open_run(d, req);
 	mh_dispatch_take_slot(s, req);
+	mh_dispatch_note_version(d, req, true);
 	d->ops->grant(d->data, (uint32_t)req->key.owner, req->key.id, &s->info);
 }
 
