Tests: two dispatchers in use share what each grants

Guards against shares of accounts that fail while two dispatchers grant slots; the test passes without a change of the code.

--- a/tests/test_account_share.c
+++ b/tests/test_account_share.c
@@ -353,6 +353,30 @@
 	free_fixture(next);
 }
 
+/* Guards against shares that fail while two dispatchers are in use: each shares what
+ * it grants, also if one account's requests come to one of them mostly. */
+static void test_two_dispatchers_share_what_they_grant(void **state)
+{
+	uint64_t running[2][2], hot[2][80], other[2][10];
+	struct fixture *f[2];
+	uint32_t i, j;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		f[i] = new_busy_fixture(running[i]);
+		for (j = 0; j < (i ? 20 : 80); j++)
+			hot[i][j] = request_of(f[i], "hot", TIER);
+		for (j = 0; j < 10; j++)
+			other[i][j] = request_of(f[i], "other", TIER);
+		mh_dispatch_tick(f[i]->d);
+		run(f[i], 26);
+		assert_int_equal(count_placed(f[i], other[i], 10), 10);
+		assert_in_range(count_placed(f[i], hot[i], i ? 20 : 80), 10,
+				16);
+		free_fixture(f[i]);
+	}
+}
+
 /* Guards against entries without a dispatcher that forget the shares: they hold
  * at each entry. */
 static void test_entry_alone_shares_its_slots(void **state)
@@ -438,6 +462,7 @@
 			test_requests_beyond_the_share_are_refused_first),
 		cmocka_unit_test(test_unsent_requests_are_not_charged),
 		cmocka_unit_test(test_takeover_in_a_burst),
+		cmocka_unit_test(test_two_dispatchers_share_what_they_grant),
 		cmocka_unit_test(test_entry_alone_shares_its_slots),
 		cmocka_unit_test(test_setting_changes_while_requests_wait),
 		cmocka_unit_test(test_without_the_setting_the_target_decides),
