--- a/Makefile
+++ b/Makefile
@@ -260,7 +260,7 @@
 	$(BUILD)/bin/bench --step-ms=30
 
 # Compares policies under the load of docs/design/README.md, without a network.
-$(BUILD)/bin/load_model: $(BUILD)/tests/load_model.o \
+$(BUILD)/bin/load_model: $(BUILD)/tests/load_model.o $(BUILD)/tests/load_report.o \
 			 $(BUILD)/tests/dispatch_load.o $(BUILD)/libmangohead.a
 	$(LINK) -lm
 
--- a/tests/load_model.c
+++ b/tests/load_model.c
@@ -13,6 +13,7 @@
 #include "core/check_alloc.h"
 #include "core/dispatch.h"
 #include "tests/dispatch_load.h"
+#include "tests/load_report.h"
 
 #define MS MH_NS_PER_MS
 #define ENTRIES 11
@@ -43,40 +44,6 @@
 
 #define N_POLICIES (sizeof(policies) / sizeof(policies[0]))
 
-enum call_state { CALL_NEW, CALL_WAITING, CALL_RUNNING, CALL_BACK, CALL_ENDED };
-
-/**
- * struct call - a request of a client with its retry
- * @state: state
- * @attempt: 0, or 1 for the client's retry
- * @rejections: how often it was rejected
- * @tries: times that it was sent to a server
- * @back_ms: when the client comes back
- * @ask_ms: when its entry asks again after a failed try
- * @server: where it runs
- * @placed_ms: since when
- * @answered: its first byte was received
- * @first_ms: when its server answers
- * @ends_ms: when its run ends
- * @in_target: response in time
- * @served: response whole before the deadline
- */
-struct call {
-	enum call_state state;
-	uint8_t attempt;
-	uint8_t rejections;
-	uint8_t tries;
-	uint32_t back_ms;
-	uint32_t server;
-	uint32_t placed_ms;
-	bool answered;
-	uint32_t first_ms;
-	uint32_t ends_ms;
-	bool in_target;
-	bool in_target_again; /* counted from its last arrival */
-	bool served;
-};
-
 struct list {
 	uint32_t *v;
 	uint32_t n;
@@ -452,112 +419,6 @@
 	free(m->again.v);
 }
 
-struct sum {
-	uint32_t offered, in_target, late, rejected, twice, again;
-};
-
-static void add_call(struct sum *sum, const struct call *call)
-{
-	sum->offered++;
-	sum->in_target += call->served && call->in_target;
-	sum->late += call->served && !call->in_target;
-	sum->rejected += call->rejections;
-	sum->again += call->served && call->in_target_again;
-	sum->twice += call->rejections > 1;
-}
-
-static double goodput(const struct sum *sum, double late_value)
-{
-	return sum->offered ? (sum->in_target + late_value * sum->late) /
-				      sum->offered :
-			      1;
-}
-
-/* One line a policy, mean of the seeds. */
-struct summary {
-	double goodput, in_target, late, rejected, twice, worst, others, again;
-	uint32_t runs;
-};
-
-static void add_summary(struct summary *sum, const struct sum *all,
-			double value, double worst, double others)
-{
-	sum->goodput += value;
-	sum->in_target += (double)all->in_target / all->offered;
-	sum->late += (double)all->late / all->offered;
-	sum->rejected += (double)all->rejected / all->offered;
-	sum->twice += (double)all->twice / all->offered;
-	sum->again += (double)all->again / all->offered;
-	sum->worst += worst;
-	sum->others += others;
-	sum->runs++;
-}
-
-static void print_summary(const char *site, const char *policy,
-			  const struct summary *s)
-{
-	if (s->runs)
-		printf("%s %s: goodput %.4f, in target %.4f (%.4f), late %.4f, "
-		       "rejected %.4f, twice %.4f, beside the hot account: "
-		       "worst %.4f, mean %.4f\n",
-		       site, policy, s->goodput / s->runs,
-		       s->in_target / s->runs, s->again / s->runs,
-		       s->late / s->runs, s->rejected / s->runs,
-		       s->twice / s->runs, s->worst / s->runs,
-		       s->others / s->runs);
-}
-
-static void print_sum(const char *name, const struct sum *sum)
-{
-	printf("  %-12s %6u offered, in target %.4f, late %.4f, rejected %.4f, "
-	       "twice %.4f\n",
-	       name, sum->offered, (double)sum->in_target / sum->offered,
-	       (double)sum->late / sum->offered,
-	       (double)sum->rejected / sum->offered,
-	       (double)sum->twice / sum->offered);
-}
-
-static void print(const struct load *load, const struct call *calls,
-		  const char *policy, uint64_t seed, uint64_t digest,
-		  struct summary *summary)
-{
-	struct sum kinds[LOAD_KINDS] = { 0 }, accounts[LOAD_ACCOUNTS] = { 0 };
-	double late = load->site->late_value, worst = 1, others = 0;
-	uint32_t i, worst_account = 0;
-	struct sum all = { 0 };
-
-	for (i = 0; i < load->n_arrivals; i++) {
-		const struct load_arrival *a = &load->arrivals[i];
-
-		add_call(&kinds[a->kind], &calls[i]);
-		add_call(&all, &calls[i]);
-		if (a->at_ms >= LOAD_HOT_FROM_MS &&
-		    a->at_ms < LOAD_HOT_UNTIL_MS)
-			add_call(&accounts[a->account], &calls[i]);
-	}
-	for (i = 0; i < LOAD_ACCOUNTS; i++) {
-		double value = goodput(&accounts[i], late);
-
-		if (i == LOAD_HOT_ACCOUNT)
-			continue;
-		others += value / (LOAD_ACCOUNTS - 1);
-		if (value < worst) {
-			worst = value;
-			worst_account = i;
-		}
-	}
-	printf("%s %s seed %llu: goodput %.4f, beside the hot account: worst "
-	       "account %.4f (%u), mean %.4f, hot %.4f, digest %016llx\n",
-	       load->site->name, policy, (unsigned long long)seed,
-	       goodput(&all, late), worst, worst_account, others,
-	       goodput(&accounts[LOAD_HOT_ACCOUNT], late),
-	       (unsigned long long)digest);
-	for (i = 0; i < LOAD_KINDS; i++)
-		print_sum(load->site->kinds[i].name, &kinds[i]);
-	print_sum("all", &all);
-	add_summary(summary, &all, goodput(&all, late), worst, others);
-}
-
 /* ---- reference with exact knowledge ---- */
 
 struct job {
@@ -699,7 +560,7 @@
 #define N_EXACT 2
 
 static void run_exact(const struct load *load, uint64_t seed, size_t order,
-		      struct summary *summary)
+		      struct load_summary *summary)
 {
 	uint32_t n = load->n_arrivals;
 	struct exact x = {
@@ -711,26 +572,27 @@
 	};
 
 	play_exact(&x);
-	print(load, x.calls, exact_names[order], seed, 0, summary);
+	load_report_print(load, x.calls, exact_names[order], seed, 0, summary);
 	free(x.calls);
 	free(x.jobs);
 	free(x.running.v);
 }
 
 static void run_policy(const struct load *load, uint64_t seed,
-		       const struct policy *policy, struct summary *summary)
+		       const struct policy *policy,
+		       struct load_summary *summary)
 {
 	struct model m;
 
 	start(&m, load, policy, seed);
 	play(&m);
-	print(load, m.calls, policy->name, seed, m.digest, summary);
+	load_report_print(load, m.calls, policy->name, seed, m.digest, summary);
 	release(&m);
 }
 
 static void run_site(const struct load_site *site, const char *only)
 {
-	struct summary sums[N_POLICIES + N_EXACT] = { 0 };
+	struct load_summary sums[N_POLICIES + N_EXACT] = { 0 };
 	uint64_t seed;
 	size_t i;
 
@@ -750,10 +612,11 @@
 		load_release(&load);
 	}
 	for (i = 0; i < N_POLICIES; i++)
-		print_summary(site->name, policies[i].name, &sums[i]);
+		load_report_print_summary(site->name, policies[i].name,
+					  &sums[i]);
 	for (i = 0; i < N_EXACT; i++)
-		print_summary(site->name, exact_names[i],
-			      &sums[N_POLICIES + i]);
+		load_report_print_summary(site->name, exact_names[i],
+					  &sums[N_POLICIES + i]);
 }
 
 int main(int argc, char **argv)
