--- a/tests/load_report.h
+++ b/tests/load_report.h
@@ -15,13 +15,13 @@
  * @rejections: how often it was rejected
  * @tries: times that it was sent to a server
  * @back_ms: when the client comes back
- * @ask_ms: when its entry asks again after a failed try
  * @server: where it runs
  * @placed_ms: since when
  * @answered: its first byte was received
  * @first_ms: when its server answers
  * @ends_ms: when its run ends
- * @in_target: response in time
+ * @in_target: response in time, counted from the first arrival
+ * @in_target_again: the same, counted from its last arrival
  * @served: response whole before the deadline
  */
 struct call {
@@ -36,7 +36,7 @@
 	uint32_t first_ms;
 	uint32_t ends_ms;
 	bool in_target;
-	bool in_target_again; /* counted from its last arrival */
+	bool in_target_again;
 	bool served;
 };
 
