Roll-outs: the dispatcher in use judges an order from its start

Cause: a dispatcher took the judge's role only once it had seen an order, so that each order looked like a takeover: half of the slack counted as used, and an order for the version that all servers have was confirmed 2 s later.

Change: the role follows from use, also without orders.

--- a/dispatcher/rollouts.c
+++ b/dispatcher/rollouts.c
@@ -85,15 +85,17 @@
 	rollouts->ticked_ns = now_ns;
 	if (stood_ns < STANDSTILL_NS || !rollouts->judges)
 		return;
+	HASH_ITER(hh, *rollouts->linked_entries, entry, tmp)
+		entry->is_using = false;
+	rollouts->judges = false;
+	mh_rollouts_set_judge(rollouts->set, false);
+	if (!mh_rollouts_has_orders(rollouts->set))
+		return;
 	mh_event(rollouts->report.log, MH_EV_DEPENDENCY,
 		 "event=rollout_judge judges=0 silent_ms=%llu",
 		 (unsigned long long)(stood_ns / MH_NS_PER_MS));
-	HASH_ITER(hh, *rollouts->linked_entries, entry, tmp)
-		entry->is_using = false;
 	mh_stored_rollouts_follow(rollouts->stored, false);
 	rollouts->is_stale = true;
-	rollouts->judges = false;
-	mh_rollouts_set_judge(rollouts->set, false);
 }
 
 void mh_dispatcher_rollouts_tick(struct mh_dispatcher_rollouts *rollouts,
@@ -102,8 +104,14 @@
 	enum mh_rollout_store state;
 	bool judges;
 
-	if (!mh_rollouts_has_orders(rollouts->set))
+	/* One that is in use when an order comes is its judge from the start, and
+	 * need not assume that another one has granted requests before. */
+	if (!mh_rollouts_has_orders(rollouts->set)) {
+		rollouts->judges = is_used(rollouts) && !rollouts->is_stale &&
+				   (was_fit || rollouts->judges);
+		mh_rollouts_set_judge(rollouts->set, rollouts->judges);
 		return;
+	}
 	mh_stored_rollouts_follow(rollouts->stored, *rollouts->linked_entries);
 	state = mh_stored_rollouts_state(rollouts->stored);
 	mh_rollouts_set_store(rollouts->set, state);
