Settings: bounds of roll-outs

[bounds] exposure_share, exposure_slack and rollback_ms bound what a version may get before it is known to be good. A real setting may have a default that is no whole number.

--- a/config/bounds.c
+++ b/config/bounds.c
@@ -14,3 +14,13 @@
 		.quota_slack = bounds->quota_slack,
 	};
 }
+
+struct mh_rollout_conf
+mh_bounds_to_rollout_conf(const struct mh_bounds_settings *bounds)
+{
+	return (struct mh_rollout_conf){
+		.exposure_share = bounds->exposure_share,
+		.exposure_slack = bounds->exposure_slack,
+		.rollback_ms = bounds->rollback_ms,
+	};
+}
--- a/config/reader.c
+++ b/config/reader.c
@@ -170,7 +170,7 @@
 		*(uint32_t *)member = f->def_u32;
 		return;
 	case MH_FIELD_REAL:
-		*(double *)member = f->def_u32;
+		*(double *)member = f->def_real ? f->def_real : f->def_u32;
 		return;
 	case MH_FIELD_BOOL:
 		*(bool *)member = f->def_u32;
--- a/config/reader.h
+++ b/config/reader.h
@@ -38,6 +38,7 @@
  * @min: minimum of a MH_FIELD_U32 or MH_FIELD_REAL
  * @max: maximum of a MH_FIELD_U32 or MH_FIELD_REAL
  * @def_u32: default of a MH_FIELD_U32, MH_FIELD_REAL or MH_FIELD_BOOL
+ * @def_real: default of a MH_FIELD_REAL that is no whole number, else 0
  * @def_string: default of a MH_FIELD_STRING, or NULL
  */
 struct mh_field {
@@ -48,6 +49,7 @@
 	uint32_t min;
 	uint32_t max;
 	uint32_t def_u32;
+	double def_real;
 	const char *def_string;
 };
 
--- a/config/settings.c
+++ b/config/settings.c
@@ -135,6 +135,12 @@
 	      .max = UINT32_MAX, .def_u32 = 0),
 	FIELD(mh_bounds_settings, grace_s, "grace_s", MH_FIELD_REAL, .min = 1,
 	      .max = 3600, .def_u32 = 30),
+	FIELD(mh_bounds_settings, exposure_share, "exposure_share",
+	      MH_FIELD_REAL, .max = 1, .def_real = 0.1),
+	FIELD(mh_bounds_settings, exposure_slack, "exposure_slack",
+	      MH_FIELD_U32, .max = 1000000, .def_u32 = 50),
+	FIELD(mh_bounds_settings, rollback_ms, "rollback_ms", MH_FIELD_U32,
+	      .min = 100, .max = 3600000, .def_u32 = 5000),
 };
 
 #define P(m, name, ty, ...) FIELD(mh_proxy_settings, m, name, ty, __VA_ARGS__)
--- a/config/settings.h
+++ b/config/settings.h
@@ -101,6 +101,10 @@
  * @quota_excess: share of its quota by which an account may exceed it
  * @quota_slack: units by which an account may exceed its quota in addition
  * @grace_s: time from SIGTERM until the platform kills the process
+ * @exposure_share: share of a service's requests that a version on trial may get
+ * @exposure_slack: requests that it may get in addition
+ * @rollback_ms: time from the 50th bad response of a version within which it gets
+ *               its last request
  */
 struct mh_bounds_settings {
 	double retry_ratio;
@@ -110,6 +114,9 @@
 	double quota_excess;
 	double quota_slack;
 	double grace_s;
+	double exposure_share;
+	uint32_t exposure_slack;
+	uint32_t rollback_ms;
 };
 
 /**
