Links: state of roll-outs, versions and kinds of requests

Frame RolloutState carries the state of an order between dispatchers and entries, ServerWord the version of a server, PlaceAsk the hash of the route's name, by which responses are compared. Ping tells a dispatcher whether an entry uses it: only that one decides on roll-outs, as one that stands by sees no requests.

--- a/core/counter_names.h
+++ b/core/counter_names.h
@@ -71,6 +71,10 @@
 	  "slots not used, as the server leaves or asked for a pause")         \
 	X(BAD_NOTICES, bad_notices,                                            \
 	  "responses whose field for a notice or a limit was malformed")       \
+	X(ROLLOUT_CHANGES, rollout_changes,                                    \
+	  "changes of the phase of a roll-out")                                \
+	X(BAD_ROLLOUTS, rollouts_rejected,                                     \
+	  "orders to roll out a version that were rejected")                   \
 	X(STORE_CALLS, store_calls, "calls to the platform's store")           \
 	X(ERA_RISES, store_era_rises,                                          \
 	  "times that the store came back from an older copy")                 \
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -29,7 +29,9 @@
 	X(LINKS, links, "links that are up")                                   \
 	X(READY, ready, "1 while requests are taken")                          \
 	X(SERVER_LIMIT, server_limit_millihz,                                  \
-	  "requests in 1000 s that a server takes, -1 if its limit ended")
+	  "requests in 1000 s that a server takes, -1 if its limit ended")     \
+	X(ROLLOUT_PHASE, rollout_phase,                                        \
+	  "1 observing, 2 shifting, 3 succeeded, 4 rolled back")
 
 enum mh_histogram {
 #define X(id, name, help) MH_H_##id,
--- a/net/registrations.c
+++ b/net/registrations.c
@@ -16,6 +16,7 @@
 	word.state = reg->state;
 	word.born_ms = reg->born_ms;
 	word.sequence = reg->sequence;
+	word.version = reg->version ? reg->version : "";
 	msg.n_word = 1;
 	msg.word = list;
 	frame.body_case = MH__FRAME__BODY_SERVER_WORDS;
@@ -42,6 +43,7 @@
 					 MH_SERVER_GONE,
 			.born_ms = w->born_ms,
 			.sequence = w->sequence,
+			.version = w->version,
 		};
 
 		mh_catalog_update(cat, &reg, now_ns);
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -1717,6 +1717,51 @@
   assert(message->base.descriptor == &mh__standing__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mh__rollout_state__init
+                     (Mh__RolloutState         *message)
+{
+  static const Mh__RolloutState init_value = MH__ROLLOUT_STATE__INIT;
+  *message = init_value;
+}
+size_t mh__rollout_state__get_packed_size
+                     (const Mh__RolloutState *message)
+{
+  assert(message->base.descriptor == &mh__rollout_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__rollout_state__pack
+                     (const Mh__RolloutState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__rollout_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__rollout_state__pack_to_buffer
+                     (const Mh__RolloutState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__rollout_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__RolloutState *
+       mh__rollout_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__RolloutState *)
+     protobuf_c_message_unpack (&mh__rollout_state__descriptor,
+                                allocator, len, data);
+}
+void   mh__rollout_state__free_unpacked
+                     (Mh__RolloutState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__rollout_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mh__frame__init
                      (Mh__Frame         *message)
 {
@@ -1929,7 +1974,7 @@
   (ProtobufCMessageInit) mh__proof__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__ping__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mh__ping__field_descriptors[4] =
 {
   {
     "config_offset",
@@ -1967,16 +2012,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_used",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Ping, is_used),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__ping__field_indices_by_name[] = {
   0,   /* field[0] = config_offset */
+  3,   /* field[3] = is_used */
   1,   /* field[1] = leaving */
   2,   /* field[2] = peer_leaving */
 };
 static const ProtobufCIntRange mh__ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor mh__ping__descriptor =
 {
@@ -1986,7 +2044,7 @@
   "Mh__Ping",
   "mh",
   sizeof(Mh__Ping),
-  3,
+  4,
   mh__ping__field_descriptors,
   mh__ping__field_indices_by_name,
   1,  mh__ping__number_ranges,
@@ -3237,7 +3295,7 @@
   (ProtobufCMessageInit) mh__side_config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__place_ask__field_descriptors[18] =
+static const ProtobufCFieldDescriptor mh__place_ask__field_descriptors[19] =
 {
   {
     "id",
@@ -3455,6 +3513,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kind",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__PlaceAsk, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__place_ask__field_indices_by_name[] = {
   2,   /* field[2] = account */
@@ -3467,6 +3537,7 @@
   16,   /* field[16] = is_moved */
   10,   /* field[10] = is_repeat */
   15,   /* field[15] = is_repeatable */
+  18,   /* field[18] = kind */
   6,   /* field[6] = output_tokens */
   17,   /* field[17] = part */
   5,   /* field[5] = prompt_tokens */
@@ -3479,7 +3550,7 @@
 static const ProtobufCIntRange mh__place_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor mh__place_ask__descriptor =
 {
@@ -3489,7 +3560,7 @@
   "Mh__PlaceAsk",
   "mh",
   sizeof(Mh__PlaceAsk),
-  18,
+  19,
   mh__place_ask__field_descriptors,
   mh__place_ask__field_indices_by_name,
   1,  mh__place_ask__number_ranges,
@@ -4317,7 +4388,7 @@
   (ProtobufCMessageInit) mh__server_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__server_word__field_descriptors[8] =
+static const ProtobufCFieldDescriptor mh__server_word__field_descriptors[9] =
 {
   {
     "id",
@@ -4415,6 +4486,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ServerWord, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__server_word__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -4424,12 +4507,13 @@
   7,   /* field[7] = sequence */
   1,   /* field[1] = service */
   5,   /* field[5] = state */
+  8,   /* field[8] = version */
   3,   /* field[3] = zone */
 };
 static const ProtobufCIntRange mh__server_word__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mh__server_word__descriptor =
 {
@@ -4439,7 +4523,7 @@
   "Mh__ServerWord",
   "mh",
   sizeof(Mh__ServerWord),
-  8,
+  9,
   mh__server_word__field_descriptors,
   mh__server_word__field_indices_by_name,
   1,  mh__server_word__number_ranges,
@@ -4701,7 +4785,149 @@
   (ProtobufCMessageInit) mh__standing__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__frame__field_descriptors[36] =
+static const ProtobufCFieldDescriptor mh__rollout_state__field_descriptors[9] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__RolloutState, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__RolloutState, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "duration_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__RolloutState, duration_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "phase",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__RolloutState, phase),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "excluded",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Mh__RolloutState, n_excluded),
+    offsetof(Mh__RolloutState, excluded),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elapsed_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__RolloutState, elapsed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted_service",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__RolloutState, granted_service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted_target",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__RolloutState, granted_target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_acknowledged",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__RolloutState, is_acknowledged),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__rollout_state__field_indices_by_name[] = {
+  2,   /* field[2] = duration_ms */
+  5,   /* field[5] = elapsed_ms */
+  4,   /* field[4] = excluded */
+  6,   /* field[6] = granted_service */
+  7,   /* field[7] = granted_target */
+  8,   /* field[8] = is_acknowledged */
+  3,   /* field[3] = phase */
+  0,   /* field[0] = service */
+  1,   /* field[1] = target */
+};
+static const ProtobufCIntRange mh__rollout_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor mh__rollout_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.RolloutState",
+  "RolloutState",
+  "Mh__RolloutState",
+  "mh",
+  sizeof(Mh__RolloutState),
+  9,
+  mh__rollout_state__field_descriptors,
+  mh__rollout_state__field_indices_by_name,
+  1,  mh__rollout_state__number_ranges,
+  (ProtobufCMessageInit) mh__rollout_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__frame__field_descriptors[37] =
 {
   {
     "hello",
@@ -5135,6 +5361,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollout_state",
+    37,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, rollout_state),
+    &mh__rollout_state__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__frame__field_indices_by_name[] = {
   7,   /* field[7] = attach */
@@ -5165,6 +5403,7 @@
   1,   /* field[1] = proof */
   8,   /* field[8] = refused */
   5,   /* field[5] = ret */
+  36,   /* field[36] = rollout_state */
   33,   /* field[33] = server_notice */
   32,   /* field[32] = server_probed */
   26,   /* field[26] = server_words */
@@ -5177,7 +5416,7 @@
 static const ProtobufCIntRange mh__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 36 }
+  { 0, 37 }
 };
 const ProtobufCMessageDescriptor mh__frame__descriptor =
 {
@@ -5187,7 +5426,7 @@
   "Mh__Frame",
   "mh",
   sizeof(Mh__Frame),
-  36,
+  37,
   mh__frame__field_descriptors,
   mh__frame__field_indices_by_name,
   1,  mh__frame__number_ranges,
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -53,6 +53,7 @@
 typedef struct Mh__Dispatcher Mh__Dispatcher;
 typedef struct Mh__Dispatchers Mh__Dispatchers;
 typedef struct Mh__Standing Mh__Standing;
+typedef struct Mh__RolloutState Mh__RolloutState;
 typedef struct Mh__Frame Mh__Frame;
 
 
@@ -110,10 +111,14 @@
    * what the sender's host list says of the receiver
    */
   protobuf_c_boolean peer_leaving;
+  /*
+   * an entry asks the receiver for its places
+   */
+  protobuf_c_boolean is_used;
 };
 #define MH__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__ping__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
@@ -442,10 +447,14 @@
    */
   size_t n_part;
   uint64_t *part;
+  /*
+   * hash of its route's name
+   */
+  uint64_t kind;
 };
 #define MH__PLACE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__place_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Mh__PlaceGiven
@@ -675,10 +684,11 @@
   uint32_t state;
   uint64_t born_ms;
   uint64_t sequence;
+  char *version;
 };
 #define MH__SERVER_WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__server_word__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Mh__ServerWords
@@ -756,6 +766,45 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * State of the order to roll a version out, as the sender knows it. By dispatchers
+ * at each change and to a new entry, by entries to a dispatcher that they begin to
+ * use.
+ */
+struct  Mh__RolloutState
+{
+  ProtobufCMessage base;
+  char *service;
+  char *target;
+  uint32_t duration_ms;
+  /*
+   * 1 observing, 2 shifting, 3 succeeded, 4 rolled back
+   */
+  uint32_t phase;
+  /*
+   * versions that get no requests
+   */
+  size_t n_excluded;
+  char **excluded;
+  /*
+   * since the order
+   */
+  uint64_t elapsed_ms;
+  /*
+   * requests granted since the order
+   */
+  uint64_t granted_service;
+  uint64_t granted_target;
+  /*
+   * the store has the status of this final phase
+   */
+  protobuf_c_boolean is_acknowledged;
+};
+#define MH__ROLLOUT_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__rollout_state__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0 }
+
+
 typedef enum {
   MH__FRAME__BODY__NOT_SET = 0,
   MH__FRAME__BODY_HELLO = 1,
@@ -793,7 +842,8 @@
   MH__FRAME__BODY_SERVER_PROBED = 33,
   MH__FRAME__BODY_SERVER_NOTICE = 34,
   MH__FRAME__BODY_DISPATCHERS = 35,
-  MH__FRAME__BODY_OBSERVED_CRASH = 36
+  MH__FRAME__BODY_OBSERVED_CRASH = 36,
+  MH__FRAME__BODY_ROLLOUT_STATE = 37
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MH__FRAME__BODY__CASE)
 } Mh__Frame__BodyCase;
 
@@ -842,6 +892,7 @@
      * it begins to use: the receiver's own crashes from then on.
      */
     Mh__CrashSuspect *observed_crash;
+    Mh__RolloutState *rollout_state;
   };
 };
 #define MH__FRAME__INIT \
@@ -1571,6 +1622,25 @@
 void   mh__standing__free_unpacked
                      (Mh__Standing *message,
                       ProtobufCAllocator *allocator);
+/* Mh__RolloutState methods */
+void   mh__rollout_state__init
+                     (Mh__RolloutState         *message);
+size_t mh__rollout_state__get_packed_size
+                     (const Mh__RolloutState   *message);
+size_t mh__rollout_state__pack
+                     (const Mh__RolloutState   *message,
+                      uint8_t             *out);
+size_t mh__rollout_state__pack_to_buffer
+                     (const Mh__RolloutState   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__RolloutState *
+       mh__rollout_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__rollout_state__free_unpacked
+                     (Mh__RolloutState *message,
+                      ProtobufCAllocator *allocator);
 /* Mh__Frame methods */
 void   mh__frame__init
                      (Mh__Frame         *message);
@@ -1706,6 +1776,9 @@
 typedef void (*Mh__Standing_Closure)
                  (const Mh__Standing *message,
                   void *closure_data);
+typedef void (*Mh__RolloutState_Closure)
+                 (const Mh__RolloutState *message,
+                  void *closure_data);
 typedef void (*Mh__Frame_Closure)
                  (const Mh__Frame *message,
                   void *closure_data);
@@ -1753,6 +1826,7 @@
 extern const ProtobufCMessageDescriptor mh__dispatcher__descriptor;
 extern const ProtobufCMessageDescriptor mh__dispatchers__descriptor;
 extern const ProtobufCMessageDescriptor mh__standing__descriptor;
+extern const ProtobufCMessageDescriptor mh__rollout_state__descriptor;
 extern const ProtobufCMessageDescriptor mh__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
