--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,8 @@
 		       $(BUILD)/libmangohead.a
 	$(LINK)
 $(BUILD)/bin/standin-platform: $(call objs,$(addprefix tests/standins/, \
-				 standin-platform.c shapes.c conn.c store.c)) \
+				 standin-platform.c shapes.c versions.c conn.c \
+				 store.c)) \
 			       $(BUILD)/libmangohead.a
 	$(LINK)
 $(BUILD)/bin/standin-%: $(BUILD)/tests/standins/standin-%.o \
@@ -122,7 +123,8 @@
 	      test_suspect_merge test_part_suspects test_wire_parts test_parts_alone \
 	      test_send_window test_limits test_usage_relay test_observed_crashes \
 	      test_store_era test_lost_entries test_client test_backend_bytes \
-	      test_rollout test_rollout_merge test_rollout_dispatch test_rollout_trials
+	      test_rollout test_rollout_merge test_rollout_dispatch test_rollout_trials \
+	      test_rollout_wire
 # Those that fail for a fault that KNOWN-RED.txt lists.
 RED_TESTS =
 
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -50,7 +50,7 @@
 	size_t n_events;
 };
 
-static void add_event(struct fixture *fx, const char *text)
+static inline void add_event(struct fixture *fx, const char *text)
 {
 	size_t len = strlen(fx->events);
 
@@ -170,7 +170,7 @@
 	return due_ns < fx->end_ns ? due_ns : fx->end_ns;
 }
 
-static void run_loop(struct fixture *fx)
+static inline void run_loop(struct fixture *fx)
 {
 	fx->end_ns = mh_clock_mono_ns(&mh_system_clock) +
 		     WAIT_LIMIT_MS * MH_NS_PER_MS;
--- a/tests/standins/conn.h
+++ b/tests/standins/conn.h
@@ -16,6 +16,7 @@
 	struct mh_http_reader reader;
 	struct mh_buffer body;
 	struct mh_buffer out;
+	struct conn *prev, *next; /* connections of servers */
 };
 
 uint64_t mono_now_ms(void);
--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -3,8 +3,8 @@
  * published formats. Each connection has a thread of its own.
  *
  * standin-platform PORT SERVER...
- *   SERVER is PORT:ID:SERVICE:SLOTS[:REGISTERED-PORT]; by default a server
- *   registers the port that it listens on. One with port 0 is only registered:
+ *   SERVER is PORT:ID:SERVICE:SLOTS[:REGISTERED-PORT[:VERSION]]; by default a
+ *   server registers the port that it listens on, and version v1. One with port 0 is only registered:
  *   another process serves it. With PORT 0 there is no store.
  *
  * The store listens on PORT. Control requests of tests:
@@ -25,8 +25,9 @@
  *   POST /test/shed?id=&ms=&text=  for that time a server does not run requests
  *                               and responds with 503 and these header fields,
  *                               such as Retry-After:1.5; | separates several
- *   POST /test/register?id=&service=&slots=&port=  registers a further server
- *                               that another process serves
+ *   POST /test/register?id=&service=&slots=&port=[&version=][&listen=1]
+ *                               registers a further server, which another
+ *                               process serves unless listen=1
  *   POST /test/hosts            replaces the host list: {"hosts": [{"name",
  *                               "address", "role", "state"}]}
  *   POST /test/down?ms=         the store answers 503 for that time
@@ -49,6 +50,9 @@
  *                               account, "whole" (response sent), "gone", or
  *                               "shed" (turned away)
  *   GET  /test/calls            number of calls to the store
+ *   GET  /test/stops            a line for each server that was stopped as its
+ *                               version was replaced: server, requests that it ran
+ * Those of versions.c.
  *
  * A request with a part in X-Mangohead-Prompt-Prefix, the last one excepted,
  * whose identifier begins with "dead" ends the process after 80 ms, with a head
@@ -75,6 +79,7 @@
 #include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
+#include <utlist.h>
 
 #include "net/buffer.h"
 #include "net/http1.h"
@@ -94,24 +99,7 @@
 #define CRASH_OF_PART_MS 80
 #define DEADLY_PART "dead"
 #define ID_LINES 50
-
-struct server {
-	int port;
-	int registered_port;
-	char id[32];
-	char service[32];
-	int slots;
-	int sequence;
-	char state[16];
-	uint64_t silent_until_ms;
-	bool fails_all;
-	unsigned long long born_ms;
-	char leaving[32]; /* value of Server-Leaving, "" without the field */
-	char limit[512];  /* values of Server-Limit, "" without the field */
-	char repeats[16]; /* mode of the repeated refusals, "" without them */
-	uint64_t sheds_until_ms;
-	char shed_fields[256];
-};
+#define STOP_POLL_MS 5
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static struct server servers[MAX_SERVERS];
@@ -119,6 +107,8 @@
 static struct mh_buffer runs;
 static struct mh_buffer arrivals;
 static struct mh_buffer ends;
+static struct mh_buffer stops;
+static struct conn *server_conns;
 
 static int on_head(void *data, const struct mh_http_head *head)
 {
@@ -145,13 +135,15 @@
 		snprintf(born, sizeof(born), "\"born\":%llu,", s->born_ms);
 	snprintf(text, sizeof(text),
 		 "{%s\"service\":\"%s\",\"address\":\"127.0.0.1:%d\","
-		 "\"zone\":\"z\",\"version\":\"v1\",\"slots\":%d,"
+		 "\"zone\":\"z\",\"version\":\"%s\",\"slots\":%d,"
 		 "\"state\":\"%s\",\"cold_remaining_ms\":0,\"sequence\":%d}",
-		 born, s->service, s->registered_port, s->slots, s->state,
-		 s->sequence);
+		 born, s->service, s->registered_port, s->version, s->slots,
+		 s->state, s->sequence);
 	store_put("keyed.servers", s->id, text, strlen(text));
 }
 
+static int listen_at(int port, struct server *server);
+
 static struct server *find_server(const char *id)
 {
 	int i;
@@ -172,10 +164,51 @@
 		 query_param(c, "service"));
 	s->slots = atoi(query_param(c, "slots"));
 	s->registered_port = atoi(query_param(c, "port"));
+	snprintf(s->version, sizeof(s->version), "%s",
+		 *query_param(c, "version") ? query_param(c, "version") : "v1");
 	snprintf(s->state, sizeof(s->state), "ready");
+	if (atoi(query_param(c, "listen")))
+		listen_at(s->registered_port, s);
 	put_registration(s);
 }
 
+/* Stops a server without draining. */
+static void stop_server(struct server *s)
+{
+	struct conn *c;
+
+	mh_buffer_printf(&stops, "%s %d\n", s->id, s->running);
+	s->is_stopped = true;
+	snprintf(s->state, sizeof(s->state), "gone");
+	store_put("keyed.servers", s->id, NULL, 0);
+	DL_FOREACH(server_conns, c) {
+		if (c->server == s)
+			shutdown(c->fd, SHUT_RDWR);
+	}
+}
+
+/* Stops the servers of the versions that have been replaced. */
+static void *stop_replaced(void *data)
+{
+	char target[32];
+	int i;
+
+	for (;;) {
+		sleep_ms(STOP_POLL_MS);
+		pthread_mutex_lock(&lock);
+		for (i = 0; i < n_servers; i++) {
+			struct server *s = &servers[i];
+
+			if (!s->is_stopped && strcmp(s->state, "gone") &&
+			    versions_should_stop(s->service, target) &&
+			    strcmp(s->version, target))
+				stop_server(s);
+		}
+		pthread_mutex_unlock(&lock);
+	}
+	return data;
+}
+
 static void handle_server_control(struct conn *c)
 {
 	struct server *s;
@@ -224,6 +257,10 @@
 		write_response(c, 200, "text/plain", mh_buffer_front(&arrivals),
 			       arrivals.len);
 		return;
+	} else if (path_is(c, "/test/stops")) {
+		write_response(c, 200, "text/plain", mh_buffer_front(&stops),
+			       stops.len);
+		return;
 	} else if (path_is(c, "/test/ends")) {
 		write_response(c, 200, "text/plain", mh_buffer_front(&ends),
 			       ends.len);
@@ -241,7 +278,7 @@
 	if (c->reader.head.target.len <= 6 ||
 	    memcmp(c->reader.head.target.p, "/test/", 6))
 		return store_serve(c);
-	if (!store_handle_control(c)) {
+	if (!versions_handle_control(c) && !store_handle_control(c)) {
 		pthread_mutex_lock(&lock);
 		handle_server_control(c);
 		pthread_mutex_unlock(&lock);
@@ -552,6 +589,10 @@
 	record_run(c);
 	if (has_deadly_part(c))
 		crash_of_part(c);
+	if (versions_run(c)) {
+		begin_response(c, 500, SIGNED "Content-Length: 5\r\n\r\nwrong");
+		return send_all(c);
+	}
 	if (serve_shape(c, &ok))
 		return ok;
 	if (target_ends_with(c, "drop"))
@@ -637,21 +678,45 @@
 	}
 }
 
+static void count_running(const struct conn *c, int n)
+{
+	if (!c->server)
+		return;
+	pthread_mutex_lock(&lock);
+	c->server->running += n;
+	pthread_mutex_unlock(&lock);
+}
+
 static void *serve_connection(void *data)
 {
 	struct mh_buffer in = { 0 };
 	struct conn *c = data;
 
 	mh_http_reader_init(&c->reader, HTTP_REQUEST, HEAD_BYTES, &http_ops, c);
+	if (c->server) {
+		pthread_mutex_lock(&lock);
+		DL_APPEND(server_conns, c);
+		if (c->server->is_stopped)
+			shutdown(c->fd, SHUT_RDWR);
+		pthread_mutex_unlock(&lock);
+	}
 	while (read_request(c, &in)) {
 		uint64_t begin_ms = mono_now_ms();
-		bool ok = c->server ? serve_run(c) : serve_store(c);
+		bool ok;
 
+		count_running(c, 1);
+		ok = c->server ? serve_run(c) : serve_store(c);
+		count_running(c, -1);
 		if (c->server)
 			record_run_end(c, begin_ms, ok);
 		if (!ok)
 			break;
 	}
+	if (c->server) {
+		pthread_mutex_lock(&lock);
+		DL_DELETE(server_conns, c);
+		pthread_mutex_unlock(&lock);
+	}
 	close(c->fd);
 	mh_http_reader_release(&c->reader);
 	mh_buffer_release(&c->body);
@@ -711,6 +776,7 @@
 
 int main(int argc, char **argv)
 {
+	pthread_t stopper;
 	int i;
 
 	if (argc < 2 || argc > 2 + MAX_SERVERS || sodium_init() < 0)
@@ -718,8 +784,10 @@
 	for (i = 2; i < argc; i++) {
 		struct server *s = &servers[n_servers++];
 
-		if (sscanf(argv[i], "%d:%31[^:]:%31[^:]:%d:%d", &s->port, s->id,
-			   s->service, &s->slots, &s->registered_port) < 4 ||
+		snprintf(s->version, sizeof(s->version), "v1");
+		if (sscanf(argv[i], "%d:%31[^:]:%31[^:]:%d:%d:%31[^:]",
+			   &s->port, s->id, s->service, &s->slots,
+			   &s->registered_port, s->version) < 4 ||
 		    (s->port &&
 		     listen_at(s->port,
 			       strcmp(s->service, "store") ? s : NULL)))
@@ -736,6 +804,8 @@
 	}
 	if (atoi(argv[1]) && listen_at(atoi(argv[1]), NULL))
 		return 1;
+	if (pthread_create(&stopper, NULL, stop_replaced, NULL))
+		return 1;
 	for (;;) {
 		pthread_mutex_lock(&lock);
 		for (i = 0; i < n_servers; i++) {
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -21,6 +21,7 @@
 struct record {
 	uint8_t *bytes;
 	size_t len;
+	uint64_t added_ms;
 };
 
 struct topic {
@@ -93,6 +94,7 @@
 	r->bytes = malloc(len ? len : 1);
 	memcpy(r->bytes, bytes, len);
 	r->len = len;
+	r->added_ms = mono_now_ms();
 	t->n++;
 	drop_expired(t);
 }
@@ -144,6 +146,27 @@
 	pthread_mutex_unlock(&lock);
 }
 
+void store_history(const char *topic, const char *key, struct mh_buffer *out)
+{
+	size_t key_len = strlen(key), i;
+	struct topic *t;
+
+	pthread_mutex_lock(&lock);
+	t = get_topic(topic);
+	for (i = 0; i < t->n; i++) {
+		const struct record *r = &t->v[i];
+
+		if (r->len <= key_len + 1 || r->bytes[0] != key_len ||
+		    memcmp(r->bytes + 1, key, key_len))
+			continue;
+		mh_buffer_printf(out, "%llu ", (unsigned long long)r->added_ms);
+		mh_buffer_add(out, r->bytes + 1 + key_len,
+			      r->len - 1 - key_len);
+		mh_buffer_add(out, "\n", 1);
+	}
+	pthread_mutex_unlock(&lock);
+}
+
 static void respond(struct conn *c, int status, const char *type,
 		    const void *body, size_t len)
 {
--- a/tests/standins/store.h
+++ b/tests/standins/store.h
@@ -11,6 +11,9 @@
 void store_put(const char *topic, const char *key, const void *value,
 	       size_t len);
 bool store_is_down(void);
+/* Adds a line for each value that a key had, the newest last: the time
+ * (CLOCK_BOOTTIME, ms) and the value. */
+void store_history(const char *topic, const char *key, struct mh_buffer *out);
 
 /* Handles a store request. Return: whether the connection stays open. */
 bool store_serve(struct conn *c);
