Proxy and dispatcher: carry out roll-outs

Both own the state of roll-outs and give it to the dispatch. The dispatcher that entries use decides; one that stood still for longer than entries wait for a heartbeat reads the records again before. Entries follow what they are told, pass changes on to the dispatchers that they are linked to, and don't use a slot whose version was rolled back after the grant (held_back why=rollout).

--- a/core/server_notices.c
+++ b/core/server_notices.c
@@ -26,6 +26,7 @@
 		[MH_SEND_LEAVING] = "leaving",
 		[MH_SEND_PAUSED] = "paused",
 		[MH_SEND_UNREGISTERED] = "unregistered",
+		[MH_SEND_EXCLUDED] = "rollout",
 	};
 
 	return names[verdict];
--- a/core/server_notices.h
+++ b/core/server_notices.h
@@ -62,6 +62,7 @@
 	MH_SEND_LEAVING,
 	MH_SEND_PAUSED,
 	MH_SEND_UNREGISTERED, /* draining or removed, as its registration says */
+	MH_SEND_EXCLUDED,     /* its version gets no requests by a roll-out */
 	MH_SEND_VERDICTS,
 };
 
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -10,7 +10,9 @@
 #include "dispatcher/linked_entry.h"
 #include "dispatcher/notices.h"
 #include "dispatcher/pool_log.h"
+#include "dispatcher/rollouts.h"
 #include "dispatcher/slot_frames.h"
+#include "dispatcher/suspects.h"
 #include "net/crash_log.h"
 #include "net/dispatcher_frames.h"
 #include "net/link.h"
@@ -30,6 +32,8 @@
 /* Interval at which entries are told of other dispatchers without a change. */
 #define DISPATCHERS_INTERVAL_NS (10000 * MH_NS_PER_MS)
 #define MAINTENANCE_INTERVAL_NS (500 * MH_NS_PER_MS)
+/* Entries learn of a phase, and the store of it, within this time. */
+#define ROLLOUTS_INTERVAL_NS (20 * MH_NS_PER_MS)
 /* Number of entries that hold copies of ledger records, and how often they
  * receive one. A copy costs a few KB of traffic between zones. */
 #define LEDGER_COPIES 3
@@ -58,6 +62,9 @@
 	struct mh_routes *routes;
 	struct mh_linked_entry *linked_entries;
 	struct mh_dispatcher_notices notices;
+	struct mh_dispatcher_suspects suspects;
+	struct mh_dispatcher_rollouts rollouts;
+	uint64_t next_rollouts_ns;
 	struct mh_candidates dispatchers;
 	bool dispatchers_changed;
 	uint64_t dispatchers_sent_ns;
@@ -120,25 +127,11 @@
 			      run);
 }
 
-/* Entries pass it on to the other dispatchers that they are linked to, and use
- * it while they have none. */
-static void share_suspect(struct mh_dispatcher_app *app,
-			  const struct mh_suspect *suspect, uint32_t from_link)
-{
-	struct mh_linked_entry *entry, *tmp;
-
-	mh_crash_log_suspect(app->process.log, entry_host(app, from_link),
-			     suspect);
-	HASH_ITER(hh, app->linked_entries, entry, tmp) {
-		if (entry->link != from_link)
-			mh_suspect_send(app->links, entry->link, suspect,
-					mh_now_ns());
-	}
-}
-
 static void on_suspect(void *data, const struct mh_suspect *suspect)
 {
-	share_suspect(data, suspect, 0);
+	struct mh_dispatcher_app *app = data;
+
+	mh_dispatcher_suspects_share(&app->suspects, suspect, 0);
 }
 
 static void on_limited(void *data, uint32_t owner, uint64_t id,
@@ -190,20 +183,12 @@
 static void on_routes(void *data, struct mh_routes *routes)
 {
 	struct mh_dispatcher_app *app = data;
-	const struct mh_client_account *account;
 	struct mh_linked_entry *entry, *tmp;
-	size_t i;
 
 	mh_routes_unref(app->routes);
 	app->routes = mh_routes_ref(routes);
 	mh_dispatch_configure(app->dispatch, routes);
-	for (i = 0; (account = mh_routes_account_at(routes, i)); i++)
-		mh_event(app->process.log, MH_EV_CONFIG,
-			 "event=account account=%s tier=%d rate=%.0f "
-			 "burst=%.0f version=%llu",
-			 account->name, account->has_tier ? account->tier : -1,
-			 account->rate_per_s, account->burst,
-			 (unsigned long long)mh_routes_version(routes));
+	mh_account_log(app->process.log, routes);
 	HASH_ITER(hh, app->linked_entries, entry, tmp)
 		send_document(app, entry->link);
 }
@@ -218,9 +203,18 @@
 		app->dispatchers_changed = true;
 }
 
+static enum mh_rollout_order_result
+on_order(void *data, const struct mh_rollout_order *order)
+{
+	struct mh_dispatcher_app *app = data;
+
+	return mh_rollouts_order(app->rollouts.set, order, 0);
+}
+
 static const struct mh_directory_ops directory_ops = {
 	on_routes,
 	on_dispatcher,
+	on_order,
 };
 
 struct recipient {
@@ -254,23 +248,6 @@
 	}
 }
 
-static void send_suspect(void *data, const struct mh_suspect *suspect)
-{
-	const struct recipient *to = data;
-
-	mh_suspect_send(to->app->links, to->link, suspect, mh_now_ns());
-}
-
-static void receive_suspect(struct mh_dispatcher_app *app, uint32_t link,
-			    const Mh__CrashSuspect *msg)
-{
-	struct mh_suspect suspect;
-
-	mh_suspect_read(msg, mh_now_ns(), &suspect);
-	if (mh_dispatch_merge_suspect(app->dispatch, &suspect))
-		share_suspect(app, &suspect, link);
-}
-
 static void send_heartbeat(struct mh_dispatcher_app *app, uint32_t link)
 {
 	struct mh_dispatcher_state state = {
@@ -296,7 +273,6 @@
 static void on_link_up(void *data, uint32_t link, const Mh__Hello *hello)
 {
 	struct mh_dispatcher_app *app = data;
-	struct recipient to = { app, link };
 
 	mh_linked_entry_add(&app->linked_entries, link, hello->host,
 			    mh_now_ns());
@@ -309,7 +285,8 @@
 	mh_dispatchers_send(app->links, link, &app->dispatchers,
 			    app->settings.host);
 	tell_new_entries(app, mh_now_ns());
-	mh_dispatch_each_suspect(app->dispatch, send_suspect, &to);
+	mh_dispatcher_suspects_send_all(&app->suspects, link);
+	mh_dispatcher_rollouts_link_up(&app->rollouts, link);
 	mh_dispatcher_notices_send_all(&app->notices, link);
 	send_heartbeat(app, link);
 }
@@ -347,6 +324,7 @@
 	struct mh_slot_request slot_req;
 
 	mh_slot_frames_read_request(msg, link, now, &slot_req);
+	mh_linked_entry_set_using(app->linked_entries, link, true);
 	if (!app->last_request_ns ||
 	    now > app->last_request_ns + ACTIVE_WINDOW_NS) {
 		app->last_request_ns = now;
@@ -376,21 +354,12 @@
 {
 	struct mh_dispatcher_app *app = data;
 	uint64_t now = mh_now_ns();
-	struct mh_linked_entry *entry, *tmp;
-	uint32_t n = 0;
 
 	if (now < app->ledger_copied_ns + LEDGER_COPY_INTERVAL_NS)
 		return;
 	app->ledger_copied_ns = now;
-	HASH_ITER(hh, app->linked_entries, entry, tmp) {
-		struct mh_link_peer to = { app->links, entry->link };
-
-		if (n++ == LEDGER_COPIES)
-			break;
-		mh_link_peer_send_record(&to, app->settings.host,
-					 (const uint8_t *)text, strlen(text),
-					 0);
-	}
+	mh_linked_entries_copy_record(app->linked_entries, app->links,
+				      app->settings.host, text, LEDGER_COPIES);
 }
 
 static void on_frame(void *data, uint32_t link, const Mh__Frame *frame)
@@ -422,7 +391,16 @@
 			&(struct mh_link_peer){ app->links, link });
 		break;
 	case MH__FRAME__BODY_CRASH_SUSPECT:
-		receive_suspect(app, link, frame->crash_suspect);
+		mh_dispatcher_suspects_receive(&app->suspects, link,
+					       frame->crash_suspect);
+		break;
+	case MH__FRAME__BODY_PING:
+		mh_linked_entry_set_using(app->linked_entries, link,
+					  frame->ping->is_used);
+		break;
+	case MH__FRAME__BODY_ROLLOUT_STATE:
+		mh_dispatcher_rollouts_receive(&app->rollouts,
+					       frame->rollout_state);
 		break;
 	case MH__FRAME__BODY_OBSERVED_CRASH:
 		mh_suspect_read(frame->observed_crash, mh_now_ns(), &observed);
@@ -470,6 +448,7 @@
 	struct mh_dispatcher_app *app = data;
 	struct mh_dispatcher_settings updated;
 	struct mh_config_report rep = { 0 };
+	struct mh_rollout_conf rollout_conf;
 	struct mh_dispatch_conf conf;
 
 	if (!mh_dispatcher_settings_read(app->process.path, &updated, &rep)) {
@@ -482,7 +461,9 @@
 	app->settings.bounds = updated.bounds;
 	mh_process_set_log_format(&app->process, updated.log_format);
 	conf = mh_bounds_to_dispatch_conf(&updated.bounds);
+	rollout_conf = mh_bounds_to_rollout_conf(&updated.bounds);
 	mh_dispatch_set_conf(app->dispatch, &conf);
+	mh_rollouts_set_conf(app->rollouts.set, &rollout_conf);
 	mh_event(app->process.log, MH_EV_PROCESS,
 		 "event=reloaded restart_needed=%d",
 		 strcmp(updated.store, app->settings.store) ||
@@ -553,6 +534,7 @@
 	struct mh_dispatcher_app *app = data;
 	uint64_t now = mh_now_ns(), next;
 
+	mh_dispatcher_rollouts_wake(&app->rollouts, now);
 	if (now >= app->next_maintenance_ns) {
 		app->next_maintenance_ns = now + MAINTENANCE_INTERVAL_NS;
 		run_maintenance(app);
@@ -570,6 +552,12 @@
 	if (app->linked_entries)
 		next = mh_earlier(next, app->next_heartbeat_ns);
 	next = mh_earlier(next, mh_dispatch_tick(app->dispatch));
+	if (now >= app->next_rollouts_ns) {
+		app->next_rollouts_ns = now + ROLLOUTS_INTERVAL_NS;
+		mh_dispatcher_rollouts_tick(&app->rollouts, app->fit);
+	}
+	if (mh_rollouts_is_active(app->rollouts.set))
+		next = mh_earlier(next, app->next_rollouts_ns);
 	mh_links_flush(app->links);
 	if (app->process.leaving) {
 		uint64_t end = app->process.leaving_ns + SHUTDOWN_GRACE_NS;
@@ -612,6 +600,7 @@
 		.log = app->process.log,
 		.era = &app->process.store_era,
 	};
+	struct mh_rollout_conf rollout_conf;
 	const char *address = app->settings.announce ? app->settings.announce :
 						       app->settings.links;
 	uint64_t seed;
@@ -638,6 +627,16 @@
 		&mh_system_clock, app->process.log, app->process.metrics,
 		app->links,	  app->dispatch,    &app->linked_entries,
 	};
+	app->suspects =
+		(struct mh_dispatcher_suspects){ app->process.log, app->links,
+						 app->dispatch,
+						 &app->linked_entries };
+	rollout_conf = mh_bounds_to_rollout_conf(&app->settings.bounds);
+	mh_dispatcher_rollouts_init(&app->rollouts, &app->process,
+				    &rollout_conf, app->settings.store,
+				    app->dispatch);
+	app->rollouts.links = app->links;
+	app->rollouts.linked_entries = &app->linked_entries;
 	if (!app->links || mh_links_listen(app->links, app->settings.links)) {
 		mh_event(app->process.log, MH_EV_FAILED,
 			 "event=no_listen address=%s", app->settings.links);
@@ -690,6 +689,7 @@
 	mh_candidates_release(&app->dispatchers);
 	mh_ledger_free(app->ledger);
 	mh_dispatch_free(app->dispatch);
+	mh_dispatcher_rollouts_release(&app->rollouts);
 	mh_catalog_free(app->catalog);
 	mh_routes_unref(app->routes);
 	mh_process_release(&app->process);
--- a/dispatcher/linked_entry.c
+++ b/dispatcher/linked_entry.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "core/check_alloc.h"
+#include "net/link_peer.h"
 
 struct mh_linked_entry *mh_linked_entry_add(struct mh_linked_entry **table,
 					    uint32_t link, const char *host,
@@ -35,6 +36,31 @@
 	return entry ? entry->host : "";
 }
 
+void mh_linked_entry_set_using(struct mh_linked_entry *table, uint32_t link,
+			       bool is_using)
+{
+	struct mh_linked_entry *entry = mh_linked_entry_find(table, link);
+
+	if (entry)
+		entry->is_using = is_using;
+}
+
+void mh_linked_entries_copy_record(struct mh_linked_entry *table,
+				   struct mh_links *links, const char *host,
+				   const char *text, uint32_t n)
+{
+	struct mh_linked_entry *entry, *tmp;
+
+	HASH_ITER(hh, table, entry, tmp) {
+		struct mh_link_peer to = { links, entry->link };
+
+		if (!n--)
+			break;
+		mh_link_peer_send_record(&to, host, (const uint8_t *)text,
+					 strlen(text), 0);
+	}
+}
+
 void mh_linked_entry_remove(struct mh_linked_entry **table,
 			    struct mh_linked_entry *entry)
 {
--- a/dispatcher/linked_entry.h
+++ b/dispatcher/linked_entry.h
@@ -10,6 +10,7 @@
 #include <uthash.h>
 
 #include "core/dispatch.h"
+#include "net/link.h"
 
 /**
  * struct mh_linked_entry - an entry
@@ -17,12 +18,14 @@
  * @host: its host
  * @up_ns: monotonic time at which the link came up
  * @is_told: it was sent configuration and servers
+ * @is_using: it requests its slots here
  */
 struct mh_linked_entry {
 	uint32_t link;
 	char *host;
 	uint64_t up_ns;
 	bool is_told;
+	bool is_using;
 	UT_hash_handle hh;
 };
 
@@ -76,6 +79,27 @@
 			    struct mh_linked_entry *entry,
 			    struct mh_dispatch *d, uint64_t heard_ns);
 
+/**
+ * mh_linked_entry_set_using() - set whether an entry requests its slots here
+ * @table: table
+ * @link: link of the entry
+ * @is_using: whether it does
+ */
+void mh_linked_entry_set_using(struct mh_linked_entry *table, uint32_t link,
+			       bool is_using);
+
+/**
+ * mh_linked_entries_copy_record() - send some entries a copy of a ledger record
+ * @table: table
+ * @links: links
+ * @host: host of the record
+ * @text: record
+ * @n: number of entries that get it
+ */
+void mh_linked_entries_copy_record(struct mh_linked_entry *table,
+				   struct mh_links *links, const char *host,
+				   const char *text, uint32_t n);
+
 /**
  * mh_linked_entry_remove() - remove and free an entry
  * @table: table
--- a/dispatcher/pool_log.c
+++ b/dispatcher/pool_log.c
@@ -20,3 +20,17 @@
 		 service, v.servers, v.limited, v.places, v.held, waiting,
 		 v.server_stats);
 }
+
+void mh_account_log(struct mh_event_log *log, const struct mh_routes *routes)
+{
+	const struct mh_client_account *account;
+	size_t i;
+
+	for (i = 0; (account = mh_routes_account_at(routes, i)); i++)
+		mh_event(log, MH_EV_CONFIG,
+			 "event=account account=%s tier=%d rate=%.0f "
+			 "burst=%.0f version=%llu",
+			 account->name, account->has_tier ? account->tier : -1,
+			 account->rate_per_s, account->burst,
+			 (unsigned long long)mh_routes_version(routes));
+}
--- a/dispatcher/pool_log.h
+++ b/dispatcher/pool_log.h
@@ -16,4 +16,11 @@
 void mh_pool_log(struct mh_event_log *log, const struct mh_dispatch *d,
 		 const char *service);
 
+/**
+ * mh_account_log() - log the quotas of a configuration
+ * @log: event log
+ * @routes: configuration
+ */
+void mh_account_log(struct mh_event_log *log, const struct mh_routes *routes);
+
 #endif
--- a/dispatcher/slot_frames.c
+++ b/dispatcher/slot_frames.c
@@ -23,6 +23,7 @@
 		.start_by_ns = time_in(now_ns, msg->start_in_ms),
 		.deadline_ns = now_ns + msg->deadline_in_ms * MH_NS_PER_MS,
 		.fingerprint = msg->fingerprint,
+		.kind = msg->kind,
 		.n_parts =
 			(uint32_t)(msg->n_part < MH_PARTS_MAX ? msg->n_part :
 								MH_PARTS_MAX),
--- a/proxy/app.c
+++ b/proxy/app.c
@@ -160,9 +160,18 @@
 	mh_slot_client_add_dispatcher(app->slot_client, host, address);
 }
 
+static enum mh_rollout_order_result
+on_order(void *data, const struct mh_rollout_order *order)
+{
+	struct mh_proxy_app *app = data;
+
+	return mh_slot_client_order(app->slot_client, order);
+}
+
 static const struct mh_directory_ops directory_ops = {
 	on_routes,
 	on_dispatcher,
+	on_order,
 };
 
 static void on_term(void *data)
@@ -182,6 +191,7 @@
 	struct mh_proxy_app *app = data;
 	struct mh_proxy_settings updated;
 	struct mh_config_report rep = { 0 };
+	struct mh_rollout_conf rollout_conf;
 	struct mh_dispatch_conf conf;
 
 	if (!mh_proxy_settings_read(app->process.path, &updated, &rep)) {
@@ -196,7 +206,8 @@
 				 updated.seeds.n);
 	mh_process_set_log_format(&app->process, updated.log_format);
 	conf = mh_bounds_to_dispatch_conf(&updated.bounds);
-	mh_slot_client_set_conf(app->slot_client, &conf);
+	rollout_conf = mh_bounds_to_rollout_conf(&updated.bounds);
+	mh_slot_client_set_conf(app->slot_client, &conf, &rollout_conf);
 	mh_event(app->process.log, MH_EV_PROCESS,
 		 "event=reloaded restart_needed=%d",
 		 strcmp(updated.store, app->settings.store) ||
@@ -329,6 +340,7 @@
 		.zone = app->settings.zone,
 		.key = app->settings.link.key,
 		.dispatch = mh_bounds_to_dispatch_conf(&app->settings.bounds),
+		.rollouts = mh_bounds_to_rollout_conf(&app->settings.bounds),
 		.seeds = app->settings.seeds.v,
 		.n_seeds = app->settings.seeds.n,
 	};
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -222,6 +222,7 @@
 		.start_by_ns = x->deadline_ns,
 		.deadline_ns = x->deadline_ns,
 		.fingerprint = x->fingerprint,
+		.kind = XXH3_64bits(x->route->name, strlen(x->route->name)),
 		.n_parts = x->wire.n_parts,
 		.parts = x->wire.parts,
 		.is_repeat = x->servers_reached > 0,
@@ -289,11 +290,14 @@
 	if (verdict == MH_SEND_ALLOWED &&
 	    !mh_slot_client_may_send(env->slot_client, server))
 		return MH_SEND_UNREGISTERED;
+	if (verdict == MH_SEND_ALLOWED &&
+	    !mh_slot_client_allows_version(env->slot_client, server))
+		return MH_SEND_EXCLUDED;
 	return verdict;
 }
 
-/* The server said meanwhile that it leaves or wants a pause, or its registration
- * was removed: ask for another slot, once the dispatcher knows as well. */
+/* The server said meanwhile that it leaves or wants a pause, its registration was
+ * removed, or its version rolled back: ask for another slot, once the dispatcher knows as well. */
 void mh_exchange_on_held_back(struct exchange *x)
 {
 	struct mh_server_ref server = mh_exchange_server(x);
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -75,9 +75,23 @@
 static void resume(struct mh_slot_client *sc)
 {
 	mh_suspect_relay_tell_observed(&sc->suspects, sc->current);
+	mh_rollout_relay_tell(&sc->rollouts, sc->current);
 	send_slot_requests(sc);
 }
 
+/* A dispatcher closes the link of an entry that sends nothing. The one in use
+ * decides on roll-outs. */
+static void send_pings(struct mh_slot_client *sc)
+{
+	const struct mh_candidate *c;
+
+	DL_FOREACH(sc->candidates.first, c) {
+		if (c->up)
+			mh_slot_frames_send_ping(sc->links, c->link,
+						 c == sc->current);
+	}
+}
+
 /* Moves all requests to the next dispatcher. NULL stands for the local one. */
 static void switch_dispatcher(struct mh_slot_client *sc,
 			      struct mh_candidate *next)
@@ -108,6 +122,9 @@
 	if (!next)
 		mh_dispatch_begin_share(sc->local);
 	mh_suspect_relay_tell_observed(&sc->suspects, next);
+	/* Before it grants slots of a version that gets no requests. */
+	mh_rollout_relay_tell(&sc->rollouts, next);
+	send_pings(sc);
 	forward_usage(sc);
 	send_slot_requests(sc);
 }
@@ -128,17 +145,6 @@
 		sc->lost_ns = now_ns;
 }
 
-/* A dispatcher closes the link of an entry that sends nothing. */
-static void send_pings(struct mh_slot_client *sc)
-{
-	const struct mh_candidate *c;
-
-	DL_FOREACH(sc->candidates.first, c) {
-		if (c->up)
-			mh_slot_frames_send_ping(sc->links, c->link);
-	}
-}
-
 static void on_link_up(void *data, uint32_t link, const Mh__Hello *hello)
 {
 	struct mh_slot_client *sc = data;
@@ -152,6 +158,7 @@
 			     mh_link_peer_send_record,
 			     &(struct mh_link_peer){ sc->links, link });
 	mh_suspect_relay_send_all(&sc->suspects, link);
+	mh_rollout_relay_tell(&sc->rollouts, c);
 	mh_notice_relay_send_all(&sc->notices, link);
 	/* Before the dispatcher grants others what this entry used of its share. */
 	forward_usage(sc);
@@ -289,6 +296,9 @@
 	case MH__FRAME__BODY_SERVER_NOTICE:
 		mh_notice_relay_receive(&sc->notices, frame->server_notice, c);
 		break;
+	case MH__FRAME__BODY_ROLLOUT_STATE:
+		mh_rollout_relay_receive(&sc->rollouts, frame->rollout_state);
+		break;
 	case MH__FRAME__BODY_DISPATCHERS:
 		mh_dispatcher_finder_receive(&sc->finder, frame->dispatchers,
 					     c->name);
@@ -432,6 +442,13 @@
 		clock,		 counters,  log,	   sc->links,
 		&sc->candidates, sc->local, conf->notices, conf->metrics,
 	};
+	mh_rollout_relay_init(&sc->rollouts,
+			      mh_rollouts_new(&conf->rollouts, clock),
+			      sc->links, &sc->candidates);
+	sc->rollouts.report.log = log;
+	sc->rollouts.report.counters = counters;
+	sc->rollouts.report.metrics = conf->metrics;
+	mh_dispatch_set_rollouts(sc->local, sc->rollouts.set);
 	return sc;
 }
 
@@ -450,6 +467,7 @@
 	mh_observed_crashes_free(sc->suspects.observed);
 	mh_ledger_cache_free(sc->ledger_cache);
 	mh_dispatch_free(sc->local);
+	mh_rollout_relay_release(&sc->rollouts);
 	mh_catalog_free(sc->catalog);
 	free(sc);
 }
@@ -481,9 +499,11 @@
 }
 
 void mh_slot_client_set_conf(struct mh_slot_client *sc,
-			     const struct mh_dispatch_conf *conf)
+			     const struct mh_dispatch_conf *conf,
+			     const struct mh_rollout_conf *rollouts)
 {
 	mh_dispatch_set_conf(sc->local, conf);
+	mh_rollouts_set_conf(sc->rollouts.set, rollouts);
 }
 
 void mh_slot_client_request(struct mh_slot_client *sc,
@@ -616,6 +636,7 @@
 		mh_dispatcher_finder_dial(&sc->finder, sc->current, now_ns);
 		select_dispatcher(sc);
 		forward_usage(sc);
+		mh_rollout_relay_update(&sc->rollouts);
 		if (now_ns >= sc->next_ping_ns) {
 			sc->next_ping_ns = now_ns + PING_INTERVAL_NS;
 			send_pings(sc);
--- a/proxy/slot_client.h
+++ b/proxy/slot_client.h
@@ -11,6 +11,7 @@
 
 #include "core/catalog.h"
 #include "core/dispatch.h"
+#include "core/rollout.h"
 #include "core/routes.h"
 #include "core/store_era.h"
 #include "core/store_reads.h"
@@ -43,6 +44,7 @@
  * @zone: its availability zone
  * @key: shared link key
  * @dispatch: bounds of the local dispatcher
+ * @rollouts: bounds of roll-outs
  * @notices: what servers asked for; the slot client adds to it
  * @metrics: metrics that show limits of servers
  * @store_era: era of the store, learned from dispatchers as well
@@ -54,6 +56,7 @@
 	const char *zone;
 	const uint8_t *key;
 	struct mh_dispatch_conf dispatch;
+	struct mh_rollout_conf rollouts;
 	struct mh_server_notices *notices;
 	struct mh_metrics *metrics;
 	struct mh_store_era *store_era;
@@ -124,9 +127,11 @@
  * mh_slot_client_set_conf() - apply changed bounds from the settings
  * @sc: slot client
  * @conf: bounds
+ * @rollouts: bounds of roll-outs
  */
 void mh_slot_client_set_conf(struct mh_slot_client *sc,
-			     const struct mh_dispatch_conf *conf);
+			     const struct mh_dispatch_conf *conf,
+			     const struct mh_rollout_conf *rollouts);
 
 /**
  * mh_slot_client_forward_state() - send the dispatcher what this entry read
@@ -157,6 +162,26 @@
 bool mh_slot_client_may_send(const struct mh_slot_client *sc,
 			     const struct mh_server_ref *server);
 
+/**
+ * mh_slot_client_allows_version() - whether the roll-outs that this entry knows of
+ *                                   allow a request at a server
+ * @sc: slot client
+ * @server: server of a slot that was granted
+ *
+ * A slot may have been granted before its version was rolled back.
+ */
+bool mh_slot_client_allows_version(const struct mh_slot_client *sc,
+				   const struct mh_server_ref *server);
+
+/**
+ * mh_slot_client_order() - apply an order to roll out a version
+ * @sc: slot client
+ * @order: order that this entry read from the store
+ */
+enum mh_rollout_order_result
+mh_slot_client_order(struct mh_slot_client *sc,
+		     const struct mh_rollout_order *order);
+
 /**
  * mh_slot_client_send_registration() - tell the dispatcher in use what this entry
  *                                      knows of a server
--- a/proxy/slot_client_impl.h
+++ b/proxy/slot_client_impl.h
@@ -8,6 +8,7 @@
 #include "core/ledger_cache.h"
 #include "proxy/dispatcher_finder.h"
 #include "proxy/requests.h"
+#include "proxy/rollout_relay.h"
 #include "proxy/slot_client.h"
 #include "proxy/suspect_relay.h"
 #include "proxy/usage_forward.h"
@@ -36,6 +37,7 @@
 	struct mh_ledger_cache *ledger_cache;
 	struct mh_suspect_relay suspects;
 	struct mh_notice_relay notices;
+	struct mh_rollout_relay rollouts;
 };
 
 #endif
--- a/proxy/slot_client_state.c
+++ b/proxy/slot_client_state.c
@@ -1,4 +1,5 @@
 /* What an entry knows of servers and of the configuration, for its dispatcher. */
+#include "core/rollout_use.h"
 #include "net/registrations.h"
 #include "proxy/slot_client_impl.h"
 
@@ -44,3 +45,25 @@
 	if (reg && sc->current && sc->current->up)
 		mh_registration_send(sc->links, sc->current->link, reg);
 }
+
+bool mh_slot_client_allows_version(const struct mh_slot_client *sc,
+				   const struct mh_server_ref *server)
+{
+	const struct mh_registration *reg =
+		mh_catalog_find(sc->catalog, server->id);
+
+	return !reg || !reg->service || reg->born_ms != server->born_ms ||
+	       mh_rollouts_may_use(sc->rollouts.set, reg->service,
+				   reg->version ? reg->version : "");
+}
+
+enum mh_rollout_order_result
+mh_slot_client_order(struct mh_slot_client *sc,
+		     const struct mh_rollout_order *order)
+{
+	enum mh_rollout_order_result result =
+		mh_rollouts_order(sc->rollouts.set, order, 0);
+
+	mh_rollout_relay_update(&sc->rollouts);
+	return result;
+}
--- a/proxy/slot_frames.c
+++ b/proxy/slot_frames.c
@@ -30,6 +30,7 @@
 	msg.deadline_in_ms = left_ms > 0 ? (uint32_t)left_ms : 0;
 	msg.start_in_ms = ms_until(slot_req->start_by_ns, now_ns);
 	msg.fingerprint = slot_req->fingerprint;
+	msg.kind = slot_req->kind;
 	msg.n_part = slot_req->n_parts;
 	msg.part = (uint64_t *)slot_req->parts;
 	msg.is_repeat = slot_req->is_repeat;
@@ -86,11 +87,13 @@
 	mh_links_send(links, link, &frame);
 }
 
-void mh_slot_frames_send_ping(struct mh_links *links, uint32_t link)
+void mh_slot_frames_send_ping(struct mh_links *links, uint32_t link,
+			      bool is_used)
 {
 	Mh__Ping msg = MH__PING__INIT;
 	Mh__Frame frame = MH__FRAME__INIT;
 
+	msg.is_used = is_used;
 	frame.body_case = MH__FRAME__BODY_PING;
 	frame.ping = &msg;
 	mh_links_send(links, link, &frame);
--- a/proxy/slot_frames.h
+++ b/proxy/slot_frames.h
@@ -56,7 +56,9 @@
  * mh_slot_frames_send_ping() - show a dispatcher that this entry is alive
  * @links: links
  * @link: link to the dispatcher
+ * @is_used: this entry requests its slots there
  */
-void mh_slot_frames_send_ping(struct mh_links *links, uint32_t link);
+void mh_slot_frames_send_ping(struct mh_links *links, uint32_t link,
+			      bool is_used);
 
 #endif
