--- a/completions/mangohead.bash
+++ b/completions/mangohead.bash
@@ -14,7 +14,7 @@
 	case $prev in
 	check | publish) COMPREPLY=($(compgen -f -- "$cur")) ;;
 	*) COMPREPLY=($(compgen -W "check publish manifest status audit drain
-		undrain explain report --plot --server --token --base --note --delta --json
+		undrain explain rollouts report --plot --server --token --base --note --delta --json
 		--help --version" -- "$cur")) ;;
 	esac
 }
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -408,6 +408,12 @@
 				 stdout);
 }
 
+static int run_rollouts(struct opts *opts, char **args)
+{
+	(void)opts;
+	return mh_timeline_print_rollouts(args, count_args(args), stdout);
+}
+
 static const struct command commands[] = {
 	{ "check", "FILE", "check a manifest", 1, false, run_check },
 	{ "publish", "FILE", "publish a manifest, or a delta with --delta", 1,
@@ -426,6 +432,10 @@
 	  "                        or from saved logs of proxies and "
 	  "dispatchers",
 	  1, true, run_explain },
+	{ "rollouts", "LOG...",
+	  "show orders to roll out a version: phases and verdicts\n"
+	  "                        from saved logs of dispatchers",
+	  1, true, run_rollouts },
 	{ "report", "FILE...", "summarize saved metrics of processes", 1, true,
 	  run_report },
 };
--- a/ctl/timeline.c
+++ b/ctl/timeline.c
@@ -402,18 +402,107 @@
 	}
 }
 
-int mh_timeline_print(const char *id, char **paths, int n, FILE *out)
+static int read_logs(struct timeline *tl, char **paths, int n)
 {
-	struct timeline tl = { 0 };
 	int rc = MH_EXIT_OK, i;
-	size_t k;
 
 	for (i = 0; i < n; i++) {
-		if (!read_log(&tl, paths[i]))
+		if (!read_log(tl, paths[i]))
 			rc = MH_EXIT_FAILED;
 	}
-	if (tl.n)
-		qsort(tl.v, tl.n, sizeof(*tl.v), by_time);
+	if (tl->n)
+		qsort(tl->v, tl->n, sizeof(*tl->v), by_time);
+	return rc;
+}
+
+static void release(struct timeline *tl)
+{
+	size_t k;
+
+	for (k = 0; k < tl->n; k++)
+		free(tl->v[k].text);
+	free(tl->v);
+}
+
+static bool is_of_rollouts(const char *text)
+{
+	char event[VALUE_BYTES];
+
+	return get_field(text, "event", event) &&
+	       !strncmp(event, "rollout", strlen("rollout"));
+}
+
+/* Return: whether a later line tells of a phase of the same service. */
+static bool is_superseded(const struct timeline *tl, size_t k)
+{
+	char service[VALUE_BYTES];
+	size_t i;
+
+	get_field(tl->v[k].text, "service", service);
+	for (i = k + 1; i < tl->n; i++) {
+		if (field_is(tl->v[i].text, "event", "rollout") &&
+		    field_is(tl->v[i].text, "service", service))
+			return true;
+	}
+	return false;
+}
+
+/* Return: whether the store has acknowledged the status of a line's phase. */
+static bool is_written(const struct timeline *tl, const char *text)
+{
+	static const char *const names[] = { "service", "target", "phase" };
+	char value[VALUE_BYTES];
+	size_t i, k, same;
+
+	if (field_is(text, "written", "1"))
+		return true;
+	for (i = 0; i < tl->n; i++) {
+		if (!field_is(tl->v[i].text, "event", "rollout_status"))
+			continue;
+		for (k = same = 0; k < sizeof(names) / sizeof(names[0]); k++)
+			same += get_field(text, names[k], value) &&
+				field_is(tl->v[i].text, names[k], value);
+		if (same == k)
+			return true;
+	}
+	return false;
+}
+
+int mh_timeline_print_rollouts(char **paths, int n, FILE *out)
+{
+	char service[VALUE_BYTES], target[VALUE_BYTES], phase[VALUE_BYTES];
+	struct timeline tl = { 0 };
+	int rc = read_logs(&tl, paths, n);
+	size_t k;
+
+	for (k = 0; k < tl.n; k++) {
+		if (is_of_rollouts(tl.v[k].text))
+			show(&tl, &tl.v[k]);
+	}
+	print_lines(&tl, out);
+	for (k = 0; k < tl.n; k++) {
+		const char *text = tl.v[k].text;
+
+		if (!field_is(text, "event", "rollout") ||
+		    is_superseded(&tl, k))
+			continue;
+		get_field(text, "service", service);
+		get_field(text, "target", target);
+		get_field(text, "phase", phase);
+		fprintf(out, "order: %s to version %s: %s%s\n", service, target,
+			phase,
+			is_written(&tl, text) ? ", written to the store" : "");
+	}
+	release(&tl);
+	return rc;
+}
+
+int mh_timeline_print(const char *id, char **paths, int n, FILE *out)
+{
+	struct timeline tl = { 0 };
+	int rc = read_logs(&tl, paths, n);
+	size_t k;
+
 	for (k = 0; k < tl.n; k++) {
 		if (field_is(tl.v[k].text, "id", id))
 			show(&tl, &tl.v[k]);
@@ -435,8 +524,6 @@
 	print_lines(&tl, out);
 	print_cause(&tl, out);
 out:
-	for (k = 0; k < tl.n; k++)
-		free(tl.v[k].text);
-	free(tl.v);
+	release(&tl);
 	return rc;
 }
--- a/ctl/timeline.h
+++ b/ctl/timeline.h
@@ -1,5 +1,5 @@
 /*
- * Timeline of a request, from saved log lines of several processes.
+ * Timelines of a request and of roll-outs, from saved log lines of several processes.
  */
 #ifndef MH_TIMELINE_H
 #define MH_TIMELINE_H
@@ -20,4 +20,15 @@
  */
 int mh_timeline_print(const char *id, char **paths, int n, FILE *out);
 
+/**
+ * mh_timeline_print_rollouts() - print the log lines of roll-outs and the state of
+ *                                each service's order
+ * @paths: saved logs, as text or JSON, in any order; "-" is standard input
+ * @n: number of @paths
+ * @out: output stream
+ *
+ * Return: exit code.
+ */
+int mh_timeline_print_rollouts(char **paths, int n, FILE *out);
+
 #endif
