--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -174,6 +174,9 @@
  * frees, or NULL without a response with status 200. */
 char *fleet_platform_request(const char *method, const char *target,
 			     const char *body);
+/* The same to another process of the stand-in. */
+char *fleet_request_at(uint32_t port, const char *method, const char *target,
+		       const char *body);
 void fleet_publish_config(uint32_t version);
 
 /* ---- clients.c: load ---- */
@@ -253,6 +256,20 @@
 /* Return: number of violated guarantees; each is printed. */
 uint32_t crashes_check(FILE *out);
 
+/* ---- orders.c: roll-outs of versions ---- */
+
+/* First port of their servers, that of the control requests. */
+uint32_t rollout_port(const struct params *params);
+/* Starts servers of two services and their callers, and orders a version of each
+ * after a part of the run. */
+bool orders_start(const struct params *params);
+/* Writes the orders again that were given. */
+void orders_publish(void);
+/* Waits for the verdicts. */
+void orders_stop(void);
+/* Return: number of violated guarantees; each is printed. */
+uint32_t orders_check(FILE *out);
+
 /* ---- checks.c ---- */
 
 /* Return: number of violated guarantees; each is printed. */
