Stand-in: comparing keys does not read past a shorter record

The address sanitizer found it while tests/test_rollout.sh ran; is_newest() compared as many bytes as the one key has.

--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -234,7 +234,8 @@
 	size_t j;
 
 	for (j = i + 1; j < t->n; j++) {
-		if (!memcmp(r->bytes, t->v[j].bytes, 1u + r->bytes[0]))
+		if (t->v[j].len > r->bytes[0] &&
+		    !memcmp(r->bytes, t->v[j].bytes, 1u + r->bytes[0]))
 			return false;
 	}
 	return true;
