Roll-outs: a late shift is observed before it succeeds

Cause: at the end of the duration a roll-out succeeded as soon as nothing was in flight at old servers, also if the shift had begun half a second before, as judges had been lost until then. Soak: a bad version succeeded 8.05 s after an order of 8 s, with 9 of 15 answers bad, in a period that no test had weighed yet.

Ruled out: waiting while the answers lean to a bad version, clearly or at all (a good version beside an old server in gray failure is late then, test_old_server_in_gray_failure).

Change: the target gets all requests for a sixth of the duration in any case.

Result: test_late_shift_needs_evidence fails before; the mutant is killed; all roll-out tests pass.

--- a/core/rollout_phase.c
+++ b/core/rollout_phase.c
@@ -180,9 +180,10 @@
 		return;
 	if (!svc->shifted_ns)
 		svc->shifted_ns = now_ns;
+	/* Also after the end of the duration: a shift that began late, as judges
+	 * were lost, has shown nothing yet. */
 	if (!old_attempts(svc) && svc->unreachable < DOUBTFUL_UNREACHABLE &&
-	    (is_past(svc, svc->shifted_ns, MIN_SHIFTED_PART) ||
-	     mh_rollout_elapsed_ms(svc) >= svc->duration_ms))
+	    is_past(svc, svc->shifted_ns, MIN_SHIFTED_PART))
 		succeed(svc);
 }
 
--- a/tests/test_rollout_merge.c
+++ b/tests/test_rollout_merge.c
@@ -129,6 +129,25 @@
 	}
 }
 
+/* Guards against success without evidence: no judge was there until shortly before the
+ * end of the duration, so that the target gets all requests only after that. */
+static void test_late_shift_needs_evidence(void **state)
+{
+	struct model *m = new_model(1);
+
+	(void)state;
+	m->duration_ms = 8000;
+	m->rate_per_s = 30;
+	set_fails(&m->target, 0.6);
+	mh_rollouts_set_judge(m->set, false);
+	give_order(m);
+	run_ms(m, 7500);
+	assert_int_equal(m->granted[1], 0);
+	mh_rollouts_set_judge(m->set, true);
+	assert_int_equal(run_all(m), MH_ROLLOUT_ROLLED_BACK);
+	free_model(m);
+}
+
 /* Guards against a bound that two judges use up twice, while neither knows of the
  * other: each has seen the order, and grants to its own entries. */
 static void test_bound_of_two_judges(void **state)
@@ -334,6 +353,7 @@
 		cmocka_unit_test(test_new_judge_reads_the_verdict),
 		cmocka_unit_test(test_followers),
 		cmocka_unit_test(test_bound_over_many_takeovers),
+		cmocka_unit_test(test_late_shift_needs_evidence),
 		cmocka_unit_test(test_bound_of_two_judges),
 		cmocka_unit_test(test_counts_of_the_record_are_evidence),
 		cmocka_unit_test(test_verdicts_are_never_reversed),
