Test of announcements: the drill comes once both were acknowledged

A process whose announcement the store has, but whose reply has not come before the drill, writes it again for that reason, without the mechanism under test. Change: the drill comes 0.5 s later.

--- a/tests/test_drill.sh
+++ b/tests/test_drill.sh
@@ -69,6 +69,9 @@
 	start_proxy 3
 	wait_until 3 listed keyed.dispatchers dispatcher-3 &&
 		wait_until 3 listed keyed.entries proxy-3 || return 1
+	# Both have read the store's answer by now: one that comes after the drill is
+	# reason enough to write again.
+	sleep 0.5
 	platform 'drill?ms=0'
 	! listed keyed.dispatchers dispatcher-3 &&
 		wait_until 3 listed keyed.dispatchers dispatcher-3 &&
