Mutants: a port range is used by one mutant at a time

Cause: ranges were given out in turn, twelve in all. A process test that takes longer than the twelve mutants behind it shared its ports with one of them, whose test then talked to processes without its mutation: the same mutants survived in each run and were killed alone. Change: a range is given out again once its mutant has ended.

--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -60,11 +60,19 @@
 	while [ "$(jobs -rp | wc -l)" -ge $jobs ]; do
 		wait -n
 	done
-	ports=$((${MUTANT_PORTS:-28000} + 300 * (n++ % 12)))
+	# A mutant whose test takes long keeps its ports from those that follow.
+	until mkdir "$dir/slot$((n % 12))" 2>/dev/null; do
+		n=$((n + 1))
+	done
+	slot=$((n++ % 12))
+	ports=$((${MUTANT_PORTS:-28000} + 300 * slot))
 	[[ $property != *"sh processes "* ]] ||
 		ports=$((${MUTANT_PORTS:-28000} - 1000 * ++n_wide))
-	try_mutant "$name" "$(echo $property)" "$(echo $file)" \
-		"$(echo "$expression" | sed 's/^ //')" $ports &
+	{
+		try_mutant "$name" "$(echo $property)" "$(echo $file)" \
+			"$(echo "$expression" | sed 's/^ //')" $ports
+		rmdir "$dir/slot$slot"
+	} &
 done <tests/mutants.txt >"$dir/result"
 wait
 sort "$dir/result"
