Removals: entries ask the store when no dispatcher can tell

Cause: two, of one class: a process takes what it saw itself for the state of the whole. A dispatcher that missed a read takes this for an outage, in which registrations lapse, and defers removals by 2.4 s; entries read the store only 1.4 s after its last read, and up to 1.5 s later. And registrations were ordered by sequence: an entry is told of changes only, so that a removal that it had read itself looked older than the registration that the cut-off dispatcher knew, and was taken back 33 ms later (log in the postmortem). So a second cut of the same server, which the entry then knew by a later sequence, held.

Change: heartbeats carry the age of what a dispatcher knows of servers and whether it can tell which are gone. An entry reads the servers itself while no linked dispatcher is sure, or the newest sure read is 1.2 s old, with a spread of 250 ms, and at least once a second while its reads succeed. Registrations and removals carry the store's era and offset, which order them within an era. A doubtful registration is told to nobody.

Why it works: in a cut the entry's own read succeeds and shows the removal, in an outage it fails as well. From the last read that shows the server, 1.2 + 0.1 + 0.25 s and a read pass until the entry holds requests back; DRAIN allows 2 s.

--- a/core/candidates.c
+++ b/core/candidates.c
@@ -133,6 +133,7 @@
 	c->up = true;
 	c->fit = false;
 	c->was_fit = false;
+	c->doubts_servers = true;
 	c->link = link;
 	if (c->incarnation != incarnation)
 		c->used_until_ns = 0;
@@ -155,6 +156,41 @@
 	c->was_fit = c->was_fit || fit;
 }
 
+void mh_candidate_know_servers(struct mh_candidate *c, uint32_t age_ms,
+			       bool in_doubt, uint64_t now_ns)
+{
+	uint64_t age_ns = age_ms * MH_NS_PER_MS;
+
+	c->doubts_servers = in_doubt;
+	if (age_ms != UINT32_MAX && age_ns < now_ns)
+		c->servers_ns = now_ns - age_ns;
+}
+
+uint64_t mh_candidates_servers_ns(const struct mh_candidates *set)
+{
+	const struct mh_candidate *c;
+	uint64_t newest_ns = 0;
+
+	DL_FOREACH(set->first, c) {
+		if (!c->doubts_servers && c->servers_ns > newest_ns)
+			newest_ns = c->servers_ns;
+	}
+	return newest_ns;
+}
+
+bool mh_candidates_doubt_servers(const struct mh_candidates *set)
+{
+	const struct mh_candidate *c;
+	bool is_linked = false;
+
+	DL_FOREACH(set->first, c) {
+		if (c->up && !c->doubts_servers)
+			return false;
+		is_linked |= c->up;
+	}
+	return is_linked;
+}
+
 void mh_candidates_count_entries(struct mh_candidates *set, uint32_t n,
 				 bool is_used, uint64_t now_ns)
 {
--- a/core/candidates.h
+++ b/core/candidates.h
@@ -20,6 +20,9 @@
  * @up: the link is up
  * @fit: its last heartbeat reported that it can reach the store
  * @was_fit: @fit was true at some time since the link came up
+ * @servers_ns: monotonic time as of which it knows the backend servers and has told
+ *              of them, 0 if it has read none
+ * @doubts_servers: it can't tell whether some of them are gone
  * @up_ns: monotonic time at which the link came up
  * @fit_changed_ns: monotonic time of the last change of @fit
  * @incarnation: of the process at the other end
@@ -36,6 +39,8 @@
 	bool up;
 	bool fit;
 	bool was_fit;
+	uint64_t servers_ns;
+	bool doubts_servers;
 	uint64_t up_ns;
 	uint64_t fit_changed_ns;
 	uint64_t incarnation;
@@ -145,6 +150,33 @@
  */
 void mh_candidate_down(struct mh_candidate *c);
 
+/**
+ * mh_candidate_know_servers() - record what a heartbeat says of backend servers
+ * @c: candidate that is up
+ * @age_ms: time since its last successful read of them began, UINT32_MAX if there
+ *          was none
+ * @in_doubt: it can't tell whether some of them are gone
+ * @now_ns: monotonic time
+ */
+void mh_candidate_know_servers(struct mh_candidate *c, uint32_t age_ms,
+			       bool in_doubt, uint64_t now_ns);
+
+/**
+ * mh_candidates_servers_ns() - time as of which this process knows of the backend
+ *                              servers through its dispatchers
+ * @set: set
+ *
+ * Return: monotonic time, 0 if no dispatcher was linked that has read them.
+ */
+uint64_t mh_candidates_servers_ns(const struct mh_candidates *set);
+
+/**
+ * mh_candidates_doubt_servers() - whether no dispatcher that is up can tell which
+ *                                 backend servers are gone
+ * @set: set
+ */
+bool mh_candidates_doubt_servers(const struct mh_candidates *set);
+
 /**
  * mh_candidate_heartbeat() - take a heartbeat of a candidate
  * @c: candidate
--- a/core/catalog.c
+++ b/core/catalog.c
@@ -24,6 +24,8 @@
 	struct row *rows;
 	bool store_ok;
 	uint64_t store_back_ns;
+	uint32_t n_doubtful;
+	struct mh_store_position read_at;
 	void (*changed)(void *data, const struct mh_registration *updated);
 	void *data;
 };
@@ -51,8 +53,16 @@
 	free(e->version);
 }
 
+static void mark(struct mh_catalog *cat, struct row *r, bool is_doubtful)
+{
+	cat->n_doubtful += is_doubtful;
+	cat->n_doubtful -= r->reg.is_doubtful;
+	r->reg.is_doubtful = is_doubtful;
+}
+
 static void free_row(struct mh_catalog *cat, struct row *r)
 {
+	mark(cat, r, false);
 	HASH_DEL(cat->rows, r);
 	release_registration(&r->reg);
 	free(r);
@@ -89,9 +99,20 @@
 	*to = copy;
 }
 
+static bool is_comparable(const struct mh_store_position *a,
+			  const struct mh_store_position *b)
+{
+	return a->next && b->next && a->era == b->era;
+}
+
+/* A process that is told of changes only knows an old sequence: the store's order
+ * decides whether a removal that it reads is newer. */
 static bool is_newer(const struct mh_registration *old,
 		     const struct mh_registration *update)
 {
+	if (is_comparable(&old->read_at, &update->read_at) &&
+	    old->read_at.next != update->read_at.next)
+		return update->read_at.next > old->read_at.next;
 	if (update->born_ms != old->born_ms)
 		return update->born_ms > old->born_ms;
 	if (update->sequence != old->sequence)
@@ -156,7 +177,8 @@
 	}
 	r->reg.born_ms = update->born_ms;
 	r->reg.sequence = update->sequence;
-	r->reg.is_doubtful = false;
+	r->reg.read_at = update->read_at;
+	mark(cat, r, false);
 	if (changed)
 		cat->changed(cat->data, &r->reg);
 	return true;
@@ -164,7 +186,7 @@
 
 static void remove_now(struct mh_catalog *cat, struct row *r, uint64_t now_ns)
 {
-	r->reg.is_doubtful = false;
+	mark(cat, r, false);
 	r->gone_ns = now_ns;
 	if (r->reg.state == MH_SERVER_GONE)
 		return;
@@ -184,18 +206,29 @@
 {
 	if (r->reg.is_doubtful == is_doubtful)
 		return;
-	r->reg.is_doubtful = is_doubtful;
+	mark(cat, r, is_doubtful);
 	cat->changed(cat->data, &r->reg);
 }
 
 static void remove_row(struct mh_catalog *cat, struct row *r, uint64_t now_ns)
 {
+	if (is_comparable(&r->reg.read_at, &cat->read_at) &&
+	    cat->read_at.next < r->reg.read_at.next)
+		return;
+	if (cat->read_at.next)
+		r->reg.read_at = cat->read_at;
 	if (r->reg.state != MH_SERVER_GONE && defers_removal(cat, now_ns))
 		set_doubtful(cat, r, true);
 	else
 		remove_now(cat, r, now_ns);
 }
 
+void mh_catalog_read_at(struct mh_catalog *cat,
+			const struct mh_store_position *at)
+{
+	cat->read_at = *at;
+}
+
 void mh_catalog_removed(struct mh_catalog *cat, const char *id, uint64_t now_ns)
 {
 	struct row *r;
@@ -217,6 +250,11 @@
 	cat->store_back_ns = now_ns;
 }
 
+bool mh_catalog_defers_removals(const struct mh_catalog *cat)
+{
+	return cat->n_doubtful > 0;
+}
+
 void mh_catalog_listing_begin(struct mh_catalog *cat)
 {
 	struct row *r, *next;
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -17,6 +17,19 @@
 	MH_SERVER_GONE,	    /* its registration was removed */
 };
 
+/**
+ * struct mh_store_position - point in the history of the store's registrations
+ * @era: era of the store
+ * @next: offset of the next record, 0 if not known
+ *
+ * Orders what processes read at different times. Offsets of different eras can't be
+ * compared.
+ */
+struct mh_store_position {
+	uint64_t era;
+	uint64_t next;
+};
+
 /**
  * struct mh_registration - registration of a backend server
  * @id: identifier, the same after a restart in place
@@ -28,6 +41,7 @@
  * @state: whether it takes requests
  * @born_ms: Unix time of its start, 0 if not given
  * @sequence: increases with each registration of one incarnation
+ * @read_at: the record that tells of it, or the reading that found it removed
  * @cold_remaining_ms: how much longer it stays slow after its start
  * @is_doubtful: the registration was removed, or had lapsed as the store was away:
  *               the server may be gone
@@ -42,6 +56,7 @@
 	enum mh_server_state state;
 	uint64_t born_ms;
 	uint64_t sequence;
+	struct mh_store_position read_at;
 	uint32_t cold_remaining_ms;
 	bool is_doubtful;
 };
@@ -76,15 +91,26 @@
 bool mh_catalog_update(struct mh_catalog *cat,
 		       const struct mh_registration *update, uint64_t now_ns);
 
+/**
+ * mh_catalog_read_at() - set the position of what is recorded next
+ * @cat: catalog
+ * @at: position; initially not known
+ *
+ * Applies to removals and to the end of a listing.
+ */
+void mh_catalog_read_at(struct mh_catalog *cat,
+			const struct mh_store_position *at);
+
 /**
  * mh_catalog_removed() - record that a registration was removed from the store
  * @cat: catalog
  * @id: server
  * @now_ns: monotonic time
  *
- * Takes effect at once while the store can be read. During an outage it is
+ * Takes effect at once while the store can be read. After failed reads it is
  * deferred until live servers have had time to register again; the server is
- * doubtful until then.
+ * doubtful until then. Only a reader that went on reading meanwhile can tell an
+ * outage from a cut of the other one's path.
  */
 void mh_catalog_removed(struct mh_catalog *cat, const char *id,
 			uint64_t now_ns);
@@ -107,6 +133,12 @@
  */
 void mh_catalog_store_rewound(struct mh_catalog *cat, uint64_t now_ns);
 
+/**
+ * mh_catalog_defers_removals() - whether a server is doubtful
+ * @cat: catalog
+ */
+bool mh_catalog_defers_removals(const struct mh_catalog *cat);
+
 /**
  * mh_catalog_listing_begin() - begin a full listing of the store
  * @cat: catalog
--- a/core/store_reads.c
+++ b/core/store_reads.c
@@ -3,8 +3,8 @@
 /* Combined read rate of all entries that share what they read through a
  * dispatcher, in multiples of the full rate of one. */
 #define COMBINED_READ_RATE 2.5
-/* Without a dispatcher nobody passes on what an entry reads, so each has to read
- * often enough for the bounds of configuration and draining. */
+/* While no dispatcher tells of changes in time, each entry has to read often enough
+ * for the bounds of configuration and draining. */
 #define ALONE_INTERVAL_FACTOR 2.0
 
 bool mh_store_reads_dispatchers(const struct mh_store_reads *r)
@@ -16,7 +16,16 @@
 
 double mh_store_reads_interval_factor(const struct mh_store_reads *r)
 {
-	if (r->has_dispatcher)
-		return r->is_fit ? 0 : 1 + r->entries / COMBINED_READ_RATE;
-	return r->lost_ms >= r->patience_ms ? ALONE_INTERVAL_FACTOR : 0;
+	double shared = 1 + r->entries / COMBINED_READ_RATE;
+
+	if (!r->has_dispatcher)
+		return r->is_stale || r->lost_ms >= r->patience_ms ?
+			       ALONE_INTERVAL_FACTOR :
+			       0;
+	if (r->is_fit && !r->is_stale)
+		return 0;
+	/* In an outage all fail, and none has to know before the others. */
+	return r->store_answers && shared > ALONE_INTERVAL_FACTOR ?
+		       ALONE_INTERVAL_FACTOR :
+		       shared;
 }
--- a/dispatcher/app.c
+++ b/dispatcher/app.c
@@ -159,8 +159,6 @@
 		 (unsigned long long)reg->sequence,
 		 (unsigned long long)reg->born_ms);
 	mh_dispatch_update_registration(app->dispatch, reg);
-	if (reg->is_doubtful)
-		return;
 	HASH_ITER(hh, app->linked_entries, entry, tmp)
 		mh_registration_send(app->links, entry->link, reg);
 }
@@ -250,6 +248,8 @@
 		.fit = app->fit,
 		.entries = mh_dispatch_entries(app->dispatch),
 		.store_era = app->process.store_era.current,
+		.servers_age_ms = mh_directory_servers_age_ms(app->directory),
+		.servers_in_doubt = mh_directory_doubts_servers(app->directory),
 	};
 	size_t len;
 
--- a/dispatcher/slot_frames.c
+++ b/dispatcher/slot_frames.c
@@ -109,6 +109,8 @@
 	msg.version = state->version;
 	msg.entries = state->entries;
 	msg.store_era = state->store_era;
+	msg.servers_age_ms = state->servers_age_ms;
+	msg.servers_in_doubt = state->servers_in_doubt;
 	frame.body_case = MH__FRAME__BODY_STANDING;
 	frame.standing = &msg;
 	mh_links_send(links, link, &frame);
--- a/dispatcher/slot_frames.h
+++ b/dispatcher/slot_frames.h
@@ -66,12 +66,17 @@
  * @version: version of its configuration
  * @entries: number of linked entries
  * @store_era: era of the store, 0 if not known
+ * @servers_age_ms: time since its last successful read of the backend servers began,
+ *                  UINT32_MAX if there was none
+ * @servers_in_doubt: it can't tell whether some of them are gone
  */
 struct mh_dispatcher_state {
 	bool fit;
 	uint64_t version;
 	uint32_t entries;
 	uint64_t store_era;
+	uint32_t servers_age_ms;
+	bool servers_in_doubt;
 };
 
 /**
--- a/net/registrations.c
+++ b/net/registrations.c
@@ -8,6 +8,9 @@
 	Mh__ServerWord *list[] = { &word };
 	Mh__Frame frame = MH__FRAME__INIT;
 
+	/* Who can't tell whether a server is gone must not claim either. */
+	if (reg->is_doubtful)
+		return;
 	word.id = reg->id;
 	word.service = reg->service ? reg->service : "";
 	word.address = reg->address ? reg->address : "";
@@ -17,6 +20,8 @@
 	word.born_ms = reg->born_ms;
 	word.sequence = reg->sequence;
 	word.version = reg->version ? reg->version : "";
+	word.store_era = reg->read_at.era;
+	word.store_next = reg->read_at.next;
 	msg.n_word = 1;
 	msg.word = list;
 	frame.body_case = MH__FRAME__BODY_SERVER_WORDS;
@@ -44,6 +49,7 @@
 			.born_ms = w->born_ms,
 			.sequence = w->sequence,
 			.version = w->version,
+			.read_at = { w->store_era, w->store_next },
 		};
 
 		mh_catalog_update(cat, &reg, now_ns);
--- a/net/registrations.h
+++ b/net/registrations.h
@@ -9,7 +9,7 @@
 #include "net/link_peer.h"
 
 /**
- * mh_registration_send() - send a server's registration
+ * mh_registration_send() - send a server's registration, unless it is doubtful
  * @links: links
  * @link: number of the link
  * @reg: newest registration of the server
--- a/proto/mangohead.pb-c.c
+++ b/proto/mangohead.pb-c.c
@@ -4537,7 +4537,7 @@
   (ProtobufCMessageInit) mh__server_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__server_word__field_descriptors[9] =
+static const ProtobufCFieldDescriptor mh__server_word__field_descriptors[11] =
 {
   {
     "id",
@@ -4647,6 +4647,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ServerWord, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_next",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ServerWord, store_next),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__server_word__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -4656,13 +4680,15 @@
   7,   /* field[7] = sequence */
   1,   /* field[1] = service */
   5,   /* field[5] = state */
+  9,   /* field[9] = store_era */
+  10,   /* field[10] = store_next */
   8,   /* field[8] = version */
   3,   /* field[3] = zone */
 };
 static const ProtobufCIntRange mh__server_word__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor mh__server_word__descriptor =
 {
@@ -4672,7 +4698,7 @@
   "Mh__ServerWord",
   "mh",
   sizeof(Mh__ServerWord),
-  9,
+  11,
   mh__server_word__field_descriptors,
   mh__server_word__field_indices_by_name,
   1,  mh__server_word__number_ranges,
@@ -4857,7 +4883,7 @@
   (ProtobufCMessageInit) mh__dispatchers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__standing__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mh__standing__field_descriptors[6] =
 {
   {
     "fit",
@@ -4907,17 +4933,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "servers_age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Standing, servers_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers_in_doubt",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Standing, servers_in_doubt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__standing__field_indices_by_name[] = {
   2,   /* field[2] = entries */
   0,   /* field[0] = fit */
+  4,   /* field[4] = servers_age_ms */
+  5,   /* field[5] = servers_in_doubt */
   3,   /* field[3] = store_era */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange mh__standing__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mh__standing__descriptor =
 {
@@ -4927,7 +4979,7 @@
   "Mh__Standing",
   "mh",
   sizeof(Mh__Standing),
-  4,
+  6,
   mh__standing__field_descriptors,
   mh__standing__field_indices_by_name,
   1,  mh__standing__number_ranges,
--- a/proto/mangohead.pb-c.h
+++ b/proto/mangohead.pb-c.h
@@ -715,10 +715,15 @@
   uint64_t born_ms;
   uint64_t sequence;
   char *version;
+  /*
+   * Point in the history of the store at which this was read, 0 if not known.
+   */
+  uint64_t store_era;
+  uint64_t store_next;
 };
 #define MH__SERVER_WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__server_word__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Mh__ServerWords
@@ -790,10 +795,20 @@
    * of the platform's store, 0 if not known
    */
   uint64_t store_era;
+  /*
+   * Age of what the sender knows of backend servers, from the begin of its last
+   * successful read of them.
+   */
+  uint32_t servers_age_ms;
+  /*
+   * Its last read failed, or it defers removals as registrations may have lapsed in
+   * an outage: only others can tell.
+   */
+  protobuf_c_boolean servers_in_doubt;
 };
 #define MH__STANDING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__standing__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/proxy/app.c
+++ b/proxy/app.c
@@ -23,9 +23,6 @@
 /* The process stops this long before the end of the grace period, at which it
  * would be killed. */
 #define KILL_MARGIN_NS (300 * MH_NS_PER_MS)
-/* Entries that begin to read the store at the same moment spread their first
- * reads over this time, and more while they share what they read. */
-#define READ_SPREAD_MS 500
 #define MAINTENANCE_INTERVAL_NS (500 * MH_NS_PER_MS)
 
 struct mh_proxy_app {
@@ -44,7 +41,7 @@
 	bool unlisted;
 	bool ready;
 	bool reads_store;
-	uint32_t read_phase_ms; /* up to READ_SPREAD_MS, different for each */
+	uint32_t read_phase_ms; /* different for each entry */
 	uint64_t next_maintenance_ns;
 };
 
@@ -252,17 +249,23 @@
 {
 	struct mh_store_reads reads =
 		mh_slot_client_store_reads(app->slot_client);
-	double factor = mh_store_reads_interval_factor(&reads);
 	bool reads_lists = mh_store_reads_dispatchers(&reads);
+	double factor;
 
-	mh_directory_follow(app->directory, factor,
-			    (uint32_t)(app->read_phase_ms * factor));
+	reads.store_answers = mh_directory_store_ok(app->directory);
+	factor = mh_store_reads_interval_factor(&reads);
+	mh_directory_follow(app->directory, factor, app->read_phase_ms);
 	mh_directory_follow_dispatchers(app->directory, reads_lists);
 	mh_directory_follow_entries(app->directory, reads_lists);
 	mh_shared_suspects_run(app->shared_suspects, reads_lists,
 			       mh_slot_client_sharing(app->slot_client));
 	mh_slot_client_set_registered(app->slot_client,
 				      mh_directory_entries(app->directory));
+	if (app->reads_store != (factor > 0))
+		mh_event(app->process.log, MH_EV_DEPENDENCY,
+			 "event=reads_store on=%d used=%d fit=%d stale=%d",
+			 factor > 0, reads.has_dispatcher, reads.is_fit,
+			 reads.is_stale);
 	app->reads_store = factor > 0;
 }
 
@@ -456,7 +459,7 @@
 	directory_env.catalog = mh_slot_client_catalog(app->slot_client);
 	app->directory = mh_directory_new(&directory_env, app->settings.store,
 					  &directory_ops, app);
-	app->read_phase_ms = randombytes_uniform(READ_SPREAD_MS);
+	app->read_phase_ms = randombytes_uniform(MH_STORE_FIRST_READ_MS);
 	mh_directory_announce_entry(app->directory, app->settings.host);
 	return true;
 }
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -249,6 +249,8 @@
 			 c->name, msg->fit, (unsigned long long)msg->version);
 	was_fit = c->was_fit;
 	mh_candidate_heartbeat(c, msg->fit, now_of(sc));
+	mh_candidate_know_servers(c, msg->servers_age_ms, msg->servers_in_doubt,
+				  now_of(sc));
 	if (c == sc->current && c->was_fit && !was_fit)
 		resume(sc);
 	/* An entry that reads nothing from the store learns it this way. */
@@ -609,6 +611,17 @@
 	return mh_candidates_sharing(&sc->candidates);
 }
 
+/* Whether servers may have left that no dispatcher has told of. */
+static bool is_stale(const struct mh_slot_client *sc, uint64_t now_ns)
+{
+	uint64_t known_ns = mh_candidates_servers_ns(&sc->candidates);
+
+	if (sc->current && (mh_candidates_doubt_servers(&sc->candidates) ||
+			    mh_catalog_defers_removals(sc->catalog)))
+		return true;
+	return known_ns && now_ns > known_ns + MH_STORE_STALE_MS * MH_NS_PER_MS;
+}
+
 struct mh_store_reads
 mh_slot_client_store_reads(const struct mh_slot_client *sc)
 {
@@ -616,6 +629,7 @@
 	struct mh_store_reads r = {
 		.has_dispatcher = sc->current != NULL,
 		.is_fit = sc->current && sc->current->fit,
+		.is_stale = is_stale(sc, now_ns),
 		.has_seeds = sc->finder.n_seeds > 0,
 		.entries = sc->candidates.entries,
 		.patience_ms = sc->patience_ms,
@@ -655,6 +669,8 @@
 		select_dispatcher(sc);
 		forward_usage(sc);
 		mh_rollout_relay_update(&sc->rollouts);
+		if (mh_catalog_defers_removals(sc->catalog))
+			mh_catalog_tick(sc->catalog, now_ns);
 		if (now_ns >= sc->next_ping_ns) {
 			sc->next_ping_ns = now_ns + PING_INTERVAL_NS;
 			send_pings(sc);
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -329,6 +329,96 @@
 	mh_catalog_free(cat);
 }
 
+static bool update_at(struct mh_catalog *cat, enum mh_server_state state,
+		      uint64_t sequence, uint64_t era, uint64_t next)
+{
+	struct mh_registration e = {
+		.id = "s",
+		.service = SERVICE,
+		.address = "127.0.0.1:1",
+		.places = 2,
+		.state = state,
+		.sequence = sequence,
+		.read_at = { era, next },
+	};
+
+	return mh_catalog_update(cat, &e, 1000 * MS);
+}
+
+/* Guards against an entry that has read of a removal and is talked out of it by a
+ * dispatcher that knows a later registration but read it earlier. */
+static void test_a_removal_goes_by_the_order_of_the_store(void **state)
+{
+	struct last_change last = { 0 };
+	struct mh_catalog *cat = mh_catalog_new(on_changed, &last);
+	struct mh_store_position at = { 1, 50 };
+	struct mh_registration theirs = { .id = "s",
+					  .sequence = 9,
+					  .read_at = { 1, 40 } };
+
+	(void)state;
+	update_at(cat, MH_SERVER_READY, 1, 1, 10);
+	mh_catalog_read_at(cat, &at);
+	mh_catalog_removed(cat, "s", 1000 * MS);
+	assert_int_equal(last.state, MH_SERVER_GONE);
+	assert_false(update_at(cat, MH_SERVER_READY, 9, 1, 40));
+	assert_non_null(mh_catalog_newer(cat, &theirs));
+	/* It registers again, also from a new start of the store's count. */
+	assert_true(update_at(cat, MH_SERVER_READY, 2, 1, 51));
+	assert_false(update_at(cat, MH_SERVER_DRAINING, 1, 2, 5));
+	assert_true(update_at(cat, MH_SERVER_DRAINING, 3, 2, 5));
+	assert_int_equal(last.state, MH_SERVER_DRAINING);
+	mh_catalog_free(cat);
+}
+
+/* Guards against history that is read late, or a listing made before a server
+ * registered, taking away what others have told since. */
+static void test_an_older_removal_changes_nothing(void **state)
+{
+	struct last_change last = { 0 };
+	struct mh_catalog *cat = mh_catalog_new(on_changed, &last);
+	struct mh_store_position at = { 1, 50 };
+
+	(void)state;
+	update_at(cat, MH_SERVER_READY, 1, 1, 51);
+	mh_catalog_read_at(cat, &at);
+	mh_catalog_removed(cat, "s", 1000 * MS);
+	mh_catalog_listing_begin(cat);
+	mh_catalog_listing_end(cat, 1000 * MS);
+	assert_int_equal(last.state, MH_SERVER_READY);
+	at.next = 52;
+	mh_catalog_read_at(cat, &at);
+	mh_catalog_listing_begin(cat);
+	mh_catalog_listing_end(cat, 1000 * MS);
+	assert_int_equal(last.state, MH_SERVER_GONE);
+	mh_catalog_free(cat);
+}
+
+/* Guards against entries that trust a dispatcher which can't tell a removal from a
+ * lapse, and against two of them in turn. */
+static void test_dispatchers_say_how_much_they_know(void **state)
+{
+	struct mh_candidates set = { 0 };
+	struct mh_candidate *one, *two;
+
+	(void)state;
+	add_candidates(&set);
+	one = bring_up(mh_candidates_find(&set, "one"), 1, true, 1000 * MS);
+	two = bring_up(mh_candidates_find(&set, "two"), 2, true, 1000 * MS);
+	assert_int_equal(mh_candidates_servers_ns(&set), 0);
+	assert_true(mh_candidates_doubt_servers(&set));
+	mh_candidate_know_servers(one, 300, false, 2000 * MS);
+	mh_candidate_know_servers(two, 900, false, 2000 * MS);
+	assert_int_equal(mh_candidates_servers_ns(&set), 1700 * MS);
+	assert_false(mh_candidates_doubt_servers(&set));
+	mh_candidate_know_servers(one, 0, true, 2500 * MS);
+	assert_int_equal(mh_candidates_servers_ns(&set), 1100 * MS);
+	assert_false(mh_candidates_doubt_servers(&set));
+	mh_candidate_know_servers(two, UINT32_MAX, true, 2500 * MS);
+	assert_true(mh_candidates_doubt_servers(&set));
+	mh_candidates_release(&set);
+}
+
 /* Guards against a server that is used like any other while it may be gone, and
  * against one that is removed although the store has it again. */
 static void test_a_deferred_removal_makes_a_server_doubtful(void **state)
@@ -342,9 +432,11 @@
 	mh_catalog_set_store_ok(cat, true, 5000 * MS);
 	mh_catalog_removed(cat, "s", 5001 * MS);
 	assert_true(mh_catalog_find(cat, "s")->is_doubtful);
+	assert_true(mh_catalog_defers_removals(cat));
 	assert_int_equal(last.changes, 2);
 	mh_catalog_listed(cat, "s");
 	assert_false(mh_catalog_find(cat, "s")->is_doubtful);
+	assert_false(mh_catalog_defers_removals(cat));
 	mh_catalog_tick(cat, 9000 * MS);
 	assert_int_equal(last.state, MH_SERVER_READY);
 	mh_catalog_set_store_ok(cat, false, 10000 * MS);
@@ -540,6 +632,9 @@
 		cmocka_unit_test(test_weights_split_a_route),
 		cmocka_unit_test(
 			test_a_deferred_removal_makes_a_server_doubtful),
+		cmocka_unit_test(test_a_removal_goes_by_the_order_of_the_store),
+		cmocka_unit_test(test_an_older_removal_changes_nothing),
+		cmocka_unit_test(test_dispatchers_say_how_much_they_know),
 		cmocka_unit_test(
 			test_further_dispatchers_are_tried_while_none_is_fit),
 		cmocka_unit_test(test_peers_are_told_of_newer_registrations),
--- a/tests/test_system_start.c
+++ b/tests/test_system_start.c
@@ -386,6 +386,33 @@
 	assert_false(mh_store_reads_dispatchers(&r));
 }
 
+/* Guards against entries that wait for dispatchers which were cut off from the store,
+ * while servers that they know may use up their time. */
+static void test_stale_dispatchers_make_entries_read(void **state)
+{
+	struct mh_store_reads r = { .has_dispatcher = true,
+				    .is_fit = true,
+				    .is_stale = true,
+				    .entries = 300 };
+
+	(void)state;
+	r.store_answers = true;
+	assert_true(mh_store_reads_interval_factor(&r) >= 1);
+	assert_true(mh_store_reads_interval_factor(&r) <= 2);
+	/* In an outage they leave each other the reading. */
+	r.store_answers = false;
+	assert_true(mh_store_reads_interval_factor(&r) > 100);
+	/* No dispatcher is left: before the patience with seeds is over. */
+	r = (struct mh_store_reads){ .has_seeds = true,
+				     .lost_ms = 1,
+				     .patience_ms = 600,
+				     .is_stale = true };
+	assert_true(mh_store_reads_interval_factor(&r) >= 1);
+	assert_true(mh_store_reads_interval_factor(&r) <= 2);
+	/* All is known before a server that has left may end. */
+	assert_true(MH_STORE_STALE_MS + MH_STORE_FIRST_READ_MS < 1800);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -394,6 +421,7 @@
 		cmocka_unit_test(test_start_without_seeds),
 		cmocka_unit_test(test_lost_seeds_lead_to_the_store),
 		cmocka_unit_test(test_unfit_dispatcher_is_fed_by_few),
+		cmocka_unit_test(test_stale_dispatchers_make_entries_read),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
