Upstream: a reset beside an upload cuts the response

Callers: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written.

Cause: the failed write takes the socket's error (ECONNRESET), the read after it returns 0 as after an end in order, and that ends a response without a length.

Change: the connection keeps that a write failed by a reset; an end after that is a cut. EPIPE is none: Linux gives it where the server's FIN came before the reset, so that its response did end in order.

Why it works: an end without a FIN can only come from a reset whose error was taken, and only a write of the request takes it.

The other clients were read: the store's gives up when a write fails, links have frames with a length, mangohead-side takes no response without a length.

--- a/Makefile
+++ b/Makefile
@@ -133,7 +133,7 @@
 	      test_account_share test_returning test_latest_start test_client_budget \
 	      test_client_limits test_link_limits test_http_clients test_hedge test_hedge_load \
 	      test_rollout test_rollout_merge test_rollout_dispatch test_rollout_trials \
-	      test_rollout_wire
+	      test_rollout_wire test_upstream
 # Those that fail for a fault that KNOWN-RED.txt lists.
 RED_TESTS =
 
@@ -143,6 +143,7 @@
 $(BUILD)/bin/test_usage_relay: $(BUILD)/proxy/usage_forward.o
 $(BUILD)/bin/test_client $(BUILD)/bin/test_client_limits: \
 $(BUILD)/proxy/client.o $(BUILD)/proxy/client_limits.o
+$(BUILD)/bin/test_upstream: $(BUILD)/proxy/upstream.o
 $(BUILD)/bin/test_http_clients: $(BUILD)/entry/unread.o
 $(BUILD)/bin/test_backend_bytes: $(BUILD)/side/backend.o
 
--- a/proxy/upstream.c
+++ b/proxy/upstream.c
@@ -36,7 +36,8 @@
 	bool connecting;
 	bool busy;
 	bool bytes_sent;
-	bool reused; /* it carried a request before this one */
+	bool was_reset; /* a write took the socket's error */
+	bool reused;	/* it carried a request before this one */
 	bool reusable;
 	bool paused;
 	bool reading;
@@ -237,8 +238,12 @@
 
 		if (n < 0 && (errno == EAGAIN || errno == EINTR))
 			break;
-		if (n < 0)
+		if (n < 0) {
+			/* EPIPE: the server had ended its response in order
+			 * before, or the error was taken by an earlier write. */
+			u->was_reset |= errno != EPIPE;
 			return false;
+		}
 		u->bytes_sent = true;
 		consume(u, (size_t)n);
 	}
@@ -286,7 +291,7 @@
 		return;
 	}
 	if (n <= 0) {
-		if (n == 0 && mh_http_read_eof(&u->reader)) {
+		if (n == 0 && !u->was_reset && mh_http_read_eof(&u->reader)) {
 			u->reusable = false;
 			finish(u, false);
 		} else {
@@ -432,6 +437,7 @@
 	u->ops = ops;
 	u->data = data;
 	u->bytes_sent = false;
+	u->was_reset = false;
 	u->reusable = true;
 	u->reader.no_body = no_body;
 	u->out = *head;
