HTTP: a response whose status is no status is malformed

Cause: the start line was checked by its length and first bytes only; the parser below takes any number of digits.

Change: a status line has a space, three digits, 100 to 599, and a space or its end. Otherwise the response is malformed: 502 at once, and the connection is closed. The store's client has the same reader; mangohead-side and its health checks test the number.

--- a/net/http1.c
+++ b/net/http1.c
@@ -9,6 +9,8 @@
 #define MAX_INTERIM_RESPONSES 16
 #define MAX_EMPTY_BYTES 64
 #define SLICE_BYTES 1024
+/* "HTTP/1.1 200" */
+#define STATUS_LINE_BYTES 12
 /* Capacity that is kept between two messages. */
 #define MAX_IDLE_BYTES 4096
 
@@ -158,6 +160,28 @@
 	return NULL;
 }
 
+static bool is_digit(char c)
+{
+	return c >= '0' && c <= '9';
+}
+
+/* The parser takes any number of digits, and servers leave out the reason. */
+static bool is_status_line(const char *line, size_t len)
+{
+	int i, status = 0;
+
+	if (len < STATUS_LINE_BYTES || memcmp(line, "HTTP/1.", 7) ||
+	    !is_digit(line[7]) || line[8] != ' ')
+		return false;
+	for (i = 9; i < STATUS_LINE_BYTES; i++) {
+		if (!is_digit(line[i]))
+			return false;
+		status = status * 10 + (line[i] - '0');
+	}
+	return mh_http_is_status(status) &&
+	       (len == STATUS_LINE_BYTES || line[STATUS_LINE_BYTES] == ' ');
+}
+
 static bool parse_start_line(struct mh_http_reader *r, const char *line,
 			     const char *end)
 {
@@ -165,7 +189,7 @@
 	const char *sp1, *sp2;
 
 	if (r->type == HTTP_RESPONSE)
-		return end - line >= 12 && !memcmp(line, "HTTP/1.", 7);
+		return is_status_line(line, (size_t)(end - line));
 	sp1 = memchr(line, ' ', (size_t)(end - line));
 	sp2 = sp1 ? memchr(sp1 + 1, ' ', (size_t)(end - sp1 - 1)) : NULL;
 	if (!sp2 || end - sp2 != 9 || memcmp(sp2, " HTTP/1.", 8))
--- a/net/http1.h
+++ b/net/http1.h
@@ -17,6 +17,15 @@
 
 #define MH_HTTP_HEADERS_MAX 96
 
+/**
+ * mh_http_is_status() - whether a number is a status (RFC 9110, section 15)
+ * @status: number from a response
+ */
+static inline bool mh_http_is_status(int status)
+{
+	return status >= 100 && status <= 599;
+}
+
 /**
  * struct mh_http_text - byte range in a head, not NUL-terminated
  * @p: first byte
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "net/http1.h"
 #include "net/loop.h"
 
 #define READ_BYTES 16384
@@ -71,6 +72,8 @@
 	if (ne_begin_request(req) == NE_OK &&
 	    skip_body(req, deadline_ns) == NE_OK)
 		status = ne_get_status(req)->code;
+	if (!mh_http_is_status(status))
+		status = 0;
 out:
 	if (req)
 		ne_request_destroy(req);
--- a/side/backend.c
+++ b/side/backend.c
@@ -11,6 +11,7 @@
 
 #include "config/logging.h"
 #include "core/response_judge.h"
+#include "net/http1.h"
 #include "net/http_client.h"
 #include "net/loop.h"
 
@@ -215,7 +216,7 @@
 		type = "";
 	mh_response_judge_begin(&judge, framing_of(req, status),
 				is_event_stream(type), false);
-	if (judge.framing == MH_FRAMING_CLOSE)
+	if (judge.framing == MH_FRAMING_CLOSE || !mh_http_is_status(status))
 		return MH_ERR_BACKEND_CUT;
 	b->events->head(b->data, &job->id, (uint32_t)status, type);
 	return relay_body(b, job, req, type, &judge);
--- a/tests/standins/shapes.c
+++ b/tests/standins/shapes.c
@@ -19,6 +19,8 @@
  * ends; after a 102. then-cuthead-N: so does the response that is to continue a
  * stream, which is cut in its fourth event.
  *
+ * status=TEXT: a response with TEXT for its status, and three bytes.
+ *
  * Without end, until the other side closes: endlessevent, endlesserror (500),
  * endlessslow (500, a byte at a time), endlesshead, endlessslowhead,
  * endlessinterim (1xx), endlesslines (empty lines before a head),
@@ -324,6 +326,25 @@
 	mh_buffer_release(&block);
 }
 
+/* The last segment of the target is "status=TEXT". */
+static bool serve_odd_status(struct conn *c, bool *ok)
+{
+	const struct mh_http_text *t = &c->reader.head.target;
+	const char *at = memmem(t->p, t->len, "/status=", 8);
+	struct mh_http_text id = header(c, "X-Mangohead-Request-Id");
+
+	if (!at)
+		return false;
+	at += 8;
+	mh_buffer_printf(&c->out,
+			 "HTTP/1.1 %.*s X\r\n" SIGNED
+			 "X-Mangohead-Request-Id: %.*s\r\n"
+			 "Content-Length: 3\r\n\r\nodd",
+			 (int)(t->p + t->len - at), at, (int)id.len, id.p);
+	*ok = send_all(c);
+	return true;
+}
+
 bool serve_shape(struct conn *c, bool *ok)
 {
 	size_t i = missing_head_bytes(c);
@@ -345,6 +366,8 @@
 		*ok = serve_stream_shape(c, &streams[i]);
 		return true;
 	}
+	if (serve_odd_status(c, ok))
+		return true;
 	*ok = false;
 	for (i = 0; i < sizeof(endless) / sizeof(endless[0]); i++) {
 		if (!target_ends_with(c, endless[i].name))
--- a/tests/test_backend_bytes.c
+++ b/tests/test_backend_bytes.c
@@ -276,6 +276,30 @@
 	mh_backend_stop(b);
 }
 
+/* Guards against numbers that are no status being handed on as one, and against
+ * a backend that counts as healthy by them. */
+static void test_odd_statuses_are_no_responses(void **state)
+{
+	static const char *const odd[] = { "000",  "099", "600", "999",
+					   "0200", "20x", "2000" };
+	struct mh_backend *b = start_backend();
+	char head[128];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+		snprintf(head, sizeof(head),
+			 "HTTP/1.1 %s X\r\nContent-Type: text/plain\r\n"
+			 "Content-Length: 0\r\n\r\n",
+			 odd[i]);
+		send_bytes(head, strlen(head), NULL);
+		assert_int_equal(health_status(), 0);
+		assert_int_not_equal(end_of_run(b), MH_OK);
+		assert_false(run.has_head);
+	}
+	mh_backend_stop(b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -285,6 +309,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_head_without_end_is_given_up, start_server,
 			stop_server),
+		cmocka_unit_test_setup_teardown(
+			test_odd_statuses_are_no_responses, start_server,
+			stop_server),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_cut_streams.sh
+++ b/tests/test_cut_streams.sh
@@ -211,6 +211,24 @@
 	true
 }
 
+# Guards against numbers that are no status reaching callers, also as the status that
+# they resemble, and against waiting for a response behind one.
+t_odd_status_is_no_response() {
+	local route text status begin
+	for text in 000 099 600 999 0200 20x; do
+		for route in once again gen resume; do
+			begin=$(date +%s%3N)
+			status=$(status_of 1 /$route/status=$text)
+			echo $route $text $status
+			[[ $status = 50[234] ]] || return 1
+			grep -q odd "$DIR/body" && return 1
+			[ $(($(date +%s%3N) - begin)) -lt 2000 ] || return 1
+			[ "$(status_of 1 /$route/wholelength)" = 200 ] ||
+				return 1
+		done
+	done
+}
+
 start platform $BIN/standin-platform $STORE \
 	$(server_port 1):s1:app:4 $(server_port 2):s2:app:4 \
 	$(server_port 3):s3:app:4 0:c1:fragile:4:$(server_port 6) \
@@ -245,6 +263,7 @@
 	t_head_that_breaks_off_is_no_response
 check "cut streams: a head that breaks off does not continue one" \
 	t_head_that_breaks_off_does_not_continue_a_stream
+check "cut streams: an odd status is no response" t_odd_status_is_no_response
 check "cut streams: logs and metrics" t_cut_stream_is_logged_as_cut
 check "cut streams: a request that crashes servers inside an event" \
 	t_request_that_crashes_inside_an_event
--- a/tests/test_http_bounds.c
+++ b/tests/test_http_bounds.c
@@ -99,6 +99,51 @@
 	mh_http_reader_release(&r);
 }
 
+static enum mh_http_result_code read_status_line(const char *line,
+						 uint16_t *status)
+{
+	enum mh_http_result_code code;
+	struct mh_http_reader r;
+	char head[128];
+	size_t body = 0;
+
+	mh_http_reader_init(&r, HTTP_RESPONSE, HEAD_BYTES, &ops, &body);
+	snprintf(head, sizeof(head), "%s\r\nContent-Length: 0\r\n\r\n", line);
+	code = read_text(&r, head);
+	*status = r.head.status;
+	mh_http_reader_release(&r);
+	return code;
+}
+
+/* Guards against numbers that are no status (RFC 9110: 100 to 599, three digits) being
+ * dropped as interim responses, or handed to callers. */
+static void test_odd_statuses_are_malformed(void **state)
+{
+	static const char *const odd[] = {
+		"HTTP/1.1 000 X",  "HTTP/1.1 001 X", "HTTP/1.1 099 X",
+		"HTTP/1.1 600 X",  "HTTP/1.1 999 X", "HTTP/1.1 0200 X",
+		"HTTP/1.1 2000 X", "HTTP/1.1 20x X", "HTTP/1.1 20 X",
+		"HTTP/1.1 2 0 X",  "HTTP/1.1  200",  "HTTP/1.1 -20 X",
+		"HTTP/1.1 200X",   "HTTP/1.x 200 X", "HTTP/1.1\t200 X",
+		"HTTP/1.1 +20 X",  "HTTP/1.10 200",  "HTTP/1.1 200\tX",
+	};
+	uint16_t status;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(odd) / sizeof(odd[0]); i++)
+		assert_int_equal(read_status_line(odd[i], &status),
+				 MH_HTTP_MALFORMED);
+	assert_int_equal(read_status_line("HTTP/1.1 200", &status),
+			 MH_HTTP_DONE);
+	assert_int_equal(status, 200);
+	assert_int_equal(read_status_line("HTTP/1.0 599 X y", &status),
+			 MH_HTTP_DONE);
+	assert_int_equal(status, 599);
+	assert_int_equal(read_status_line("HTTP/1.1 100 ", &status),
+			 MH_HTTP_MORE);
+}
+
 static enum mh_framing framing_of(const char *head, bool no_body)
 {
 	struct mh_http_reader r;
@@ -175,6 +220,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_messages_without_end_are_rejected),
 		cmocka_unit_test(test_few_interim_responses_are_skipped),
+		cmocka_unit_test(test_odd_statuses_are_malformed),
 		cmocka_unit_test(test_framing),
 		cmocka_unit_test(test_media_type),
 	};
