Proxy: errors in response to HEAD have no body

Cause: mh_client_append_error() did not know the method.

Change: it is told, also where the connection is closed with the error. While the head is incomplete the method is not known, and the connection closes.

--- a/net/http1.c
+++ b/net/http1.c
@@ -99,6 +99,12 @@
 	       !strncasecmp(text.p, other, text.len);
 }
 
+bool mh_http_is_head(const struct mh_http_head *head)
+{
+	/* Methods are case-sensitive. */
+	return head->method.len == 4 && !memcmp(head->method.p, "HEAD", 4);
+}
+
 struct mh_http_text mh_http_header_find(const struct mh_http_head *head,
 					const char *name)
 {
--- a/net/http1.h
+++ b/net/http1.h
@@ -167,6 +167,12 @@
  */
 bool mh_http_reader_idle(const struct mh_http_reader *r);
 
+/**
+ * mh_http_is_head() - whether a request's response ends with its head
+ * @head: head of the request
+ */
+bool mh_http_is_head(const struct mh_http_head *head);
+
 /**
  * mh_http_text_is() - compare, ignoring case
  * @text: text
--- a/proxy/client.c
+++ b/proxy/client.c
@@ -160,7 +160,7 @@
 
 void mh_client_append_error(struct mh_buffer *out, enum mh_error error,
 			    uint32_t retry_after_ms, struct mh_http_text id,
-			    bool close)
+			    bool close, bool no_body)
 {
 	const struct mh_error_info *info = mh_error_info(error);
 	char body[256];
@@ -182,7 +182,8 @@
 	if (close)
 		mh_buffer_add(out, "Connection: close\r\n", 19);
 	mh_buffer_add(out, "\r\n", 2);
-	mh_buffer_add(out, body, (size_t)n);
+	if (!no_body)
+		mh_buffer_add(out, body, (size_t)n);
 }
 
 /* Rejects a malformed or incomplete request and closes the connection, since
--- a/proxy/client.h
+++ b/proxy/client.h
@@ -181,9 +181,10 @@
  * @retry_after_ms: value of Retry-After, 0 for none
  * @id: request id, may be empty
  * @close: the connection closes afterwards
+ * @no_body: the response ends with its head (HEAD)
  */
 void mh_client_append_error(struct mh_buffer *out, enum mh_error error,
 			    uint32_t retry_after_ms, struct mh_http_text id,
-			    bool close);
+			    bool close, bool no_body);
 
 #endif
--- a/proxy/client_limits.c
+++ b/proxy/client_limits.c
@@ -54,8 +54,9 @@
 	const struct mh_error_info *info = mh_error_info(error);
 	struct mh_http_text none = { 0 };
 
-	mh_client_append_error(&cl->out, error,
-			       info->retry ? RETRY_AFTER_MS : 0, none, true);
+	mh_client_append_error(
+		&cl->out, error, info->retry ? RETRY_AFTER_MS : 0, none, true,
+		cl->reader.in_body && mh_http_is_head(&cl->reader.head));
 	mh_buffer_release(&cl->in);
 	mh_buffer_release(&cl->body);
 	mh_client_flush(cl);
@@ -170,7 +171,7 @@
 		 "event=client_turned_away used_bytes=%llu connections=%u",
 		 (unsigned long long)set->budget.bytes, set->n_open);
 	mh_client_append_error(&out, MH_ERR_CLIENT_BUDGET, RETRY_AFTER_MS, none,
-			       true);
+			       true, false);
 	/* A new socket has room for it; if not, the close tells as much. */
 	if (send(fd, mh_buffer_front(&out), out.len,
 		 MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -119,7 +119,8 @@
 	mh_exchange_observe_refusal(x, info->name);
 	mh_exchange_observe_total(x, unknown ? "failed" : "refused");
 	mh_client_append_error(mh_client_out(cl), error, retry_after_ms,
-			       x->wire.id, mh_client_will_close(cl));
+			       x->wire.id, mh_client_will_close(cl),
+			       mh_http_is_head(x->head));
 	mh_exchange_free(x);
 	mh_client_finish(cl);
 }
@@ -377,9 +378,7 @@
 	if (!mh_wire_write_request(&buf, x->head, &add))
 		abort();
 	u = mh_upstream_send(x->set->env.upstreams, server, &buf, x->body,
-			     x->head->method.len == 4 &&
-				     !memcmp(x->head->method.p, "HEAD", 4),
-			     ops, x);
+			     mh_http_is_head(x->head), ops, x);
 	if (!u)
 		mh_buffer_release(&buf);
 	return u;
--- a/proxy/exchange_response.c
+++ b/proxy/exchange_response.c
@@ -62,8 +62,7 @@
 static void begin_judging(struct exchange *x, const struct mh_http_head *head)
 {
 	bool resumes = x->wire.last_event.len || x->last_event[0];
-	bool is_head = x->head->method.len == 4 &&
-		       !memcmp(x->head->method.p, "HEAD", 4);
+	bool is_head = mh_http_is_head(x->head);
 
 	mh_response_judge_begin(&x->judge, mh_http_framing(head, is_head),
 				is_event_stream(x, head), resumes);
--- a/tests/test_client.c
+++ b/tests/test_client.c
@@ -81,7 +81,7 @@
 {
 	(void)data;
 	mh_client_append_error(mh_client_out(cl), error, 0, head->method,
-			       mh_client_will_close(cl));
+			       mh_client_will_close(cl), false);
 	mh_client_finish(cl);
 }
 
--- a/tests/test_client_limits.c
+++ b/tests/test_client_limits.c
@@ -74,7 +74,7 @@
 	(void)head;
 	mh_client_append_error(mh_client_out(cl), error,
 			       mh_error_info(error)->retry ? 400 : 0, none,
-			       mh_client_will_close(cl));
+			       mh_client_will_close(cl), false);
 	mh_client_finish(cl);
 }
 
--- a/tests/test_proxy.sh
+++ b/tests/test_proxy.sh
@@ -198,6 +198,34 @@
 		grep -q hello && runs | grep ' hop-1 ' | grep -q ' - [0-9]* - 0 -$'
 }
 
+# Guards against errors of the proxy's own that have a body in responses to HEAD, which
+# is taken for the begin of the next response: no route, no key, no room in the quota, a
+# head or a body that is too large, a server that drops connections, a time-out.
+t_head_errors_have_no_body() {
+	local got path status key="Api-Key: key-1\r\n" host="Host: h.example\r\n"
+	local next="GET /open/ok HTTP/1.1\r\n${host}X-Mangohead-Request-Id: next\r\nConnection: close\r\n\r\n"
+	while read -r status path key; do
+		got=$(raw 1 "HEAD $path HTTP/1.1\r\n$host${key}X-Mangohead-Request-Id: head\r\nX-Mangohead-Deadline-Ms: 4000\r\n\r\n$next")
+		echo "$got"
+		[[ $got = "HTTP/1.1 $status "* ]] || return 1
+		# Both heads, and the body of the second one.
+		[ "$(grep -c '^HTTP/1.1 ' <<<"$got")" = 2 ] || return 1
+		grep -q '^{' <<<"$got" && return 1
+		[ "$(sed -n '/^HTTP\/1.1 200/,$p' <<<"$got" |
+			tail -n 1)" = hello ] || return 1
+	done <<-END
+	404 /nowhere/x
+	401 /again/ok
+	401 /again/ok Api-Key: none\\r\\n
+	502 /once/drop Api-Key: key-1\\r\\n
+	504 /brief/slow Api-Key: key-1\\r\\n
+	END
+	# A connection that is closed with its error.
+	got=$(raw 1 "HEAD /open/ok HTTP/1.1\r\n${host}Content-Length: 200000\r\n\r\n")
+	echo "$got"
+	[[ $got = "HTTP/1.1 413 "* ]] && ! grep -q '{' <<<"$got"
+}
+
 t_pipelined() {
 	local one='GET /open/ok HTTP/1.1\r\nHost: h.example\r\nX-Mangohead-Request-Id: pipe\r\n\r\n'
 	[ "$(raw 1 "$one$one${one%\\r\\n}Connection: close\r\n\r\n" |
@@ -642,6 +670,7 @@
 check "proxy: the route's timeout" t_route_timeout
 check "proxy: ambiguous requests smuggle nothing" t_smuggling
 check "proxy: forged connection fields" t_forged_connection_fields
+check "proxy: errors in response to HEAD have no body" t_head_errors_have_no_body
 check "proxy: pipelined requests" t_pipelined
 check "proxy: limits of a request" t_limits
 check "proxy: a caller that leaves stops its run" \
