Roll-outs: proxies alone read how they ended

Callers: a version was rolled out with success, later all processes were killed and only the proxies came back.

Cause: a proxy without a dispatcher reads the order and not its verdict, so that the order looks like one that has just begun, whose target gets nothing without a judge. No other version has servers any more.

Change: while a proxy reads the store without a dispatcher and knows an order without a verdict, it follows the records of roll-outs too. It writes nothing.

Why it works: dispatchers write the record before the operator's status, and the store keeps the newest record of each service for ever.

--- a/proxy/app.c
+++ b/proxy/app.c
@@ -8,6 +8,7 @@
 #include "config/bounds.h"
 #include "net/process.h"
 #include "platform/directory.h"
+#include "platform/rollout_store.h"
 #include "platform/shared_suspects.h"
 #include "proxy/client.h"
 #include "proxy/exchange.h"
@@ -37,6 +38,7 @@
 	struct mh_clients *clients;
 	struct mh_directory *directory;
 	struct mh_shared_suspects *shared_suspects;
+	struct mh_stored_rollouts *stored_rollouts;
 	struct mh_routes *routes;
 	bool unlisted;
 	bool ready;
@@ -267,6 +269,12 @@
 			 factor > 0, reads.has_dispatcher, reads.is_fit,
 			 reads.is_stale);
 	app->reads_store = factor > 0;
+	/* An order alone does not tell how it ended. */
+	mh_stored_rollouts_follow(
+		app->stored_rollouts,
+		app->reads_store && !reads.has_dispatcher &&
+			mh_rollouts_is_active(
+				mh_slot_client_rollouts(app->slot_client)));
 }
 
 static void run_maintenance(struct mh_proxy_app *app)
@@ -408,6 +416,15 @@
 		.each = each_suspect,
 		.data = app,
 	};
+	struct mh_stored_rollouts_env rollouts_env = {
+		.loop = app->process.loop,
+		.timers = &app->process.timers,
+		.clock = &mh_system_clock,
+		.counters = &app->process.counters,
+		.log = app->process.log,
+		.era = &app->process.store_era,
+		.never_judges = true,
+	};
 	struct mh_directory_env directory_env = {
 		.loop = app->process.loop,
 		.timers = &app->process.timers,
@@ -459,6 +476,9 @@
 	directory_env.catalog = mh_slot_client_catalog(app->slot_client);
 	app->directory = mh_directory_new(&directory_env, app->settings.store,
 					  &directory_ops, app);
+	rollouts_env.rollouts = mh_slot_client_rollouts(app->slot_client);
+	app->stored_rollouts =
+		mh_stored_rollouts_new(&rollouts_env, app->settings.store);
 	app->read_phase_ms = randombytes_uniform(MH_STORE_FIRST_READ_MS);
 	mh_directory_announce_entry(app->directory, app->settings.host);
 	return true;
@@ -498,6 +518,7 @@
 	if (!app)
 		return;
 	mh_directory_free(app->directory);
+	mh_stored_rollouts_free(app->stored_rollouts);
 	mh_shared_suspects_free(app->shared_suspects);
 	mh_exchanges_free(app->exchanges);
 	mh_clients_free(app->clients);
--- a/proxy/slot_client.h
+++ b/proxy/slot_client.h
@@ -186,6 +186,12 @@
 mh_slot_client_order(struct mh_slot_client *sc,
 		     const struct mh_rollout_order *order);
 
+/**
+ * mh_slot_client_rollouts() - roll-outs that this entry knows of
+ * @sc: slot client
+ */
+struct mh_rollouts *mh_slot_client_rollouts(const struct mh_slot_client *sc);
+
 /**
  * mh_slot_client_send_registration() - tell the dispatcher in use what this entry
  *                                      knows of a server
--- a/proxy/slot_client_state.c
+++ b/proxy/slot_client_state.c
@@ -57,6 +57,11 @@
 				   reg->version ? reg->version : "");
 }
 
+struct mh_rollouts *mh_slot_client_rollouts(const struct mh_slot_client *sc)
+{
+	return sc->rollouts.set;
+}
+
 enum mh_rollout_order_result
 mh_slot_client_order(struct mh_slot_client *sc,
 		     const struct mh_rollout_order *order)
--- a/tests/test_rollout.sh
+++ b/tests/test_rollout.sh
@@ -20,7 +20,7 @@
 RATE=10
 DURATION_S=12
 ALONE="good fails slow later load route again next unknown bad"
-FAULTS="kg kb fg fb ng nb nn nw sg sb ag ab"
+FAULTS="kg kb fg fb ng nb nn nw sg sb ag ab pn"
 
 now_ms() { # the stand-ins' clock
 	awk '{ printf "%d", $1 * 1000 }' /proc/uptime
@@ -443,6 +443,60 @@
 	ends_as ab rolled_back && keeps_exposure ab && ends_as ag succeeded
 }
 
+# All processes are killed after the verdicts, and only the proxies come back. One order
+# is without a verdict.
+run_proxies_alone() {
+	local n s
+	has_verdict ag && has_verdict ab || run_all_killed
+	order pn pn-2 $DURATION_S
+	register pn pn-2 1
+	for n in $PROXIES; do
+		kill_hard proxy$n
+	done
+	for n in 1 2; do
+		kill_hard dispatcher$n
+	done
+	sleep 0.5
+	for n in $PROXIES; do
+		start_proxy $n
+	done
+	sleep 3
+	now_ms >"$DIR/alone.from"
+	for s in ag ab pn; do
+		mv "$DIR/$s.status" "$DIR/$s.before" 2>/dev/null
+		load $s 3
+	done
+	end_loads
+	now_ms >"$DIR/alone.to"
+	for s in ag ab pn; do
+		mv "$DIR/$s.status" "$DIR/$s.alone"
+		cat "$DIR/$s.before" "$DIR/$s.alone" >"$DIR/$s.status"
+	done
+	for n in 1 2; do
+		start_dispatcher $n
+	done
+	sleep 1
+}
+
+# Guards against proxies that refuse a service whose version was rolled out, as an
+# order alone looks like one that has just begun, and against versions that were
+# rolled back or have no verdict getting requests from them.
+t_proxies_alone() {
+	local s
+	for s in ag ab pn; do
+		echo $s
+		sort "$DIR/$s.alone" | uniq -c
+		[ $(grep -c '^200 0$' "$DIR/$s.alone") -gt 50 ] &&
+			! grep -qv '^200 0$' "$DIR/$s.alone" || return 1
+	done
+	arrivals | awk -v from=$(cat "$DIR/alone.from") \
+		-v to=$(cat "$DIR/alone.to") '
+		$1 < from || $1 > to { next }
+		index($2, "abb") == 1 || index($2, "pnb") == 1 { bad++ }
+		index($2, "agb") == 1 { good++ }
+		END { print bad + 0, good + 0; exit bad || !good }'
+}
+
 # ---- for operators ----
 
 t_state_is_shown() {
@@ -508,5 +562,6 @@
 group run_without "no dispatcher" t_without_dispatcher
 group run_store_down "store down" t_store_down
 group run_all_killed "all killed" t_all_killed
+group run_proxies_alone "proxies alone after the verdict" t_proxies_alone
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
--- a/tests/test_rollout_wire.c
+++ b/tests/test_rollout_wire.c
@@ -12,6 +12,8 @@
 /* cmocka.h needs the headers above. */
 #include <cmocka.h>
 
+#include <sodium.h>
+
 #include "core/rollout_use.h"
 #include "net/rollout_frames.h"
 #include "platform/registration.h"
@@ -368,7 +370,8 @@
 
 static struct mh_stored_rollouts *new_stored(struct fixture *fx,
 					     struct mh_counters *counters,
-					     struct mh_rollouts *set)
+					     struct mh_rollouts *set,
+					     bool never_judges)
 {
 	struct mh_stored_rollouts_env env = {
 		.loop = fx->loop,
@@ -377,6 +380,7 @@
 		.counters = counters,
 		.era = &fx->era,
 		.rollouts = set,
+		.never_judges = never_judges,
 	};
 
 	return mh_stored_rollouts_new(&env, fx->address);
@@ -420,7 +424,7 @@
 	set = mh_rollouts_new(&conf, &mh_system_clock);
 	rec.phase = MH_ROLLOUT_ROLLED_BACK;
 	assert_true(mh_rollouts_merge(set, &rec));
-	stored = new_stored(&fx, &counters, set);
+	stored = new_stored(&fx, &counters, set, false);
 	updater = (struct updater){ &fx, stored };
 	fx.stop_after_calls = LEN(steps);
 	fx.end_ns = mh_clock_mono_ns(&mh_system_clock) +
@@ -476,7 +480,7 @@
 	open_store(&fx, steps, LEN(steps));
 	set = mh_rollouts_new(&conf, &mh_system_clock);
 	follower.fx = &fx;
-	follower.stored = new_stored(&fx, &counters, set);
+	follower.stored = new_stored(&fx, &counters, set, false);
 	mh_stored_rollouts_follow(follower.stored, true);
 	fx.stop_after_calls = LEN(steps) + 1;
 	fx.end_ns = mh_clock_mono_ns(&mh_system_clock) +
@@ -488,6 +492,73 @@
 	close_store(&fx);
 }
 
+static uint64_t stop_when_read(void *data)
+{
+	struct follower *f = data;
+
+	if (mh_stored_rollouts_state(f->stored) == MH_ROLLOUT_STORE_READ)
+		mh_loop_stop(f->fx->loop);
+	return tick(f->fx);
+}
+
+/* Return: whether requests may go to the target, by an order and a record of it. */
+static enum mh_rollout_choice choice_by(enum mh_rollout_phase phase,
+					bool never_judges)
+{
+	struct mh_rollout_record rec = shifting;
+	struct mh_counters counters = { 0 };
+	struct follower follower = { 0 };
+	char listing[4096], value[2048];
+	struct step step = { "/log-newest?topic=keyed.rollouts", 200, listing,
+			     0, NULL };
+	enum mh_rollout_choice choice;
+	struct mh_rollouts *set;
+	struct fixture fx;
+	char *text;
+
+	rec.phase = phase;
+	text = mh_rollout_record_encode(&rec,
+					mh_clock_wall_ms(&mh_system_clock));
+	sodium_bin2base64(value, sizeof(value), (uint8_t *)text, strlen(text),
+			  sodium_base64_VARIANT_ORIGINAL);
+	free(text);
+	step.len = (size_t)snprintf(
+		listing, sizeof(listing),
+		"{\"items\":[{\"key\":\"%s\",\"value\":\"%s\",\"offset\":0}],"
+		"\"more\":false,\"end\":1}",
+		rec.order.service, value);
+	open_store(&fx, &step, 1);
+	set = mh_rollouts_new(&conf, &mh_system_clock);
+	assert_int_equal(mh_rollouts_order(set, &rec.order, 0),
+			 MH_ROLLOUT_ORDER_ACCEPTED);
+	follower.fx = &fx;
+	follower.stored = new_stored(&fx, &counters, set, never_judges);
+	mh_stored_rollouts_follow(follower.stored, true);
+	fx.stop_after_calls = 2;
+	fx.end_ns = mh_clock_mono_ns(&mh_system_clock) +
+		    WAIT_LIMIT_MS * MH_NS_PER_MS;
+	mh_loop_run(fx.loop, stop_when_read, &follower);
+	choice = mh_rollouts_choice(set, rec.order.service, rec.order.target,
+				    true);
+	mh_stored_rollouts_free(follower.stored);
+	mh_rollouts_free(set);
+	close_store(&fx);
+	return choice;
+}
+
+/* Guards against a version that is still tried getting all requests of a process that
+ * would not notice that it is bad. */
+static void test_a_shift_needs_a_judge(void **state)
+{
+	(void)state;
+	assert_int_equal(choice_by(MH_ROLLOUT_SHIFTING, true),
+			 MH_ROLLOUT_FORBIDDEN);
+	assert_int_equal(choice_by(MH_ROLLOUT_SUCCEEDED, true), MH_ROLLOUT_ANY);
+	assert_int_equal(choice_by(MH_ROLLOUT_ROLLED_BACK, true),
+			 MH_ROLLOUT_FORBIDDEN);
+	assert_int_equal(choice_by(MH_ROLLOUT_SHIFTING, false), MH_ROLLOUT_ANY);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -502,6 +573,7 @@
 		cmocka_unit_test(
 			test_a_verdict_is_written_again_to_an_old_copy),
 		cmocka_unit_test(test_the_topic_is_read_again),
+		cmocka_unit_test(test_a_shift_needs_a_judge),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
