Parts of prompts: suspect them all, however many a request has

Cause: of a request's parts the first 32 were kept. What bounds memory bounded suspicion: a part that is not kept can't be suspected, and its crashes count against the others.

Change: 256 parts are kept, in a set of features in place of a word of bits. A request with more gets 431, not run: it neither makes others be blamed nor passes unsuspected. Records of suspects have room for the parts of sixteen runs, and entries without a dispatcher tell each other of all features of a run. Two scans of all records, made for each part of a lost run, are made once for each crash.

--- a/core/dispatch_crash.c
+++ b/core/dispatch_crash.c
@@ -59,22 +59,23 @@
 	return true;
 }
 
-/* Parts on trial in a run that may crash its server yet, as bits by their
- * number; none that was cleared meanwhile. */
-static uint64_t parts_on_trial(const struct mh_dispatch *d,
-			       const struct request *req, uint64_t now_ns)
+/* Parts on trial in a run that may crash its server yet; none that was cleared
+ * meanwhile. */
+static struct mh_feature_set parts_on_trial(const struct mh_dispatch *d,
+					    const struct request *req,
+					    uint64_t now_ns)
 {
-	uint64_t bits = 0;
+	struct mh_feature_set on_trial = { 0 };
 	uint32_t i;
 
 	for (i = 1; req->is_open && i < mh_features_count(req->features); i++) {
-		if (req->trials >> i & 1 &&
+		if (mh_feature_set_has(&req->trials, i) &&
 		    mh_suspects_crashes(d->suspects,
 					mh_features_at(req->features, i),
 					now_ns))
-			bits |= 1ull << i;
+			mh_feature_set_add(&on_trial, i);
 	}
-	return bits;
+	return on_trial;
 }
 
 /* Whether a run began as that of a suspect request, and may crash its server yet. */
@@ -86,31 +87,35 @@
 				     req->placed_ns, now_ns);
 }
 
-/* Features that a lost run counts against, as bits by their number: the whole
- * request, and its parts if it had just begun. Beside parts on trial, those that
- * recently did no harm are not the cause. */
-static uint64_t features_to_count(const struct mh_dispatch *d,
-				  const struct request *req, uint64_t now_ns)
+/* Features that a lost run counts against: the whole request, and its parts if it
+ * had just begun. Beside parts on trial, those that recently did no harm are not the
+ * cause. */
+static struct mh_feature_set features_to_count(const struct mh_dispatch *d,
+					       const struct request *req,
+					       uint64_t now_ns)
 {
-	uint64_t on_trial = parts_on_trial(d, req, now_ns), bits = 1;
+	struct mh_feature_set on_trial = parts_on_trial(d, req, now_ns);
+	struct mh_feature_set counted = { 0 };
+	bool any_on_trial = mh_feature_set_any(&on_trial);
 	uint32_t i;
 
+	mh_feature_set_add(&counted, 0);
 	if (!req->is_open)
-		return bits;
+		return counted;
 	for (i = 1; i < mh_features_count(req->features); i++) {
-		if (!on_trial || on_trial >> i & 1 ||
+		if (!any_on_trial || mh_feature_set_has(&on_trial, i) ||
 		    !mh_suspects_survived_lately(
 			    d->suspects, mh_features_at(req->features, i),
 			    now_ns))
-			bits |= 1ull << i;
+			mh_feature_set_add(&counted, i);
 	}
-	return bits;
+	return counted;
 }
 
 /* A run that was lost with its server, and what it counts against. */
 struct loss {
 	const struct mh_features *features;
-	uint64_t counted; /* features that it counts against, as bits */
+	struct mh_feature_set counted; /* features that it counts against */
 	bool is_blamed;
 	uint64_t placed_ns;
 	bool was_responding;
@@ -132,7 +137,7 @@
 	uint32_t i;
 
 	for (i = 0; i < mh_features_count(features); i++) {
-		if (!(run->counted >> i & 1))
+		if (!mh_feature_set_has(&run->counted, i))
 			continue;
 		lost.is_blamed = run->is_blamed && !i;
 		feature = mh_features_at(features, i);
@@ -170,6 +175,7 @@
 		.was_responding = req->answering,
 	};
 	struct server *s = req->server;
+	struct mh_feature_set on_trial;
 	bool is_beside_trial;
 
 	if (!req->features->request && !req->features->n_parts)
@@ -181,7 +187,8 @@
 	is_beside_trial =
 		s->trial_lost_ns && now_ns < s->trial_lost_ns + REPORTS_NS;
 	run.is_blamed = is_request_on_trial(d, req, now_ns);
-	if (run.is_blamed || parts_on_trial(d, req, now_ns)) {
+	on_trial = parts_on_trial(d, req, now_ns);
+	if (run.is_blamed || mh_feature_set_any(&on_trial)) {
 		/* Of several trials each may be the cause. */
 		if (!is_beside_trial)
 			mh_suspects_blame(d->suspects, s->incarnation,
@@ -194,8 +201,8 @@
 	run.counted = features_to_count(d, req, now_ns);
 	/* Its parts may be the cause all the same. */
 	if (!run.is_blamed && is_beside_trial_elsewhere(d, req, now_ns))
-		run.counted &= ~1ull;
-	if (!run.counted)
+		mh_feature_set_remove(&run.counted, 0);
+	if (!mh_feature_set_any(&run.counted))
 		return MH_LOST_BESIDE;
 	s->lost_ns = now_ns;
 	return count_crash(d, s, &run, now_ns) ? MH_LOST_COUNTED :
@@ -207,12 +214,14 @@
 static void count_ended_run(struct mh_dispatch *d, const struct server *s,
 			    const struct ended_run *ended, uint64_t now_ns)
 {
-	const struct loss run = {
+	struct loss run = {
 		.features = ended->features,
-		.counted = UINT64_MAX,
 		.placed_ns = ended->placed_ns,
 	};
+	uint32_t i;
 
+	for (i = 0; i < mh_features_count(ended->features); i++)
+		mh_feature_set_add(&run.counted, i);
 	count_crash(d, s, &run, now_ns);
 }
 
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -51,11 +51,11 @@
 	bool late;
 	bool answering; /* its first byte was received */
 	uint64_t answered_ns;
-	uint32_t first_ms; /* from sending it to the first byte */
-	uint32_t events;   /* of the response, once it has ended */
-	bool is_open;	   /* its run may crash its server yet */
-	bool is_counted;   /* as an open run */
-	uint64_t trials;   /* features on trial in its run, bits by number */
+	uint32_t first_ms;	      /* from sending it to the first byte */
+	uint32_t events;	      /* of the response, once it has ended */
+	bool is_open;		      /* its run may crash its server yet */
+	bool is_counted;	      /* as an open run */
+	struct mh_feature_set trials; /* features on trial in its run */
 	bool survived_briefly; /* its server lived on for SETTLE_NS, at least */
 	bool parked;
 	uint64_t limited_ns; /* since when limits alone keep it waiting, or 0 */
--- a/core/dispatch_trial.c
+++ b/core/dispatch_trial.c
@@ -65,26 +65,29 @@
 				  settled_at(d, feature, now_ns) != 0, now_ns);
 }
 
-/* Features whose number of open runs is limited, as bits by their number. */
-static uint64_t limited_features(const struct mh_dispatch *d,
-				 const struct request *req, uint64_t now_ns)
+/* Features whose number of open runs is limited. */
+static struct mh_feature_set limited_features(const struct mh_dispatch *d,
+					      const struct request *req,
+					      uint64_t now_ns)
 {
-	uint64_t bits = 0;
+	struct mh_feature_set limited = { 0 };
 	uint32_t i;
 
 	for (i = 0; i < mh_features_count(req->features); i++) {
 		struct mh_feature feature = mh_features_at(req->features, i);
 
 		if (trials_of(d, feature, now_ns) != MH_TRIALS_UNLIMITED)
-			bits |= 1ull << i;
+			mh_feature_set_add(&limited, i);
 	}
-	return bits;
+	return limited;
 }
 
 bool mh_dispatch_is_suspect(const struct mh_dispatch *d,
 			    const struct request *req, uint64_t now_ns)
 {
-	return limited_features(d, req, now_ns) != 0;
+	struct mh_feature_set limited = limited_features(d, req, now_ns);
+
+	return mh_feature_set_any(&limited);
 }
 
 /* Whether an equal request runs that has not shown yet that it is harmless. */
@@ -181,13 +184,14 @@
 }
 
 static uint32_t crashes_of(const struct mh_dispatch *d,
-			   const struct request *req, uint64_t limited,
+			   const struct request *req,
+			   const struct mh_feature_set *limited,
 			   uint64_t now_ns)
 {
 	uint32_t i, n, most = 0;
 
 	for (i = 0; i < mh_features_count(req->features); i++) {
-		if (!(limited >> i & 1))
+		if (!mh_feature_set_has(limited, i))
 			continue;
 		n = mh_suspects_crashes(
 			d->suspects, mh_features_at(req->features, i), now_ns);
@@ -201,22 +205,24 @@
 static uint32_t crashes_of_run(const struct mh_dispatch *d,
 			       const struct request *req, uint64_t now_ns)
 {
-	uint64_t limited = req->trials;
+	struct mh_feature_set limited = req->trials;
 
 	if (mh_dispatch_has_just_begun(req, now_ns))
-		limited |= 1;
+		mh_feature_set_add(&limited, 0);
 	else if (!req->is_open)
 		return 0;
 	else
-		limited &= ~1ull;
-	return limited ? crashes_of(d, req, limited, now_ns) : 0;
+		mh_feature_set_remove(&limited, 0);
+	return mh_feature_set_any(&limited) ?
+		       crashes_of(d, req, &limited, now_ns) :
+		       0;
 }
 
 bool mh_dispatch_may_run_at(const struct mh_dispatch *d, const struct server *s,
 			    const struct request *req, uint64_t now_ns)
 {
-	uint32_t crashes =
-		crashes_of(d, req, limited_features(d, req, now_ns), now_ns);
+	struct mh_feature_set limited = limited_features(d, req, now_ns);
+	uint32_t crashes = crashes_of(d, req, &limited, now_ns);
 	const struct request *other;
 
 	DL_FOREACH(s->requests, other) {
@@ -293,7 +299,8 @@
 				    req->placed_ns);
 	req->is_counted = false;
 	/* Suspects that wait may be due. */
-	d->review = d->review || (d->parked && req->trials);
+	d->review =
+		d->review || (d->parked && mh_feature_set_any(&req->trials));
 }
 
 static void drop_undecided(struct mh_dispatch *d, struct server *s,
@@ -347,7 +354,8 @@
 	settle_run(d, req, 0);
 	/* It is counted as the request was. */
 	req->is_open = req->is_counted = false;
-	d->review = d->review || (d->parked && req->trials);
+	d->review =
+		d->review || (d->parked && mh_feature_set_any(&req->trials));
 }
 
 void mh_dispatch_end_run(struct mh_dispatch *d, struct request *req,
--- a/core/features.h
+++ b/core/features.h
@@ -8,8 +8,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Parts of a prompt that are told apart; further ones are ignored. */
-#define MH_PARTS_MAX 32
+/* Parts of a prompt that are told apart; the proxy refuses requests with more. */
+#define MH_PARTS_MAX 256
 
 enum mh_feature_kind {
 	MH_FEATURE_REQUEST, /* equal requests of the same client account */
@@ -41,6 +41,59 @@
 	uint64_t parts[];
 };
 
+/**
+ * struct mh_feature_set - some of the features of a request
+ * @words: bits by the numbers of the features
+ */
+struct mh_feature_set {
+	uint64_t words[(1 + MH_PARTS_MAX + 63) / 64];
+};
+
+/**
+ * mh_feature_set_add() - add a feature
+ * @set: set
+ * @i: number of the feature, see mh_features_at()
+ */
+static inline void mh_feature_set_add(struct mh_feature_set *set, uint32_t i)
+{
+	set->words[i / 64] |= 1ull << i % 64;
+}
+
+/**
+ * mh_feature_set_remove() - remove a feature
+ * @set: set
+ * @i: number of the feature
+ */
+static inline void mh_feature_set_remove(struct mh_feature_set *set, uint32_t i)
+{
+	set->words[i / 64] &= ~(1ull << i % 64);
+}
+
+/**
+ * mh_feature_set_has() - whether a feature is in a set
+ * @set: set
+ * @i: number of the feature
+ */
+static inline bool mh_feature_set_has(const struct mh_feature_set *set,
+				      uint32_t i)
+{
+	return set->words[i / 64] >> i % 64 & 1;
+}
+
+/**
+ * mh_feature_set_any() - whether a set is not empty
+ * @set: set
+ */
+static inline bool mh_feature_set_any(const struct mh_feature_set *set)
+{
+	uint64_t any = 0;
+	uint32_t i;
+
+	for (i = 0; i < sizeof(set->words) / sizeof(set->words[0]); i++)
+		any |= set->words[i];
+	return any;
+}
+
 /**
  * mh_features_new() - create the features of a request
  * @request: fingerprint of the whole request, may be 0
--- a/core/suspect_observed.c
+++ b/core/suspect_observed.c
@@ -1,7 +1,7 @@
 /* Crashes that entries tell a dispatcher, which did not see them itself. */
 #include "core/suspects_impl.h"
 
-static bool has_told_crash(const struct mh_suspects *set,
+static bool has_told_crash(struct mh_suspects *set,
 			   const struct mh_suspect *suspect)
 {
 	uint32_t i;
--- a/core/suspects.c
+++ b/core/suspects.c
@@ -19,7 +19,9 @@
  * Crashes that are refuted by then concern no other process: with servers that
  * cut streams they would be most of the traffic on the links. */
 #define SHARE_DELAY_NS (150 * MH_NS_PER_MS)
-#define MAX_SUSPECTS 1024
+/* Room for the parts of several runs that were lost: a cause is known to be one only
+ * when it is lost with a second server. */
+#define MAX_SUSPECTS (16 * MH_PARTS_MAX)
 /* Runs that are lost with a server are reported within this time of each other,
  * over all processes. */
 #define SAME_END_NS (1000 * MH_NS_PER_MS)
@@ -132,7 +134,9 @@
 
 	if (r)
 		return r;
-	mh_suspects_expire(set, now_ns);
+	/* All features of a run are added at the same time. */
+	if (set->expired_ns != now_ns)
+		mh_suspects_expire(set, now_ns);
 	if (HASH_COUNT(set->rows) == MAX_SUSPECTS)
 		evict(set);
 	r = mh_check_alloc(calloc(1, sizeof(*r)));
@@ -206,6 +210,7 @@
 			uint64_t now_ns)
 {
 	set_share_time(set, r, 0);
+	set->untold_crash = 0;
 	r->reported_ns = now_ns;
 	r->has_untold_crash = false;
 	if (set->changed)
@@ -353,17 +358,19 @@
 
 /* Whether others were told of a crash with another part: they have to know its
  * alternatives, too. */
-bool mh_suspects_is_told(const struct mh_suspects *set,
-			 const struct mh_crash *crash)
+bool mh_suspects_is_told(struct mh_suspects *set, const struct mh_crash *crash)
 {
 	const struct mh_suspect one = { .n_crashes = 1, .crashes = { *crash } };
 	struct suspect_row *r, *tmp;
 
+	if (set->untold_crash && set->untold_crash == crash->id)
+		return false;
 	HASH_ITER(hh, set->rows, r, tmp) {
 		if (is_part(r) && r->reported_ns && !r->has_untold_crash &&
 		    mh_suspect_has_common(&r->suspect, &one))
 			return true;
 	}
+	set->untold_crash = crash->id;
 	return false;
 }
 
@@ -620,8 +627,10 @@
 							      REFUSAL_REPORT_NS;
 		r->suspect.seen_ns = other->seen_ns;
 	}
-	if (changed)
+	if (changed) {
+		set->untold_crash = 0;
 		r->reported_ns = now_ns;
+	}
 	return changed;
 }
 
@@ -644,6 +653,7 @@
 {
 	struct suspect_row *r, *tmp;
 
+	set->expired_ns = now_ns;
 	HASH_ITER(hh, set->rows, r, tmp) {
 		if (now_ns >= mh_suspect_expiry_ns(&r->suspect))
 			free_row(set, r);
--- a/core/suspects_impl.h
+++ b/core/suspects_impl.h
@@ -53,6 +53,9 @@
 	uint32_t n_ended;		      /* ever recorded */
 	struct success successes[SUCCESS_SLOTS];
 	uint32_t n_to_share;
+	uint64_t expired_ns; /* when rows were expired last */
+	uint64_t
+		untold_crash; /* the last one that others were not told of, or 0 */
 	bool is_shared_early;
 	void (*changed)(void *data, const struct mh_suspect *suspect);
 	void *data;
@@ -78,8 +81,7 @@
 			     uint64_t now_ns);
 bool mh_suspects_is_shared(const struct mh_suspects *set,
 			   const struct suspect_row *r, uint64_t now_ns);
-bool mh_suspects_is_told(const struct mh_suspects *set,
-			 const struct mh_crash *crash);
+bool mh_suspects_is_told(struct mh_suspects *set, const struct mh_crash *crash);
 
 /* Blame: suspect_blame.c. Two processes may have placed a suspect on trial and
  * another request at a server, and each saw one of them lost: settles which crashes
--- a/proxy/exchange.c
+++ b/proxy/exchange.c
@@ -495,6 +495,9 @@
 
 	if (!host.p || !target.len || target.p[0] != '/')
 		return MH_ERR_BAD_REQUEST;
+	/* One that nobody keeps could crash servers without being suspected. */
+	if (x->wire.has_too_many_parts)
+		return MH_ERR_HEAD_TOO_LARGE;
 	x->route = mh_routes_find(x->routes, host.p, host.len, target.p,
 				  target.len);
 	if (!x->route)
--- a/tests/parts_simulation.c
+++ b/tests/parts_simulation.c
@@ -26,6 +26,7 @@
 #define FIRST_SPREAD_MS 60
 #define DEADLINE_MS 5000
 #define MAX_ATTEMPTS 2
+/* Beside further ones. */
 #define PART_MAX 4
 #define MAX_MESSAGES 16384 /* on their way at a time */
 
@@ -41,7 +42,7 @@
 	enum state state;
 	uint32_t attempts;
 	uint64_t fingerprint;
-	uint64_t parts[PART_MAX];
+	uint64_t parts[MH_PARTS_MAX];
 	uint32_t n_parts;
 	uint64_t arrived_ms;
 	uint64_t waited_ms; /* of the first attempt */
@@ -96,7 +97,8 @@
 	struct run *runs;
 	uint32_t n_runs;
 	uint32_t n_bad;
-	uint32_t oldest; /* that has not ended */
+	uint32_t n_of_kind[2]; /* sound and bad ones that came */
+	uint32_t oldest;       /* that has not ended */
 	/* By bad part: crashes, runs later than allowed, and when the fifth
 	 * crash was, 0: not yet. */
 	uint32_t crashed[SIM_MAX_BAD_PARTS];
@@ -298,6 +300,21 @@
 		run->parts[run->n_parts++] = part;
 }
 
+static void add_further_parts(struct sim *sim, struct run *run)
+{
+	const struct sim_case *c = sim->c;
+	uint64_t first = SIM_FURTHER;
+	uint32_t i;
+
+	assert(c->further + PART_MAX <= MH_PARTS_MAX);
+	if (c->conversations)
+		first += (uint64_t)(sim->n_of_kind[run->is_bad]++ /
+				    c->conversations)
+			 << 16;
+	for (i = 0; i < c->further; i++)
+		add_part(run, first + i);
+}
+
 static void arrive(struct sim *sim, bool is_bad)
 {
 	const struct sim_case *c = sim->c;
@@ -310,6 +327,8 @@
 	run->entry = below(sim, c->entries);
 	run->fingerprint = mh_rng_next(&sim->rng) | 1;
 	run->arrived_ms = sim->now_ms;
+	if (!c->further_last)
+		add_further_parts(sim, run);
 	if (is_bad) {
 		run->bad_part = c->bad_parts ?
 					(c->in_step ? sim->n_bad++ : id) %
@@ -331,6 +350,8 @@
 			add_part(run, SIM_COMPANION + below(sim, c->bad_parts));
 		add_part(run, subject);
 	}
+	if (c->further_last)
+		add_further_parts(sim, run);
 	ask(sim, id);
 }
 
--- a/tests/parts_simulation.h
+++ b/tests/parts_simulation.h
@@ -19,6 +19,7 @@
 #define SIM_MAX_BAD_PARTS 4
 #define SIM_COMPANION 0xc0
 #define SIM_SUBJECT 0x100
+#define SIM_FURTHER 0x100000
 
 /* Ways in which servers end by themselves. */
 enum sim_ends {
@@ -39,6 +40,10 @@
  * @bad_from_ms: from when on the bad part is bad; it is sound before
  * @first: part that stands first in bad requests, SIM_NONE if the bad one does
  * @sound_first: part that stands first in sound ones
+ * @further: number of further parts, which stand before the others
+ * @further_last: they stand behind them
+ * @conversations: the further parts are the same only for as many requests of each
+ *                 kind, 0: for all
  * @whole: no part is bad, but each bad request by itself
  * @bad_parts: number of bad parts, 0 and 1 for one; a bad request has one of them
  * @in_step: bad requests have the bad parts in turn, each always with the same
@@ -63,6 +68,9 @@
 	uint32_t bad_from_ms;
 	uint64_t first;
 	uint64_t sound_first;
+	uint32_t further;
+	bool further_last;
+	uint32_t conversations;
 	bool whole;
 	uint32_t bad_parts;
 	bool in_step;
--- a/tests/test_part_suspects.c
+++ b/tests/test_part_suspects.c
@@ -324,6 +324,31 @@
 	mh_suspects_free(set);
 }
 
+/* Guards against a part that is forgotten before it crashes the next server, as many
+ * runs with the most parts are lost with the first ones. */
+static void test_records_outlast_those_of_many_parts(void **state)
+{
+	struct mh_suspects *set = mh_suspects_new(NULL, NULL);
+	struct mh_feature bad = { MH_FEATURE_PART, 5 };
+	struct mh_crash lost = { .server = 1, .placed_ns = MS };
+	uint64_t run, i;
+
+	(void)state;
+	lost.lost_ns = 100 * MS;
+	mh_suspects_add_crash(set, bad, &lost, false);
+	for (run = 1; run <= 2 * SLOTS; run++) {
+		lost.server = 1 + run / SLOTS;
+		for (i = 1; i < MH_PARTS_MAX; i++) {
+			struct mh_feature part = { MH_FEATURE_PART,
+						   run * 1000 + i };
+
+			mh_suspects_add_crash(set, part, &lost, false);
+		}
+	}
+	assert_int_equal(mh_suspects_crashes(set, bad, 200 * MS), 1);
+	mh_suspects_free(set);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -339,6 +364,7 @@
 		cmocka_unit_test(test_equal_requests_count_once_against_a_part),
 		cmocka_unit_test(test_declined_request_clears_no_part),
 		cmocka_unit_test(test_trials_lost_together_are_all_counted),
+		cmocka_unit_test(test_records_outlast_those_of_many_parts),
 		cmocka_unit_test(test_alternatives_are_told_with_a_part),
 	};
 
--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -14,6 +14,7 @@
 #include "tests/parts_checks.h"
 
 #define SEEDS 5
+#define MOST_FURTHER 250
 #define MANY_SEEDS 40 /* where a fault shows in few of them */
 
 static const struct sim_case base = {
@@ -110,6 +111,40 @@
 	}
 }
 
+/* Guards against a bad part that nobody suspects, as it stands behind many others:
+ * servers end without limit, and the others are blamed. */
+static void test_bad_part_behind_many(void **state)
+{
+	struct sim_case c = base;
+
+	(void)state;
+	c.further = 40;
+	assert_contained("behind 40", &c, SEEDS);
+	c.conversations = 1;
+	assert_contained("behind 40 others", &c, SEEDS);
+	c.conversations = 4;
+	assert_contained("behind 40, in 4", &c, SEEDS);
+	c.bad_parts = 2;
+	c.in_step = true;
+	assert_contained("two behind 40", &c, SEEDS);
+}
+
+/* Guards against records that are pushed out by those of the other parts before the
+ * next server ends. */
+static void test_bad_part_behind_the_most(void **state)
+{
+	struct sim_case c = base;
+
+	(void)state;
+	c.further = MOST_FURTHER;
+	assert_contained("behind most", &c, 1);
+	c.conversations = 1;
+	assert_contained("behind others", &c, 2);
+	c.first = SIM_NONE;
+	c.further_last = true;
+	assert_contained("before others", &c, 2);
+}
+
 static void test_few_bad_requests(void **state)
 {
 	struct sim_case c = base;
@@ -287,6 +322,8 @@
 		cmocka_unit_test(test_two_bad_parts_beside_instant_answers),
 		cmocka_unit_test(test_part_that_turns_bad),
 		cmocka_unit_test(test_innocent_companion_is_let_in),
+		cmocka_unit_test(test_bad_part_behind_many),
+		cmocka_unit_test(test_bad_part_behind_the_most),
 		cmocka_unit_test(test_few_bad_requests),
 		cmocka_unit_test(test_many_bad_requests_at_many_entries),
 		cmocka_unit_test(test_dispatcher_lost_at_the_third_crash),
--- a/tests/test_parts.sh
+++ b/tests/test_parts.sh
@@ -137,6 +137,32 @@
 	sound_are_served middle
 }
 
+many_parts() { # N: parts that are the same in all requests
+	printf 'f%x:40,' $(seq $1)
+}
+
+# Guards against a bad part that nobody suspects, as it stands behind many others: these
+# are blamed for it.
+t_part_behind_many() {
+	local earlier
+	earlier=$(many_parts 40)
+	run_load many "${earlier}a0:60,dead7:400" "${earlier}a0:60,b%:400"
+	few_servers_end many
+}
+
+t_sound_beside_many() {
+	sound_are_served many
+}
+
+# One that is not kept could crash servers without being suspected.
+t_more_parts_than_are_kept() {
+	local id=bad-more-1
+	[ "$(ID=$id status_of 1 /fragile/$id/ok -d text \
+		-H "X-Mangohead-Prompt-Prefix: $(many_parts 256)dead9:40,ff:50")" = \
+		431 ] && grep -q head_too_large "$DIR/body" &&
+		[ -z "$(times reached more)" ]
+}
+
 # Guards against an outage of all sound requests that share a part with two bad
 # ones: each of these comes with the same sound companion, of which sound requests
 # have one as well.
@@ -232,6 +258,16 @@
 	sound_are_served alone
 }
 
+# Guards against others that are not told of the bad part, as the records of many others
+# leave it no room.
+t_part_behind_many_at_entries_alone() {
+	local earlier
+	earlier=$(many_parts 200)
+	run_load crowd "${earlier}a0:60,deada:400" "${earlier}a0:60,b%:400" \
+		"$PROXIES $MORE_PROXIES"
+	few_servers_end crowd && sound_are_served crowd
+}
+
 # Removes what a proxy told the others.
 forget_told() { # N
 	local key=proxy-$1 len
@@ -264,6 +300,10 @@
 
 check "parts: a part in the middle ends few servers" t_part_in_the_middle
 check "parts: sound requests are served beside it" t_sound_beside_the_middle
+check "parts: a part behind many ends few servers" t_part_behind_many
+check "parts: sound requests are served beside many" t_sound_beside_many
+check "parts: requests with more than are kept are refused" \
+	t_more_parts_than_are_kept
 check "parts: two parts at once end few servers" t_two_parts_at_once
 check "parts: sound requests are served beside the two" t_sound_beside_two_parts
 check "parts: two parts at once are told to an end" t_nothing_more_is_told
@@ -276,6 +316,8 @@
 check "parts: entries alone lose few servers" t_part_at_entries_alone
 check "parts: sound requests are served by entries alone" \
 	t_sound_at_entries_alone
+check "parts: entries alone find a part behind many" \
+	t_part_behind_many_at_entries_alone
 check "parts: an entry that starts alone knows the part" t_entry_that_starts_alone
 touch "$DIR/stop"
 wait $replacing
--- a/tests/test_wire_parts.c
+++ b/tests/test_wire_parts.c
@@ -107,24 +107,39 @@
 	mh_http_reader_release(&reader);
 }
 
-/* A hostile header: parts beyond the bound are ignored. */
-static void test_parts_are_bounded(void **state)
+/* Reads a request with parts 1 to @n_parts; the last one is its own. */
+static void read_many_parts(uint32_t n_parts, struct mh_wire_request *req,
+			    struct mh_http_reader *reader)
 {
-	struct mh_wire_request req;
-	struct mh_http_reader reader;
-	char text[2048];
+	char text[16 * (MH_PARTS_MAX + 10)];
 	size_t at;
-	int i;
+	uint32_t i;
 
-	(void)state;
 	at = (size_t)sprintf(text,
 			     "GET / HTTP/1.1\r\nHost: h\r\n" PREFIX "1:1");
-	for (i = 2; i < 100; i++)
+	for (i = 2; i <= n_parts; i++)
 		at += (size_t)sprintf(text + at, ",%x:1", i);
 	sprintf(text + at, "\r\n\r\n");
-	read_request(&reader, text, &req);
+	read_request(reader, text, req);
+}
+
+/* A hostile header: parts beyond the bound are not kept, which is told. */
+static void test_parts_are_bounded(void **state)
+{
+	struct mh_wire_request req;
+	struct mh_http_reader reader;
+
+	(void)state;
+	read_many_parts(MH_PARTS_MAX + 1, &req, &reader);
+	assert_int_equal(req.n_parts, MH_PARTS_MAX);
+	assert_int_equal(req.parts[MH_PARTS_MAX - 1], MH_PARTS_MAX);
+	assert_false(req.has_too_many_parts);
+	mh_http_reader_release(&reader);
+
+	read_many_parts(MH_PARTS_MAX + 2, &req, &reader);
 	assert_int_equal(req.n_parts, MH_PARTS_MAX);
 	assert_int_equal(req.parts[MH_PARTS_MAX - 1], MH_PARTS_MAX);
+	assert_true(req.has_too_many_parts);
 	mh_http_reader_release(&reader);
 }
 
