--- a/tests/test_parts.sh
+++ b/tests/test_parts.sh
@@ -240,16 +240,22 @@
 		[ $(wc -l <"$DIR/crashed") -le $COUNTED_CRASHES ]
 }
 
-# Guards against a part that each entry has to find for itself: without a
-# dispatcher they have only the store to tell each other.
-t_part_at_entries_alone() {
+# Ends the dispatchers, unless an earlier check has.
+leave_entries_alone() {
 	local i
+	is_alive dispatcher1 || return 0
 	kill_hard dispatcher1
 	kill_hard dispatcher2
 	for i in $MORE_PROXIES; do
 		start_proxy $i
 	done
 	sleep $ALONE_S
+}
+
+# Guards against a part that each entry has to find for itself: without a
+# dispatcher they have only the store to tell each other.
+t_part_at_entries_alone() {
+	leave_entries_alone
 	run_load alone a0:60,dead3:400 a0:60,b%:400 "$PROXIES $MORE_PROXIES"
 	few_servers_end alone
 }
@@ -262,6 +268,7 @@
 # leave it no room.
 t_part_behind_many_at_entries_alone() {
 	local earlier
+	leave_entries_alone
 	earlier=$(many_parts 200)
 	run_load crowd "${earlier}a0:60,deada:400" "${earlier}a0:60,b%:400" \
 		"$PROXIES $MORE_PROXIES"
