Roll-outs: nothing for a version in a shift that nobody judges

Cause: only dispatchers judge, and a proxy without one followed the last record that it was told of.

Change: the roll-outs of a proxy, which it uses only while there is no dispatcher, are unwatched: a version in a shift counts as one that is observed, and gets nothing. The record stays, so that the next dispatcher goes on with the shift.

Why it works: what nobody judges gets no requests; the old servers run until a verdict.

--- a/core/rollout.c
+++ b/core/rollout.c
@@ -318,6 +318,11 @@
 	return MH_ROLLOUT_ORDER_ACCEPTED;
 }
 
+void mh_rollouts_set_unwatched(struct mh_rollouts *set)
+{
+	set->is_unwatched = true;
+}
+
 void mh_rollouts_set_judge(struct mh_rollouts *set, bool judges)
 {
 	struct service *svc, *tmp;
@@ -425,7 +430,7 @@
 static enum mh_rollout_choice
 choose_shifting(struct service *svc, const struct version *v, bool is_retryable)
 {
-	if (!mh_rollout_has_shifted(svc))
+	if (svc->set->is_unwatched || !mh_rollout_has_shifted(svc))
 		return choose_observing(svc, v, is_retryable);
 	if (v != svc->target)
 		return MH_ROLLOUT_FORBIDDEN;
@@ -469,7 +474,8 @@
 	v = find_version(svc, version);
 	if (v && mh_rollout_is_excluded(svc, v))
 		return false;
-	if (svc->phase == MH_ROLLOUT_SHIFTING && mh_rollout_has_shifted(svc))
+	if (svc->phase == MH_ROLLOUT_SHIFTING && !set->is_unwatched &&
+	    mh_rollout_has_shifted(svc))
 		return v == svc->target;
 	return v != svc->target || svc->phase == MH_ROLLOUT_SUCCEEDED ||
 	       (svc->phase == MH_ROLLOUT_OBSERVING && mh_rollout_is_alone(svc));
--- a/core/rollout.h
+++ b/core/rollout.h
@@ -194,6 +194,15 @@
  */
 void mh_rollouts_set_judge(struct mh_rollouts *set, bool judges);
 
+/**
+ * mh_rollouts_set_unwatched() - the set is used only while nobody judges
+ * @set: set, of a process that never judges
+ *
+ * A version that is being moved to gets nothing then, as nobody would notice that
+ * it turns bad.
+ */
+void mh_rollouts_set_unwatched(struct mh_rollouts *set);
+
 /**
  * mh_rollouts_set_store() - set what is known of the records in the store
  * @set: set; until it is told otherwise, MH_ROLLOUT_STORE_UNREAD holds
--- a/core/rollout_impl.h
+++ b/core/rollout_impl.h
@@ -111,6 +111,7 @@
 	struct mh_rollout_conf conf;
 	const struct mh_clock *clock;
 	bool judges;
+	bool is_unwatched; /* nobody judges while this set is used */
 	uint64_t judge_since_ns;
 	enum mh_rollout_store store;
 	uint64_t changes;
--- a/proxy/slot_client.c
+++ b/proxy/slot_client.c
@@ -462,6 +462,8 @@
 	mh_rollout_relay_init(&sc->rollouts,
 			      mh_rollouts_new(&conf->rollouts, clock),
 			      sc->links, &sc->candidates);
+	/* Dispatchers choose servers while there are any. */
+	mh_rollouts_set_unwatched(sc->rollouts.set);
 	sc->rollouts.report.log = log;
 	sc->rollouts.report.counters = counters;
 	sc->rollouts.report.metrics = conf->metrics;
--- a/tests/test_rollout.sh
+++ b/tests/test_rollout.sh
@@ -20,7 +20,7 @@
 RATE=10
 DURATION_S=12
 ALONE="good fails slow later load route again next unknown bad"
-FAULTS="kg kb fg fb ng nb nn nw sg sb ag ab pn"
+FAULTS="kg kb fg fb ng nb nn nw sg sb ag ab pn sh"
 
 now_ms() { # the stand-ins' clock
 	awk '{ printf "%d", $1 * 1000 }' /proc/uptime
@@ -352,14 +352,22 @@
 	succeeds fg && is_rolled_back fb
 }
 
+is_shifting() { # SERVICE
+	grep -qh "event=rollout .*target=$1-2 phase=shifting" "$DIR"/dispatcher?.log
+}
+
 # No dispatcher from the first second on. One version is ordered while there is none,
-# and one has succeeded before: its old servers are stopped.
+# one has succeeded before: its old servers are stopped, and to one the requests are
+# being moved.
 run_without() {
 	local n
 	load nw 16
+	load sh 30
 	sleep 1
+	DURATION_S=20 roll_out sh
 	DURATION_S=3 roll_out nw
 	wait_until 5 has_verdict nw
+	wait_until 10 is_shifting sh
 	load ng 22
 	load nb 22
 	load nn 22
@@ -381,9 +389,10 @@
 	end_loads
 }
 
+# Guards against a version that turns bad unnoticed, as requests go on being moved to it.
 t_without_dispatcher() {
 	local s
-	for s in ng nb nn; do
+	for s in ng nb nn sh; do
 		arrivals | awk -v s=${s}b -v from=$(cat "$DIR/without.from") \
 			-v to=$(cat "$DIR/without.to") '
 			index($2, s) == 1 && $1 > from && $1 < to { n++ }
@@ -392,7 +401,8 @@
 	ends_as nw succeeded && is_unnoticed nw &&
 		ends_as nb rolled_back && keeps_exposure nb &&
 		ends_as ng succeeded 5 && is_unnoticed ng &&
-		ends_as nn succeeded 5 && is_unnoticed nn
+		ends_as nn succeeded 5 && is_unnoticed nn &&
+		ends_as sh succeeded 15 && is_unnoticed sh
 }
 
 # The store is down while one version turns bad.
