Quotas: usage that is not known may be a whole window

Cause: a dispatcher gave up reading the stored usage after three refused calls, some ms after its start, never read it again, and replaced the record of the process before it. And proxies, which grant shares by themselves until a dispatcher is fit, granted a fifth at once and the rest over a window, as if nothing had been used.

Until it is known, from the store or from entries that live, and at proxies without a dispatcher for a window from their start, an account gets the part of the tolerance that is not used otherwise, and a single request.

Why it works: what was granted before is at most a window with the other part of the tolerance. The price: for up to 8 s after such a start an account is refused most of its traffic, with the time to wait.

--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -449,6 +449,14 @@
 				    uint64_t grantor, uint64_t units,
 				    uint32_t age_ms);
 
+/**
+ * mh_dispatch_set_usage_known() - set whether it is known what accounts used before
+ *                                 the start
+ * @d: dispatcher; by default it is
+ * @known: the stored usage was read, or came from an entry
+ */
+void mh_dispatch_set_usage_known(struct mh_dispatch *d, bool known);
+
 /**
  * mh_dispatch_add_stored_usage() - add all usage that a dispatcher granted, as
  *                                  read from a stored record
--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -254,6 +254,7 @@
 	uint64_t total_granted_units;
 	uint64_t near_limit_ns; /* when an account was last near its quota */
 	uint64_t grantor_id;
+	bool is_usage_unknown; /* what was granted before its start */
 	uint64_t rates_updated_ns;
 	uint64_t next_review_ns;
 	struct mh_rollouts *rollouts; /* NULL: none */
--- a/core/dispatch_quota.c
+++ b/core/dispatch_quota.c
@@ -30,8 +30,7 @@
 /* After a start other dispatchers may be in use as well, until entries agree and
  * records of usage were exchanged. What this one grants itself rises over this
  * time from this fraction of an account's bound. An account that uses its quota
- * evenly needs less. An entry without a dispatcher has no record of what it
- * granted before its restart, so there the rise takes a whole window. */
+ * evenly needs less. */
 #define START_RAMP_MS 3000
 #define START_FRACTION 0.2
 /* Of its share an entry that has lost its dispatcher may use this fraction, whatever
@@ -182,6 +181,11 @@
 	mh_usage_add(&g->reported, units, age_ms, mh_dispatch_now_ns(d));
 }
 
+void mh_dispatch_set_usage_known(struct mh_dispatch *d, bool known)
+{
+	d->is_usage_unknown = !known;
+}
+
 void mh_dispatch_add_stored_usage(struct mh_dispatch *d, const char *account,
 				  uint64_t grantor, struct mh_usage *usage)
 {
@@ -433,6 +437,22 @@
 	return bound * (1 - URGENT_SHARE * (slot_req->tier % MH_ROUTE_TIERS));
 }
 
+/* Where nothing tells what was granted before the start, at an entry without a
+ * dispatcher and while the stored usage can't be read, it may have been a whole window:
+ * until that is over only the part of the tolerance is granted that is not used else. */
+static uint32_t unknown_wait_ms(const struct mh_dispatch *d,
+				const struct quota *q, double needed,
+				double age_ms)
+{
+	double unused = (1 - QUOTA_TOLERANCE_USED) *
+			(quota_limit(d, q) * d->conf.quota_excess +
+			 d->conf.quota_slack / d->n_sharing);
+
+	return needed <= unused ?
+		       0 :
+		       (uint32_t)(d->conf.quota_window_ms - age_ms) + 1;
+}
+
 /* Return: how long until the units that this dispatcher may grant itself after
  * its start suffice for a request, 0 if they do. */
 static uint32_t start_wait_ms(const struct mh_dispatch *d, struct quota *q,
@@ -440,14 +460,17 @@
 {
 	double own = (double)mh_usage_sum(&q->own, now_ns);
 	double age_ms = (double)(now_ns - d->began_ns) / MH_NS_PER_MS;
-	double ramp_ms =
-		d->n_sharing > 1 ? d->conf.quota_window_ms : START_RAMP_MS;
-	double needed = (own + units) / quota_bound(d, q), due_ms;
+	bool is_unknown = d->n_sharing > 1 || d->is_usage_unknown;
+	double ramp_ms = is_unknown ? d->conf.quota_window_ms : START_RAMP_MS;
+	double needed = own + units, due_ms;
 
 	/* A single request above the fraction passes, as otherwise. */
 	if (age_ms >= ramp_ms || own <= 0)
 		return 0;
-	due_ms = (needed - START_FRACTION) / (1 - START_FRACTION) * ramp_ms;
+	if (is_unknown)
+		return unknown_wait_ms(d, q, needed, age_ms);
+	due_ms = (needed / quota_bound(d, q) - START_FRACTION) /
+		 (1 - START_FRACTION) * ramp_ms;
 	if (due_ms > ramp_ms)
 		due_ms = ramp_ms;
 	return due_ms > age_ms ? (uint32_t)(due_ms - age_ms) + 1 : 0;
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -342,6 +342,38 @@
 	free_fixture(f);
 }
 
+/* Guards against a whole window on top of what was used before all processes were
+ * killed, as the stored usage can't be read. */
+static void test_unknown_usage_may_be_a_whole_window(void **state)
+{
+	struct fixture *f = new_fixture(), *fresh;
+	uint32_t granted_before = 0, granted_after = 0, granted = 0;
+
+	(void)state;
+	add_server(f, "a", 1, true);
+	mh_dispatch_set_quota(f->d, "x", 100, 200);
+	while (request_units(f, "x", 10))
+		granted_before += 10;
+
+	fresh = new_fixture_at(f->now_ns);
+	add_server(fresh, "a", 1, true);
+	mh_dispatch_set_quota(fresh->d, "x", 100, 200);
+	mh_dispatch_set_usage_known(fresh->d, false);
+	fresh->now_ns += 4000 * MS;
+	while (request_units(fresh, "x", 10))
+		granted_after += 10;
+	assert_true(granted_before >= 1000);
+	assert_true(granted_after > 0);
+	assert_true(granted_before + granted_after <= 2100);
+
+	fresh->now_ns += 4000 * MS;
+	while (request_units(fresh, "x", 10))
+		granted += 10;
+	assert_true(granted_after + granted >= 1000);
+	free_fixture(f);
+	free_fixture(fresh);
+}
+
 static void test_ledger_rejects_malformed_records(void **state)
 {
 	static const char *const bad[] = {
@@ -670,6 +702,7 @@
 		cmocka_unit_test(test_retries_of_another_dispatcher_count),
 		cmocka_unit_test(test_newest_record_of_each_host_is_cached),
 		cmocka_unit_test(test_age_of_cached_record_ignores_wall_clock),
+		cmocka_unit_test(test_unknown_usage_may_be_a_whole_window),
 		cmocka_unit_test(test_ledger_rejects_malformed_records),
 		cmocka_unit_test(test_abusive_retriers_stay_within_the_budget),
 		cmocka_unit_test(test_retry_budget_holds_over_restarts),
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -38,7 +38,7 @@
 awk '/^- / { name = substr($0, 3) } / cases: / { sub(/^ +/, ""); print name " -- " $0 }' \
 	"$log"
 
-for processes in docs processes proxy finding drill partition removals cut_streams endless crashing parts notices limits refusals hostile_clients hedge rollout; do
+for processes in docs processes proxy finding drill partition removals quotas cut_streams endless crashing parts notices limits refusals hostile_clients hedge rollout; do
 	tests/test_$processes.sh >"$log" 2>/dev/null || cat "$log"
 	count < <(grep -E '^(ok|FAILED) ' "$log")
 done
