Quotas: a request passes while the rest of the tolerance is not used up

A single request passes whatever its size, here as elsewhere in quotas. The rule is the same now for the next ones: a request passes while less than the part was granted.

--- a/core/dispatch_quota.c
+++ b/core/dispatch_quota.c
@@ -439,18 +439,18 @@
 
 /* Where nothing tells what was granted before the start, at an entry without a
  * dispatcher and while the stored usage can't be read, it may have been a whole window:
- * until that is over only the part of the tolerance is granted that is not used else. */
+ * until that is over requests pass only while less was granted than the part of the
+ * tolerance that is not used else. */
 static uint32_t unknown_wait_ms(const struct mh_dispatch *d,
-				const struct quota *q, double needed,
+				const struct quota *q, double own,
 				double age_ms)
 {
 	double unused = (1 - QUOTA_TOLERANCE_USED) *
 			(quota_limit(d, q) * d->conf.quota_excess +
 			 d->conf.quota_slack / d->n_sharing);
 
-	return needed <= unused ?
-		       0 :
-		       (uint32_t)(d->conf.quota_window_ms - age_ms) + 1;
+	return own < unused ? 0 :
+			      (uint32_t)(d->conf.quota_window_ms - age_ms) + 1;
 }
 
 /* Return: how long until the units that this dispatcher may grant itself after
@@ -462,14 +462,14 @@
 	double age_ms = (double)(now_ns - d->began_ns) / MH_NS_PER_MS;
 	bool is_unknown = d->n_sharing > 1 || d->is_usage_unknown;
 	double ramp_ms = is_unknown ? d->conf.quota_window_ms : START_RAMP_MS;
-	double needed = own + units, due_ms;
+	double due_ms;
 
 	/* A single request above the fraction passes, as otherwise. */
 	if (age_ms >= ramp_ms || own <= 0)
 		return 0;
 	if (is_unknown)
-		return unknown_wait_ms(d, q, needed, age_ms);
-	due_ms = (needed / quota_bound(d, q) - START_FRACTION) /
+		return unknown_wait_ms(d, q, own, age_ms);
+	due_ms = ((own + units) / quota_bound(d, q) - START_FRACTION) /
 		 (1 - START_FRACTION) * ramp_ms;
 	if (due_ms > ramp_ms)
 		due_ms = ramp_ms;
