--- a/core/dispatch_impl.h
+++ b/core/dispatch_impl.h
@@ -96,7 +96,6 @@
 	uint64_t placed_ns;
 	uint64_t due_ns; /* a sign of life from then on proves that it did */
 	bool survived_briefly; /* the server did, for a shorter time at least */
-	bool is_counted;       /* as an open run */
 	struct undecided_run *prev, *next;
 };
 
--- a/core/dispatch_place.c
+++ b/core/dispatch_place.c
@@ -57,48 +57,6 @@
 	return true;
 }
 
-/* A request that is chosen, and its server. */
-struct choice {
-	struct request *req;
-	struct server *server;
-};
-
-static void choose_later(struct mh_dispatch *d, struct pool *p,
-			 const struct mh_heap *heap, uint64_t now_ns,
-			 struct choice *choice)
-{
-	uint32_t i;
-
-	for (i = 0; i < heap->n; i++) {
-		struct request *req = heap->v[i];
-		struct server *s;
-
-		if (req->deadline_ns <= choice->req->deadline_ns ||
-		    !mh_dispatch_is_suspect(d, req, now_ns))
-			continue;
-		s = mh_dispatch_pick(d, p, req, now_ns);
-		if (s)
-			*choice = (struct choice){ req, s };
-	}
-}
-
-/* Suspects run in turn as others do, until the next one has waited for half of its
- * time: then the one that has the most time left runs. A trial that its client's
- * deadline ends tells nothing, and with the next one it would be the same. */
-static struct choice choose_suspect(struct mh_dispatch *d, struct pool *p,
-				    const struct queue *queue,
-				    struct request *next, struct server *s,
-				    uint64_t now_ns)
-{
-	struct choice choice = { next, s };
-
-	if (now_ns - next->requested_ns < next->deadline_ns - now_ns)
-		return choice;
-	choose_later(d, p, &queue->timely, now_ns, &choice);
-	choose_later(d, p, &queue->late, now_ns, &choice);
-	return choice;
-}
-
 /* Return: whether less urgent requests may be placed. */
 static bool place_tier(struct mh_dispatch *d, struct pool *p,
 		       struct queue *queue, struct set_aside *aside,
@@ -120,12 +78,7 @@
 		s = mh_dispatch_pick(d, p, req, now_ns);
 		if (s && set_aside(d, req, s, aside, now_ns))
 			continue;
-		if (s && mh_dispatch_is_suspect(d, req, now_ns)) {
-			struct choice choice =
-				choose_suspect(d, p, queue, req, s, now_ns);
-
-			place(d, choice.req, choice.server, now_ns);
-		} else if (s) {
+		if (s) {
 			place(d, req, s, now_ns);
 		} else if (mh_dispatch_is_suspect(d, req, now_ns)) {
 			mh_dispatch_park(d, req);
