Soak: servers are removed while no dispatcher reaches the store

It cut single processes or all dispatchers but one from the store, its servers announced that they leave, and there were always slots at others.

New fault "removal": all other servers get one slot, all dispatchers are cut off from the store, up to a second later a server's registration ends without draining, and 0.5 to 6 s after that the cut ends. New check "removed servers": no request reaches it later than the 2 s of the users' rule, unless its proxy was restarted, stopped or cut off in the 2 s before, the way to the server was harmed, or the store disturbed since the removal. The cut excuses no late configuration, as proxies read the store themselves then. The pass has its own random numbers: a seed's other faults stay.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -53,7 +53,8 @@
 	free(e->version);
 }
 
-static void mark(struct mh_catalog *cat, struct row *r, bool is_doubtful)
+static void set_doubtful_flag(struct mh_catalog *cat, struct row *r,
+			      bool is_doubtful)
 {
 	cat->n_doubtful += is_doubtful;
 	cat->n_doubtful -= r->reg.is_doubtful;
@@ -62,7 +63,7 @@
 
 static void free_row(struct mh_catalog *cat, struct row *r)
 {
-	mark(cat, r, false);
+	set_doubtful_flag(cat, r, false);
 	HASH_DEL(cat->rows, r);
 	release_registration(&r->reg);
 	free(r);
@@ -178,7 +179,7 @@
 	r->reg.born_ms = update->born_ms;
 	r->reg.sequence = update->sequence;
 	r->reg.read_at = update->read_at;
-	mark(cat, r, false);
+	set_doubtful_flag(cat, r, false);
 	if (changed)
 		cat->changed(cat->data, &r->reg);
 	return true;
@@ -186,7 +187,7 @@
 
 static void remove_now(struct mh_catalog *cat, struct row *r, uint64_t now_ns)
 {
-	mark(cat, r, false);
+	set_doubtful_flag(cat, r, false);
 	r->gone_ns = now_ns;
 	if (r->reg.state == MH_SERVER_GONE)
 		return;
@@ -206,7 +207,7 @@
 {
 	if (r->reg.is_doubtful == is_doubtful)
 		return;
-	mark(cat, r, is_doubtful);
+	set_doubtful_flag(cat, r, is_doubtful);
 	cat->changed(cat->data, &r->reg);
 }
 
--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -404,7 +404,7 @@
 		    f->target < ck->params->proxies && f->target != proxy)
 			continue;
 		/* The others go on reading. */
-		if (f->kind == FAULT_CUT_FROM_STORE)
+		if (f->kind == FAULT_CUT_FROM_STORE || f->kind == FAULT_REMOVAL)
 			continue;
 		return true;
 	}
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -465,8 +465,8 @@
 	snprintf(port, sizeof(port), "%u", store_port(params));
 	snprintf(log, sizeof(log), "%s/platform.log", params->dir);
 	for (i = 0; i < params->servers; i++) {
-		snprintf(specs[i], sizeof(specs[i]), "%u:s%u:app:8:%u",
-			 server_port(params, i), i,
+		snprintf(specs[i], sizeof(specs[i]), "%u:s%u:app:%u:%u",
+			 server_port(params, i), i, SERVER_SLOTS,
 			 relay_port(params, relay_of_server(params, i)));
 		args[2 + i] = specs[i];
 	}
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -15,6 +15,11 @@
 #define RECOVERY_MS 4000
 /* A server says that it leaves for this much longer than its fault takes. */
 #define NOTICE_MS 1500
+/* A removed server stays away for this much longer than the cut, and than it may
+ * get requests. */
+#define AFTER_CUT_MS 1000
+#define SLOTS_KNOWN_MS 300
+#define LATE_MS 1500
 
 static const struct option options[] = {
 	{ "seed", required_argument, NULL, 's' },
@@ -97,16 +102,22 @@
 	free(fleet_platform_request("POST", "/test/store", "{\"retain\":0}"));
 }
 
+static void set_server_state(uint32_t server, const char *state)
+{
+	char target[64];
+
+	snprintf(target, sizeof(target), "/test/server?id=s%u&state=%s", server,
+		 state);
+	free(fleet_platform_request("POST", target, NULL));
+}
+
 static void cycle_server(const struct fault *f)
 {
 	static const char *const states[] = { "draining", "gone", "ready" };
-	char target[64];
 	size_t i;
 
 	for (i = 0; i < 3; i++) {
-		snprintf(target, sizeof(target), "/test/server?id=s%u&state=%s",
-			 f->target, states[i]);
-		free(fleet_platform_request("POST", target, NULL));
+		set_server_state(f->target, states[i]);
 		soak_sleep_ms(i < 2 ? f->ms : 0);
 	}
 }
@@ -223,6 +234,53 @@
 		block_store(i, false);
 }
 
+static void block_store_for_dispatchers(bool block)
+{
+	uint32_t i;
+
+	for (i = 0; i < params.dispatchers; i++)
+		block_store(params.proxies + i, block);
+}
+
+/* Sets the slots of all servers but one, so that this one is needed or not. */
+static void set_slots_of_others(uint32_t server, uint32_t slots)
+{
+	char target[64];
+	uint32_t i;
+
+	for (i = 0; i < params.servers; i++) {
+		if (i == server)
+			continue;
+		snprintf(target, sizeof(target),
+			 "/test/server?id=s%u&state=ready&slots=%u", i, slots);
+		free(fleet_platform_request("POST", target, NULL));
+	}
+}
+
+/* The server doesn't announce that it leaves: its registration ends. The others are
+ * full, so that it gets requests as long as anybody takes it for a choice. */
+static void remove_server(struct fault *f)
+{
+	static pthread_mutex_t one_at_a_time = PTHREAD_MUTEX_INITIALIZER;
+
+	pthread_mutex_lock(&one_at_a_time);
+	set_slots_of_others(f->target, 1);
+	soak_sleep_ms(SLOTS_KNOWN_MS);
+	block_store_for_dispatchers(true);
+	soak_sleep_ms((uint32_t)f->value);
+	set_server_state(f->target, "gone");
+	f->gone_ms = soak_now_ms();
+	soak_sleep_ms(f->ms);
+	block_store_for_dispatchers(false);
+	soak_sleep_ms(AFTER_CUT_MS);
+	if (f->ms + AFTER_CUT_MS < DRAIN_MS + LATE_MS)
+		soak_sleep_ms(DRAIN_MS + LATE_MS - f->ms - AFTER_CUT_MS);
+	f->back_ms = soak_now_ms();
+	set_server_state(f->target, "ready");
+	set_slots_of_others(f->target, SERVER_SLOTS);
+	pthread_mutex_unlock(&one_at_a_time);
+}
+
 static pthread_mutex_t config_lock = PTHREAD_MUTEX_INITIALIZER;
 
 static void publish(uint32_t version)
@@ -367,6 +425,9 @@
 	case FAULT_DRILL:
 		drill(f);
 		break;
+	case FAULT_REMOVAL:
+		remove_server(f);
+		break;
 	default:
 		inject_relay_fault(f);
 		break;
--- a/tests/soak/notices.c
+++ b/tests/soak/notices.c
@@ -1,6 +1,6 @@
 /*
- * Checks what reached servers that said that they leave, that turned requests
- * away and asked for a pause, or that stated a limit.
+ * Checks what reached servers that said that they leave, that were removed, that
+ * turned requests away and asked for a pause, or that stated a limit.
  */
 #include <limits.h>
 #include <stdlib.h>
@@ -22,6 +22,8 @@
 #define LIMIT_WINDOW_MS 4000
 #define LIMIT_TOLD_MS 500
 #define LIMIT_EXTRA 5
+/* A removal counts as checked if so much of the time after DRAIN_MS was. */
+#define FIRST_LATE_MS 500
 
 struct sent {
 	char id[ID_BYTES];
@@ -273,12 +275,93 @@
 	}
 }
 
+/* Whether another fault put a server back after its removal, or made the store
+ * unstable. */
+static bool is_removal_uncertain(const struct notices *nt,
+				 const struct fault *removal, uint64_t to_ms)
+{
+	size_t i;
+
+	for (i = 0; i < nt->plan->n; i++) {
+		const struct fault *f = &nt->plan->v[i];
+
+		if (f == removal || !fault_overlaps(f, removal->gone_ms, to_ms))
+			continue;
+		if (f->kind == FAULT_STORE || f->kind == FAULT_DRILL ||
+		    f->kind == FAULT_KILL_ALL ||
+		    ((f->kind == FAULT_SERVER_LEAVE ||
+		      f->kind == FAULT_SERVER_SAYS) &&
+		     f->target == removal->target))
+			return true;
+	}
+	return false;
+}
+
+/* Whether a fault kept a proxy from reading the store. */
+static bool was_out_of_touch(const struct notices *nt, uint32_t proxy,
+			     uint64_t from_ms, uint64_t to_ms)
+{
+	uint32_t relay = relay_of_store(nt->params, proxy);
+	size_t i;
+
+	for (i = 0; i < nt->plan->n; i++) {
+		const struct fault *f = &nt->plan->v[i];
+
+		if (!fault_overlaps(f, from_ms, to_ms))
+			continue;
+		if (f->kind == FAULT_TURN_AWAY ||
+		    ((f->kind == FAULT_CUT_FROM_STORE ||
+		      f->kind == FAULT_CUT_ENTRY) &&
+		     f->target == proxy) ||
+		    (f->kind >= FAULT_RESET && f->kind <= FAULT_PARTITION &&
+		     f->target == relay))
+			return true;
+	}
+	return false;
+}
+
+/* Return: whether it was checked at least a while. */
+static bool check_removal(struct notices *nt, const struct fault *f)
+{
+	uint32_t n = 0;
+	uint64_t last_ms = 0;
+	size_t i;
+
+	if (!f->gone_ms ||
+	    is_removal_uncertain(nt, f, f->gone_ms + DRAIN_MS + FIRST_LATE_MS))
+		return false;
+	for (i = 0; i < nt->n; i++) {
+		const struct arrival *a = &nt->v[i];
+		uint64_t from_ms = a->at_ms - DRAIN_MS;
+
+		if ((uint32_t)atoi(a->server + 1) != f->target ||
+		    a->at_ms <= f->gone_ms + DRAIN_MS ||
+		    a->at_ms >= f->back_ms ||
+		    is_removal_uncertain(nt, f, a->at_ms) ||
+		    is_excused(nt, a->call->proxy, from_ms, a->at_ms) ||
+		    was_cut(nt, a->server, from_ms, a->at_ms) ||
+		    was_out_of_touch(nt, a->call->proxy, from_ms, a->at_ms))
+			continue;
+		n++;
+		last_ms = a->at_ms;
+	}
+	if (!n)
+		return true;
+	nt->violations++;
+	fprintf(nt->out,
+		"BROKEN removed servers: %u requests reached s%u later than "
+		"%u ms after its removal, up to %llu ms\n",
+		n, f->target, DRAIN_MS,
+		(unsigned long long)(last_ms - f->gone_ms));
+	return true;
+}
+
 uint32_t notices_check(const struct calls *calls, const struct plan *plan,
 		       const struct params *params, FILE *out)
 {
 	struct notices nt = { plan, params, out, NULL, 0, 0 };
 	char *text = fleet_platform_request("GET", "/test/arrivals", NULL);
-	uint32_t pauses = 0, leaving = 0, limits = 0;
+	uint32_t pauses = 0, leaving = 0, limits = 0, removals = 0;
 	size_t i;
 
 	if (!text) {
@@ -295,6 +378,8 @@
 	for (i = 0; i < plan->n; i++) {
 		const struct fault *f = &plan->v[i];
 
+		if (f->kind == FAULT_REMOVAL)
+			removals += check_removal(&nt, f);
 		if (f->kind != FAULT_SERVER_LIMIT || !f->value || !f->begin_ms)
 			continue;
 		limits++;
@@ -302,8 +387,8 @@
 	}
 	fprintf(out,
 		"notices: %u pauses asked for, %u responses of servers "
-		"that leave, %u limits\n",
-		pauses, leaving, limits);
+		"that leave, %u limits, %u removals\n",
+		pauses, leaving, limits, removals);
 	free(nt.v);
 	return nt.violations;
 }
--- a/tests/soak/plan.c
+++ b/tests/soak/plan.c
@@ -18,6 +18,9 @@
 #define PARTITION_GAP 10
 #define MIN_PARTITION_MS 500
 #define MAX_PARTITION_MS 6000
+/* The same between removals of servers in a cut. */
+#define REMOVAL_GAP 20
+#define MAX_CUT_BEFORE_REMOVAL_MS 1000
 #define MIN_PAUSE_MS 700
 #define MAX_PAUSE_MS 3000
 /* Time after a fault during which its effects on requests that were in
@@ -48,6 +51,7 @@
 	[FAULT_CUT_ENTRY] = "cut off",
 	[FAULT_TURN_AWAY] = "turn away",
 	[FAULT_DRILL] = "drill",
+	[FAULT_REMOVAL] = "removal",
 };
 
 /* Relative probability of each kind in the first pass of plan_make(). */
@@ -171,6 +175,16 @@
 	f->value = (int32_t)draw(rng, MIN_PARTITION_MS);
 }
 
+static void draw_removal(struct fault *f, struct mh_rng *rng,
+			 const struct params *params)
+{
+	f->kind = FAULT_REMOVAL;
+	f->ms = MIN_PARTITION_MS +
+		draw(rng, MAX_PARTITION_MS - MIN_PARTITION_MS);
+	f->target = draw(rng, params->servers);
+	f->value = (int32_t)draw(rng, MAX_CUT_BEFORE_REMOVAL_MS);
+}
+
 /* Adds faults of one kind of servers, in a pass of its own, so that a seed gives
  * the same faults of the other kinds as before. */
 static void add_pass(struct plan *plan, const struct params *params,
@@ -222,6 +236,8 @@
 		 LIMIT_GAP * params->gap_ms, draw_limit);
 	add_pass(plan, params, (struct mh_rng){ params->seed * 41 + 13 },
 		 PARTITION_GAP * params->gap_ms, draw_partition);
+	add_pass(plan, params, (struct mh_rng){ params->seed * 43 + 17 },
+		 REMOVAL_GAP * params->gap_ms, draw_removal);
 	qsort(plan->v, plan->n, sizeof(*plan->v), by_start);
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,6 +23,9 @@
 #define MAX_PROCESSES (MAX_PROXIES + MAX_DISPATCHERS)
 #define MAX_FAULTS 4000
 #define ID_BYTES 24
+#define SERVER_SLOTS 8
+/* The users' rule: a server gets no request later than this after its removal. */
+#define DRAIN_MS 2000
 
 /**
  * struct params - parameters of a run
@@ -69,6 +72,7 @@
 	FAULT_CUT_ENTRY, /* a proxy reaches no dispatcher and no store */
 	FAULT_TURN_AWAY, /* the store serves some processes only */
 	FAULT_DRILL,	 /* the store comes back from an older copy */
+	FAULT_REMOVAL, /* a server goes while no dispatcher reaches the store */
 	FAULT_KINDS,
 };
 
@@ -80,9 +84,12 @@
  * @value: depending on @kind: store failure (index into the modes of
  *         inject_store_fault()), delay in ms, clock offset in ms, pause that a
  *         server asks for in ms, limit that it states in mHz (0: another one
- *         holds), mode of repeated refusals, or version of the configuration
+ *         holds), mode of repeated refusals, time from the cut to the removal
+ *         in ms, or version of the configuration
  * @begin_ms: soak_now_ms() when it began, 0: not yet
  * @end_ms: soak_now_ms() when it had ended, 0: not yet
+ * @gone_ms: soak_now_ms() when the store had acknowledged a removal, 0: not yet
+ * @back_ms: the same shortly before the server was back, 0: not yet
  */
 struct fault {
 	enum fault_kind kind;
@@ -92,6 +99,8 @@
 	int32_t value;
 	uint64_t begin_ms;
 	uint64_t end_ms;
+	uint64_t gone_ms;
+	uint64_t back_ms;
 };
 
 struct plan {
@@ -280,7 +289,8 @@
 uint32_t checks_run(const struct calls *calls, const struct plan *plan,
 		    const struct params *params, FILE *out);
 
-/* ---- notices.c: servers that leave, ask for a pause or state a limit ---- */
+/* ---- notices.c: servers that leave, are removed, ask for a pause or state a
+ * limit ---- */
 
 /* Return: number of violated guarantees; each is printed. */
 uint32_t notices_check(const struct calls *calls, const struct plan *plan,
--- a/tests/soak_mutants.sh
+++ b/tests/soak_mutants.sh
@@ -9,7 +9,7 @@
 n=0
 
 try_mutant() { # GUARANTEE FILE EXPRESSION PORTS
-	local copy gap_ms
+	local copy play seed gap_ms
 	copy=$(mktemp -d "$dir/XXXXXX")
 	cp -r Makefile core config net platform proto proxy dispatcher entry \
 		tests build "$copy/"
@@ -20,11 +20,13 @@
 		echo "BROKEN   $name: does not build"
 		return
 	fi
-	# Fewer faults leave fewer that could excuse a violation.
-	for gap_ms in 300 1500 800; do
+	# Fewer faults leave fewer that could excuse a violation. In the plan of the
+	# last seed a server is removed while the store is stable.
+	for play in 1:300 1:1500 1:800 12:300; do
+		seed=${play%:*} gap_ms=${play#*:}
 		timeout 120 build/bin/soak --bin "$copy/build/bin" --dir \
-			"$copy/$gap_ms" --seed 1 --gap-ms $gap_ms --ports $4 \
-			>"$copy/out" 2>&1
+			"$copy/$seed-$gap_ms" --seed $seed --gap-ms $gap_ms \
+			--ports $4 >"$copy/out" 2>&1
 		grep -q "^BROKEN $1" "$copy/out" || continue
 		echo "killed   $name: $(grep -m1 "^BROKEN $1" "$copy/out" |
 			cut -c1-90)"
--- a/tests/standins/standin-platform.c
+++ b/tests/standins/standin-platform.c
@@ -9,8 +9,9 @@
  *
  * The store listens on PORT. Control requests of tests:
  *   POST /test/config           publishes a configuration
- *   POST /test/server?id=&state=[&born=]  sets a server to ready, draining or
- *                               gone, of the incarnation that began then
+ *   POST /test/server?id=&state=[&born=][&slots=]  sets a server to ready,
+ *                               draining or gone, of the incarnation that began
+ *                               then, and its slots
  *   POST /test/leaving?id=&on=[&text=]  on=1: all responses of a server have
  *                               Server-Leaving with this text, by default 1
  *   POST /test/limit?id=&text=  all responses of a server have Server-Limit with
@@ -262,6 +263,8 @@
 	} else if (path_is(c, "/test/server") && s) {
 		if (*query_param(c, "born"))
 			s->born_ms = strtoull(query_param(c, "born"), NULL, 10);
+		if (*query_param(c, "slots"))
+			s->slots = atoi(query_param(c, "slots"));
 		snprintf(s->state, sizeof(s->state), "%s",
 			 query_param(c, "state"));
 		if (!strcmp(s->state, "gone"))
