Test of parts: requests go on until sound ones were counted

The load now goes on until 2 s have been counted. Nothing is weaker: the same window, the same least number, half of them at least served, and more requests that may end servers.

--- a/tests/test_parts.sh
+++ b/tests/test_parts.sh
@@ -22,6 +22,8 @@
 SETTLED_MS=3000
 MAX_LATE_RUNS=3
 COUNTED_CRASHES=5
+# Requests go on until sound ones were counted for this long.
+COUNTED_MS=2000
 # Proxies use their own share of the servers within this time of the last
 # dispatcher's end.
 ALONE_S=3
@@ -43,12 +45,32 @@
 	rm -f "$DIR/$2.body"
 }
 
-# Sends requests at a steady rate, each in the background. Proxies begin one after
-# the other within a second.
+# Arrivals or crashes of a case's bad requests, at the servers' times.
+times() { # WHAT NAME
+	sed -n "s/^$1 .*id=bad-$2-.* at_ms=//p" "$DIR"/fragile*.log | sort -n
+}
+
+# Prints when the last crash came that is allowed, nothing without a crash.
+last_counted_crash() { # NAME
+	times crashed $1 | head -n $COUNTED_CRASHES | tail -n 1
+}
+
+# Whether sound requests were not counted for long enough.
+is_counting() { # NAME
+	local crash
+	crash=$(last_counted_crash $1)
+	[ -n "$crash" ] && [ $(stand_in_now_ms) -lt \
+		$((crash + 2 * SETTLED_MS + COUNTED_MS)) ]
+}
+
+# Sends requests at a steady rate, each in the background, for LOAD_S and then until
+# enough are counted, which is looked at once a second. Proxies begin one after the
+# other within a second.
 send_steadily() { # PROXY NAME PER-SECOND PARTS
-	local i n=$(($3 * LOAD_S)) parts
+	local i=0 least=$(($3 * LOAD_S)) parts
 	sleep .$((RANDOM % 10))
-	for i in $(seq $n); do
+	while [ $i -lt $least ] || [ $((i % $3)) != 0 ] || is_counting ${2#*-}; do
+		i=$((i + 1))
 		parts=${4//%/$((i % 4))}
 		send_parts $1 $2-$1-$i "$parts" >>"$DIR/$2-$1-$i.sent" &
 		sleep $(awk -v n=$3 'BEGIN { print 1 / n }')
@@ -72,11 +94,6 @@
 	rm -f "$DIR"/*-$1-*.sent
 }
 
-# Arrivals or crashes of a case's bad requests, at the servers' times.
-times() { # WHAT NAME
-	sed -n "s/^$1 .*id=bad-$2-.* at_ms=//p" "$DIR"/fragile*.log | sort -n
-}
-
 few_servers_end() { # NAME
 	times crashed $1 >"$DIR/crashed"
 	times reached $1 >"$DIR/reached"
@@ -98,7 +115,7 @@
 # on, at least half are served, as all of them would be without the bad ones.
 sound_are_served() { # NAME
 	local from
-	from=$(times crashed $1 | head -n $COUNTED_CRASHES | tail -n 1)
+	from=$(last_counted_crash $1)
 	cut -d' ' -f3- "$DIR/sound-$1" | sort | uniq -c
 	awk -v from=$((from + 2 * SETTLED_MS)) '$1 > from { n++; ok += $3 == 200 }
 		END { print ok + 0, "of", n + 0
