Roll-outs: the last answers count before a success

Cause: answers enter the tests that decide at the end of periods of 0.5 s. The verdict came before the end of one: entries had been away until then, and 23 of the version's 50 grants were of the last 0.5 s. 15 failures are less than the excess of 20 that is seen at once, so that they counted for nothing.

Change: before a version succeeds, what the present period has gathered is weighed, and the version rolled back if that shows that it is bad. The tests stay as they are.

Test: last_answers_count_before_a_success, 15 failures in the step before the success: before, succeeded; now rolled back.

--- a/core/rollout_impl.h
+++ b/core/rollout_impl.h
@@ -169,8 +169,10 @@
 			   struct version *v, bool failed, double ratio);
 /* Starts the tests with what the counts show, after a merge. */
 void mh_rollout_seed_tests(struct service *svc);
-/* Takes the answers of the period into the tests at its end. */
-void mh_rollout_end_period(struct service *svc, uint64_t now_ns);
+/* Takes the answers of the period into the tests, and begins the next one. */
+void mh_rollout_weigh_period(struct service *svc);
+/* The same once the period is over. */
+void mh_rollout_end_period(struct service *svc);
 bool mh_rollout_is_bad(const struct service *svc);
 bool mh_rollout_is_good(const struct service *svc);
 /* Whether the log-likelihood ratio of a bad to a good version is above a limit, for
--- a/core/rollout_judge.c
+++ b/core/rollout_judge.c
@@ -286,13 +286,11 @@
 	add_to_test(&svc->all, &step);
 }
 
-void mh_rollout_end_period(struct service *svc, uint64_t now_ns)
+void mh_rollout_weigh_period(struct service *svc)
 {
 	double risen = rise(svc);
 	struct kind *k, *tmp;
 
-	if (now_ns < svc->period_ns + PERIOD_NS)
-		return;
 	HASH_ITER(hh, svc->kinds, k, tmp) {
 		if (k->period_target.n)
 			weigh_kind(svc, k, risen);
@@ -301,7 +299,13 @@
 		k->period_old = (struct tally){ 0 };
 		k->period_target = (struct tally){ 0 };
 	}
-	svc->period_ns = now_ns;
+	svc->period_ns = mh_rollout_now_ns(svc->set);
+}
+
+void mh_rollout_end_period(struct service *svc)
+{
+	if (mh_rollout_now_ns(svc->set) >= svc->period_ns + PERIOD_NS)
+		mh_rollout_weigh_period(svc);
 }
 
 void mh_rollout_seed_tests(struct service *svc)
--- a/core/rollout_phase.c
+++ b/core/rollout_phase.c
@@ -119,6 +119,11 @@
 {
 	if (svc->set->store != MH_ROLLOUT_STORE_READ)
 		return;
+	/* The answers of the period that is not over count, too. */
+	mh_rollout_weigh_period(svc);
+	mh_rollout_roll_back_if_bad(svc);
+	if (mh_rollout_is_final(svc))
+		return;
 	mh_rollout_set_phase(svc, MH_ROLLOUT_SUCCEEDED);
 	mh_rollout_replace_others(svc);
 }
@@ -190,7 +195,7 @@
 static void step(struct service *svc, uint64_t now_ns)
 {
 	settle(svc);
-	mh_rollout_end_period(svc, now_ns);
+	mh_rollout_end_period(svc);
 	mh_rollout_roll_back_if_bad(svc);
 	if (!mh_rollout_decides(svc))
 		return;
--- a/tests/test_rollout_merge.c
+++ b/tests/test_rollout_merge.c
@@ -205,6 +205,30 @@
 	free_model(m);
 }
 
+/* Guards against a bad version that succeeds, as its first answers come shortly before
+ * the verdict: entries or servers were cut off until then. */
+static void test_last_answers_count_before_a_success(void **state)
+{
+	struct model *m = new_model(1);
+	uint64_t success_ms;
+	int i;
+
+	(void)state;
+	give_order(m);
+	success_ms = run_until(m, MH_ROLLOUT_SUCCEEDED);
+	assert_int_equal(phase_of(m), MH_ROLLOUT_SUCCEEDED);
+	free_model(m);
+	m = new_model(1);
+	give_order(m);
+	run_ms(m, success_ms - STEP_MS);
+	assert_int_equal(phase_of(m), MH_ROLLOUT_SHIFTING);
+	for (i = 0; i < 15; i++)
+		mh_rollouts_ended(m->set, SERVICE, TARGET, 1, true, 0);
+	run_ms(m, STEP_MS);
+	assert_int_equal(phase_of(m), MH_ROLLOUT_ROLLED_BACK);
+	free_model(m);
+}
+
 /* Guards against a verdict that is reversed, by orders, records or outcomes. */
 static void test_verdicts_are_never_reversed(void **state)
 {
@@ -356,6 +380,7 @@
 		cmocka_unit_test(test_late_shift_needs_evidence),
 		cmocka_unit_test(test_bound_of_two_judges),
 		cmocka_unit_test(test_counts_of_the_record_are_evidence),
+		cmocka_unit_test(test_last_answers_count_before_a_success),
 		cmocka_unit_test(test_verdicts_are_never_reversed),
 		cmocka_unit_test(
 			test_rolled_back_wins_before_an_acknowledgement),
