Roll-outs: answers that a judge is told of are weighed

Callers: a bad version could be observed or succeed while the judge knew of its failures.

Cause: counts of a roll-out are merged by the greater number. A judge that has taken over began its tests with them, but what it was told after that (another judge's record, by the links or the store) raised the counts only, and no test.

Change: the difference that a record makes is evidence of the present period, as if these answers came in then.

Why it works: each answer is in the counts once, and enters the tests with the count; at a takeover the tests begin anew from all counts, as before.

Test: counts_told_to_the_judge_are_evidence, 100 failures among 300 answers that a record tells: before, the version stays observed; now it is rolled back.

--- a/core/rollout_record.c
+++ b/core/rollout_record.c
@@ -34,6 +34,26 @@
 	return true;
 }
 
+/* Answers that only another process has counted so far are evidence of the present
+ * period. */
+static bool merge_count(struct service *svc, struct kind *k, struct version *v,
+			const struct mh_rollout_count *theirs)
+{
+	struct tally *period =
+		v == svc->target ? &k->period_target : &k->period_old;
+	struct count *c = mh_rollout_count(k, v);
+	uint64_t good = c->good, bad = c->failed + c->slow;
+	bool changed;
+
+	changed = raise(&c->good, theirs->good);
+	changed |= raise(&c->failed, theirs->failed);
+	changed |= raise(&c->slow, theirs->slow);
+	bad = c->failed + c->slow - bad;
+	period->n += c->good - good + bad;
+	period->bad += bad;
+	return changed;
+}
+
 static bool merge_counts(struct service *svc,
 			 const struct mh_rollout_record *rec)
 {
@@ -42,13 +62,10 @@
 
 	for (i = 0; i < rec->n_counts; i++) {
 		const struct mh_rollout_count *theirs = &rec->counts[i];
-		struct version *v = mh_rollout_version(svc, theirs->version);
-		struct count *c =
-			mh_rollout_count(mh_rollout_kind(svc, theirs->kind), v);
 
-		changed |= raise(&c->good, theirs->good);
-		changed |= raise(&c->failed, theirs->failed);
-		changed |= raise(&c->slow, theirs->slow);
+		changed |= merge_count(svc, mh_rollout_kind(svc, theirs->kind),
+				       mh_rollout_version(svc, theirs->version),
+				       theirs);
 	}
 	return changed;
 }
--- a/tests/test_rollout_merge.c
+++ b/tests/test_rollout_merge.c
@@ -205,6 +205,29 @@
 	free_model(m);
 }
 
+/* Guards against a bad version that succeeds, as its failures were counted by
+ * another process and the judge only learns their number. */
+static void test_counts_told_to_the_judge_are_evidence(void **state)
+{
+	struct mh_rollout_count counts[] = { { 1, TARGET, 200, 100, 0 } };
+	struct mh_rollout_record rec = {
+		.order = { SERVICE, TARGET, 12000 },
+		.phase = MH_ROLLOUT_OBSERVING,
+		.counts = counts,
+		.n_counts = 1,
+	};
+	struct model *m = new_model(1);
+
+	(void)state;
+	give_order(m);
+	run_ms(m, 3000);
+	assert_int_equal(phase_of(m), MH_ROLLOUT_OBSERVING);
+	assert_true(mh_rollouts_merge(m->set, &rec));
+	tick(m);
+	assert_int_equal(phase_of(m), MH_ROLLOUT_ROLLED_BACK);
+	free_model(m);
+}
+
 /* Guards against a bad version that succeeds, as its first answers come shortly before
  * the verdict: entries or servers were cut off until then. */
 static void test_last_answers_count_before_a_success(void **state)
@@ -380,6 +403,7 @@
 		cmocka_unit_test(test_late_shift_needs_evidence),
 		cmocka_unit_test(test_bound_of_two_judges),
 		cmocka_unit_test(test_counts_of_the_record_are_evidence),
+		cmocka_unit_test(test_counts_told_to_the_judge_are_evidence),
 		cmocka_unit_test(test_last_answers_count_before_a_success),
 		cmocka_unit_test(test_verdicts_are_never_reversed),
 		cmocka_unit_test(
