--- a/tests/proxy_site.sh
+++ b/tests/proxy_site.sh
@@ -212,7 +212,7 @@
 # identifier.
 keep_replacing() { # N SECONDS-WITHOUT-REGISTRATION
 	local generation=0
-	while [ ! -e "$DIR/stop" ]; do
+	while [ -d "$DIR" ] && [ ! -e "$DIR/stop" ]; do
 		if ! is_alive fragile$1; then
 			generation=$((generation + 1))
 			replace_fragile $1 $generation $2
--- a/tests/test_partition.sh
+++ b/tests/test_partition.sh
@@ -28,7 +28,7 @@
 
 # Requests that keep the dispatcher in use, until $DIR/stop exists.
 load() { # N
-	while [ ! -e "$DIR/stop" ]; do
+	while [ -d "$DIR" ] && [ ! -e "$DIR/stop" ]; do
 		ID=load-$RANDOM$RANDOM call $1 /again/ok >/dev/null 2>&1
 		sleep 0.05
 	done
--- a/tests/test_processes.sh
+++ b/tests/test_processes.sh
@@ -420,7 +420,7 @@
 # Sends calls as a load balancer does: to an entry that reports ready.
 load_worker() { # N
 	local i=0 e out
-	while [ ! -e "$DIR/stop" ]; do
+	while [ -d "$DIR" ] && [ ! -e "$DIR/stop" ]; do
 		i=$((i + 1))
 		e=$((1 + (i + $1) % 2))
 		entry_ready $e >/dev/null 2>&1 || e=$((3 - e))
--- a/tests/test_quotas.sh
+++ b/tests/test_quotas.sh
@@ -23,7 +23,7 @@
 load() { # PROXY
 	local n=0
 	set +x
-	while [ ! -e "$DIR/stop" ]; do
+	while [ -d "$DIR" ] && [ ! -e "$DIR/stop" ]; do
 		ID=quota-$1-$BASHPID-$((n++)) KEY=key-2 call $1 /again/ok \
 			-o "$DIR/body$1" >/dev/null 2>&1
 		sleep 0.05
--- a/tests/test_removals.sh
+++ b/tests/test_removals.sh
@@ -32,7 +32,7 @@
 load() { # N JOB
 	local i=0
 	set +x
-	while [ ! -e "$DIR/stop" ]; do
+	while [ -d "$DIR" ] && [ ! -e "$DIR/stop" ]; do
 		ID=l-$1-$2-$((i++)) call $1 /again/ok -o "$DIR/body-$1-$2" \
 			-w "%{http_code}\n" >>"$DIR/load-$1-$2" 2>/dev/null
 	done
